--- /dev/null
+++ b/src/include/monsoondock/platform/listing.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <monsoondock/platform/object.hpp>
+
+#include <vector>
+
+namespace monsoondock::platform {
+
+/// All objects whose keys begin with a prefix, in key order, and the version
+/// of the store at which they were read. A watch from that version sees every
+/// later change.
+struct listing
+{
+    version version_;
+    std::vector<object> objects_;
+};
+
+} // namespace monsoondock::platform
