--- a/src/include/monsoondock/base/identifier.hpp
+++ b/src/include/monsoondock/base/identifier.hpp
@@ -39,6 +39,8 @@
 using group_id = identifier<struct group_tag>;
 /// Set of hosts that share a fast fabric.
 using fabric_domain_id = identifier<struct fabric_domain_tag>;
+/// Data centres that sit close together.
+using region_id = identifier<struct region_tag>;
 /// Place that loses power or network as a whole.
 using data_centre_id = identifier<struct data_centre_tag>;
 /// Customer on whose behalf requests run.
--- /dev/null
+++ b/src/libsettings/convert.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "raw_value.hpp"
+#include "rule.hpp"
+
+#include <monsoondock/base/identifier.hpp>
+
+#include <filesystem>
+#include <string>
+#include <variant>
+
+namespace monsoondock::settings::pvt {
+
+/// Why a raw value is refused.
+struct refusal
+{
+    std::string wrong_;
+    std::string allowed_;
+};
+
+/// Either the typed value or the reason for its refusal.
+template <class Value>
+using conversion = std::variant<Value, refusal>;
+
+
+/// Returns true for 1 to 63 lower-case letters, digits, dots, dashes and
+/// underscores, with a letter or a digit first.
+bool is_name(const std::string& text);
+
+
+/// Returns what is_name allows, in words.
+std::string allowed_names();
+
+
+/// Each overload checks the type, the unit and the range of raw against r.
+conversion<bool> convert(const raw_value& raw, const rule<bool>& r);
+conversion<std::uint64_t>
+convert(const raw_value& raw, const rule<std::uint64_t>& r);
+conversion<double> convert(const raw_value& raw, const rule<double>& r);
+conversion<std::chrono::milliseconds>
+convert(const raw_value& raw, const rule<std::chrono::milliseconds>& r);
+conversion<std::filesystem::path>
+convert(const raw_value& raw, const rule<std::filesystem::path>& r);
+conversion<socket_address>
+convert(const raw_value& raw, const rule<socket_address>& r);
+conversion<std::vector<socket_address>>
+convert(const raw_value& raw, const rule<std::vector<socket_address>>& r);
+
+
+/// Checks that raw is a name.
+conversion<std::string> convert_name(const raw_value& raw);
+
+
+/// Checks that raw is a name and gives it its kind.
+template <class Tag>
+conversion<base::identifier<Tag>>
+convert(const raw_value& raw, const rule<base::identifier<Tag>>& /*r*/)
+{
+    conversion<std::string> name = convert_name(raw);
+    if (auto* refused = std::get_if<refusal>(&name))
+        return std::move(*refused);
+    return base::identifier<Tag>{std::get<std::string>(std::move(name))};
+}
+
+
+/// Returns what a rule allows, in words.
+std::string allowed(const rule<bool>& r);
+std::string allowed(const rule<std::uint64_t>& r);
+std::string allowed(const rule<double>& r);
+std::string allowed(const rule<std::chrono::milliseconds>& r);
+std::string allowed(const rule<std::filesystem::path>& r);
+std::string allowed(const rule<socket_address>& r);
+std::string allowed(const rule<std::vector<socket_address>>& r);
+
+
+/// Returns what an identifier may be, in words.
+template <class Tag>
+std::string allowed(const rule<base::identifier<Tag>>& /*r*/)
+{
+    return allowed_names();
+}
+
+} // namespace monsoondock::settings::pvt
