--- a/src/include/monsoondock/platform/http_client.hpp
+++ b/src/include/monsoondock/platform/http_client.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace monsoondock::platform {
 
--- a/src/include/monsoondock/platform/object.hpp
+++ b/src/include/monsoondock/platform/object.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -17,7 +18,7 @@
 
 
 /// One object of the platform's store. The value is JSON text of at most
-/// MAX_VALUE_BYTES.
+/// max_value_bytes.
 struct object
 {
     std::string key_;
@@ -28,6 +29,6 @@
 };
 
 /// Largest value that the platform holds, in bytes.
-inline constexpr std::size_t MAX_VALUE_BYTES = 1024 * 1024;
+inline constexpr std::size_t max_value_bytes = std::size_t{1024} * 1024;
 
 } // namespace monsoondock::platform
