--- /dev/null
+++ b/src/libgroups/contact_table.cpp
@@ -0,0 +1,43 @@
+#include <monsoondock/groups/contact_table.hpp>
+
+namespace monsoondock::groups {
+
+void contact_table::note_report(
+    const base::host_id& host, const host_report& report)
+{
+    host_contact& contact = contacts_[host];
+    if (contact.report_ && report.asked_ < contact.report_->asked_)
+        return;
+    contact.report_ = report;
+    if (contact.failed_ && *contact.failed_ <= report.asked_)
+        contact.failed_.reset();
+}
+
+
+void contact_table::note_failure(
+    const base::host_id& host, base::time_point asked)
+{
+    host_contact& contact = contacts_[host];
+    if (contact.report_ && asked < contact.report_->asked_)
+        return;
+    contact.failed_ = asked;
+}
+
+
+host_contact contact_table::find(const base::host_id& host) const
+{
+    const auto found = contacts_.find(host);
+    return found == contacts_.end() ? host_contact{} : found->second;
+}
+
+
+bool contact_table::answered_since(
+    const base::host_id& host, base::time_point since) const
+{
+    const auto found = contacts_.find(host);
+    if (found == contacts_.end() || !found->second.report_)
+        return false;
+    return found->second.report_->asked_ >= since;
+}
+
+} // namespace monsoondock::groups
--- /dev/null
+++ b/src/libgroups/verdict_exchange.cpp
@@ -0,0 +1,102 @@
+#include <monsoondock/groups/verdict_exchange.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace monsoondock::groups {
+
+namespace {
+
+std::uint64_t stamp_of(base::time_point t)
+{
+    return static_cast<std::uint64_t>(t.time_since_epoch().count());
+}
+
+
+std::uint16_t rounded_up_ms(base::duration age)
+{
+    constexpr std::int64_t longest = std::numeric_limits<std::uint16_t>::max();
+    const auto ms = std::chrono::ceil<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint16_t>(std::clamp<std::int64_t>(ms, 0, longest));
+}
+
+} // namespace
+
+verdict_request verdict_exchange::ask(
+    const base::daemon_id& peer,
+    std::vector<std::uint64_t> groups,
+    base::time_point now)
+{
+    pending& p = peers_[peer];
+    if (p.asked_)
+        ++p.unanswered_;
+    p.asked_ = now;
+    return verdict_request{stamp_of(now), std::move(groups)};
+}
+
+
+std::optional<base::time_point> verdict_exchange::accept(
+    const base::daemon_id& peer, const verdict_reply& reply)
+{
+    const auto found = peers_.find(peer);
+    if (found == peers_.end() || !found->second.asked_)
+        return std::nullopt;
+    pending& p = found->second;
+    const base::time_point asked = *p.asked_;
+    if (stamp_of(asked) != reply.stamp_)
+        return std::nullopt;
+    p.asked_.reset();
+    p.unanswered_ = 0;
+    return asked;
+}
+
+
+std::size_t verdict_exchange::unanswered(const base::daemon_id& peer) const
+{
+    const auto found = peers_.find(peer);
+    return found == peers_.end() ? 0 : found->second.unanswered_;
+}
+
+
+verdict_entry make_verdict(
+    const group_view& group,
+    const evidence_table& evidence,
+    base::time_point now,
+    std::chrono::milliseconds lease)
+{
+    verdict_entry entry{verdict_key(group.id_, group.generation_), 0, 0};
+    base::duration oldest{0};
+    for (std::size_t rank = 0; rank < group.members_.size(); ++rank) {
+        const auto seen = evidence.seen(
+            group.members_[rank].host_, group.id_, group.generation_);
+        if (!seen || now - *seen >= lease) {
+            entry.missing_ |= std::uint32_t{1} << rank;
+            continue;
+        }
+        oldest = std::max(oldest, now - *seen);
+    }
+    entry.age_ms_ = rounded_up_ms(oldest);
+    return entry;
+}
+
+
+void take_verdict(
+    evidence_table& evidence,
+    const group_view& group,
+    const verdict_entry& entry,
+    base::time_point asked)
+{
+    if (entry.key_ != verdict_key(group.id_, group.generation_))
+        return;
+    const base::time_point seen =
+        asked - std::chrono::milliseconds(entry.age_ms_);
+    for (std::size_t rank = 0; rank < group.members_.size(); ++rank) {
+        if ((entry.missing_ >> rank & 1U) != 0)
+            continue;
+        evidence.note_ready(
+            group.members_[rank].host_,
+            host_evidence{group.id_, group.generation_, seen});
+    }
+}
+
+} // namespace monsoondock::groups
