membership: SWIM node as a state machine over datagrams and time

Cause: the daemons need to know each other at a cost that does not grow with their number, without a coordination service.

Change: libmembership has a node that joins through seeds, probes directly and through others, suspects, refutes with a higher incarnation, leaves, returns and compares tables at a low rate. It has no clock, socket or thread. A claim that an alive member is dead makes it suspect first, so that a healed partition does not take answering members out of use. A step that comes late counts as a pause: suspicions start anew and others are asked first.

Ruled out: a push of each member's status on every settings change (42 updates a second at 470 daemons); instead every datagram carries the highest revision heard of and a few status rows.

--- /dev/null
+++ b/src/include/monsoondock/membership/entry_mode.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace monsoondock::membership {
+
+/// Whether an entry host may be given to callers.
+enum class entry_mode : std::uint8_t
+{
+    open,
+    draining
+};
+
+
+/// Returns the name of a mode as it appears in logs and JSON.
+const char* to_string(entry_mode mode) noexcept;
+
+} // namespace monsoondock::membership
--- /dev/null
+++ b/src/include/monsoondock/membership/member_record.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/membership/endpoint.hpp>
+#include <monsoondock/membership/incarnation.hpp>
+#include <monsoondock/membership/member_state.hpp>
+#include <monsoondock/membership/member_status.hpp>
+
+namespace monsoondock::membership {
+
+/// Group of data centres with short round trips among them.
+using region_id = base::identifier<struct region_tag>;
+
+
+/// Everything that travels about one daemon. Each of the three names has at
+/// most 63 bytes.
+struct member_record
+{
+    base::daemon_id id_;
+    base::data_centre_id data_centre_;
+    region_id region_;
+    /// Where the other daemons reach it, by UDP and TCP.
+    endpoint peer_;
+    /// Where callers connect.
+    endpoint caller_;
+    incarnation incarnation_;
+    member_state state_ = member_state::alive;
+    member_status status_;
+
+    friend bool
+    operator==(const member_record&, const member_record&) = default;
+};
+
+} // namespace monsoondock::membership
--- /dev/null
+++ b/src/include/monsoondock/membership/member_status.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <monsoondock/membership/entry_mode.hpp>
+
+#include <cstdint>
+
+namespace monsoondock::membership {
+
+/// What a member tells about itself. Within one incarnation the status with
+/// the higher sequence is the newer one.
+struct member_status
+{
+    /// Set by the node; callers leave it alone.
+    std::uint32_t sequence_ = 0;
+    /// Settings revision that the member has in force.
+    std::uint64_t settings_revision_ = 0;
+    /// Load in thousandths of the member's capacity.
+    std::uint16_t load_permille_ = 0;
+    entry_mode entry_mode_ = entry_mode::open;
+
+    friend bool
+    operator==(const member_status&, const member_status&) = default;
+};
+
+} // namespace monsoondock::membership
--- /dev/null
+++ b/src/libmembership/compare.cpp
@@ -0,0 +1,141 @@
+#include "compare.hpp"
+
+#include "send.hpp"
+
+#include <algorithm>
+
+namespace monsoondock::membership::pvt {
+
+namespace {
+
+/// From this number of different parts on the tables differ widely.
+constexpr std::size_t WIDE_DIFFERENCE = 4;
+
+/// Number of seeds that are tried at once.
+constexpr std::size_t SEEDS_AT_ONCE = 2;
+
+
+using bucket_flags = std::array<bool, DIGEST_BUCKETS>;
+
+
+bucket_flags differing_buckets(const table_digest& a, const table_digest& b)
+{
+    bucket_flags flags{};
+    for (std::size_t i = 0; i < DIGEST_BUCKETS; ++i)
+        flags[i] = a[i] != b[i];
+    return flags;
+}
+
+
+std::vector<member_record>
+records_of(step& s, const bucket_flags& wanted, const base::daemon_id& self)
+{
+    std::vector<member_record> records;
+    for (const auto& [id, other] : s.node_.members_) {
+        if (wanted[bucket_of(id)])
+            records.push_back(other.record_);
+    }
+    // A random order lets repeated comparisons get through a long list.
+    std::shuffle(records.begin(), records.end(), s.node_.random_);
+    if (wanted[bucket_of(self)])
+        records.insert(records.begin(), s.node_.self_);
+    return records;
+}
+
+
+void send_sync(step& s, const endpoint& to)
+{
+    const auto digest = digest_of(s.node_.self_, s.node_.members_);
+    send_to(s, to, sync{true, digest}, {s.node_.self_});
+}
+
+
+/// Returns the seeds that are neither this node nor a live member.
+std::vector<endpoint> unknown_seeds(const node_state& node)
+{
+    std::vector<endpoint> unknown;
+    for (const endpoint& seed : node.seeds_) {
+        const bool known = std::any_of(
+            node.members_.begin(), node.members_.end(), [&](const auto& m) {
+                return m.second.record_.peer_ == seed &&
+                       m.second.record_.state_ != member_state::dead;
+            });
+        if (!known && seed != node.self_.peer_)
+            unknown.push_back(seed);
+    }
+    return unknown;
+}
+
+
+void try_seeds(step& s, bool alone)
+{
+    node_state& node = s.node_;
+    if (s.now_ < node.due_.seed_)
+        return;
+    node.due_.seed_ = s.now_ + (alone ? node.config_.join_period_
+                                      : node.config_.seed_period_);
+    std::vector<endpoint> chosen;
+    const std::vector<endpoint> unknown = unknown_seeds(node);
+    std::sample(
+        unknown.begin(),
+        unknown.end(),
+        std::back_inserter(chosen),
+        SEEDS_AT_ONCE,
+        node.random_);
+    for (const endpoint& seed : chosen)
+        send_sync(s, seed);
+}
+
+
+void schedule_next(step& s, std::size_t differences)
+{
+    node_state& node = s.node_;
+    const bool wide = differences >= WIDE_DIFFERENCE;
+    const base::duration period =
+        wide ? node.config_.catch_up_period_ : node.config_.sync_period_;
+    node.due_.sync_ = s.now_ + period / 2 + random_duration(node, period);
+}
+
+} // namespace
+
+void compare_tables(step& s)
+{
+    node_state& node = s.node_;
+    const auto partner = random_members(s, 1, node.self_.id_);
+    try_seeds(s, partner.empty());
+    if (partner.empty() || s.now_ < node.due_.sync_)
+        return;
+    schedule_next(s, 0);
+    send_sync(s, partner[0]->record_.peer_);
+}
+
+
+void handle_sync(step& s, const sync& received, const endpoint& from)
+{
+    const auto own = digest_of(s.node_.self_, s.node_.members_);
+    const bucket_flags wanted = differing_buckets(own, received.digest_);
+    const auto differences = static_cast<std::size_t>(
+        std::count(wanted.begin(), wanted.end(), true));
+    if (differences == 0 && !received.wants_reply_)
+        return;
+    const auto records = records_of(s, wanted, s.node_.self_.id_);
+    if (received.wants_reply_)
+        return send_to(s, from, sync{false, own}, records);
+    schedule_next(s, differences);
+    send_to(s, from, gossip{}, records);
+}
+
+
+void ask_for_record(step& s, const base::daemon_id& id, const endpoint& at)
+{
+    const auto found = s.node_.members_.find(id);
+    if (found != s.node_.members_.end()) {
+        member& known = found->second;
+        if (s.now_ - known.asked_ < s.node_.config_.catch_up_period_)
+            return;
+        known.asked_ = s.now_;
+    }
+    send_sync(s, at);
+}
+
+} // namespace monsoondock::membership::pvt
--- /dev/null
+++ b/src/libmembership/node_test.cpp
@@ -0,0 +1,191 @@
+#include "injected_network.hpp"
+#include "message_codec.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace monsoondock;
+using namespace monsoondock::membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::size_t held_as(const node& n, member_state state)
+{
+    std::size_t count = 0;
+    for (const auto& [id, other] : n.members())
+        count += other.record_.state_ == state;
+    return count;
+}
+
+
+injected_network started(std::size_t hosts, std::uint64_t seed)
+{
+    injected_network net(hosts, {}, seed);
+    for (std::size_t i = 0; i < hosts; ++i)
+        net.start(i);
+    net.run(10s);
+    return net;
+}
+
+
+const member_record& view(injected_network& net, std::size_t by, std::size_t of)
+{
+    return net.hosts_[by].node_->members().at(net.name(of)).record_;
+}
+
+} // namespace
+
+
+Test(node, all_join_through_the_seeds)
+{
+    injected_network net = started(20, 1);
+    for (const auto& host : net.hosts_)
+        cr_assert(held_as(*host.node_, member_state::alive) == 19);
+    cr_assert(view(net, 3, 12) == net.hosts_[12].node_->self());
+}
+
+
+Test(node, a_killed_member_is_held_dead_and_returns_with_a_new_life)
+{
+    injected_network net = started(8, 2);
+    net.kill(5);
+    net.run(12s);
+    cr_assert(view(net, 0, 5).state_ == member_state::dead);
+    const incarnation before = view(net, 0, 5).incarnation_;
+    net.start(5);
+    net.run(5s);
+    cr_assert(view(net, 0, 5).state_ == member_state::alive);
+    cr_assert(view(net, 0, 5).incarnation_ > before);
+}
+
+
+Test(node, leaving_spreads_within_a_second_and_exit_needs_no_suspicion)
+{
+    injected_network net = started(8, 3);
+    net.act(4, [](node& n, auto now) { return n.leave(now); });
+    net.run(1s);
+    for (std::size_t i = 0; i < 8; ++i) {
+        if (i != 4)
+            cr_assert(view(net, i, 4).state_ == member_state::leaving);
+    }
+    net.act(4, [](node& n, auto now) { return n.depart(now); });
+    net.kill(4);
+    net.run(2s);
+    cr_assert(view(net, 0, 4).state_ == member_state::dead);
+}
+
+
+Test(node, a_new_settings_revision_and_a_drain_reach_all)
+{
+    injected_network net = started(32, 4);
+    net.act(7, [](node& n, auto now) {
+        return n.set_status({0, 42, 100, entry_mode::draining}, now);
+    });
+    net.run(3s);
+    for (std::size_t i = 0; i < 32; ++i) {
+        cr_assert(net.hosts_[i].node_->highest_revision() == 42);
+        if (i != 7) {
+            const member_status& status = view(net, i, 7).status_;
+            cr_assert(status.entry_mode_ == entry_mode::draining);
+        }
+    }
+}
+
+
+Test(node, a_load_that_changes_all_the_time_spreads_at_a_low_rate)
+{
+    injected_network net = started(8, 5);
+    const std::uint32_t before = net.hosts_[1].node_->self().status_.sequence_;
+    for (std::uint16_t i = 0; i < 200; ++i) {
+        net.act(1, [&](node& n, auto now) {
+            return n.set_status({0, 0, i, entry_mode::open}, now);
+        });
+        net.run(100ms);
+    }
+    cr_assert(net.hosts_[1].node_->self().status_.sequence_ - before <= 5);
+    net.run(10s);
+    cr_assert(view(net, 6, 1).status_.load_permille_ == 199);
+}
+
+
+Test(node, a_resumed_process_declares_nobody_dead)
+{
+    injected_network net = started(16, 6);
+    std::size_t deaths = 0;
+    net.observer_ = [&](std::size_t host, const member_event& event, auto) {
+        const auto* const change = std::get_if<member_changed>(&event);
+        const bool death =
+            change && change->record_.state_ == member_state::dead;
+        deaths += host == 2 && death;
+    };
+    net.pause(2);
+    net.run(60s);
+    net.resume(2);
+    net.run(20s);
+    cr_assert(deaths == 0);
+    cr_assert(net.hosts_[2].node_->counters().pauses_ == 1);
+    for (std::size_t i = 0; i < 16; ++i)
+        cr_assert(held_as(*net.hosts_[i].node_, member_state::alive) == 15);
+}
+
+
+Test(node, a_malformed_datagram_is_counted_and_changes_nothing)
+{
+    injected_network net = started(3, 7);
+    node& target = *net.hosts_[0].node_;
+    const member_table before = target.members();
+    const std::string bodies[] = {
+        "",
+        "x",
+        std::string(MAX_BODY_BYTES + 1, 'a'),
+        std::string(500, '\xff')};
+    for (const std::string& body : bodies)
+        target.handle({net.address(1), body}, net.now());
+    cr_assert(target.counters().datagrams_malformed_ == 4);
+    cr_assert(target.members().size() == before.size());
+}
+
+
+Test(codec, every_cut_or_extended_message_is_refused)
+{
+    pvt::message m;
+    m.sender_.id_ = {"a"};
+    m.body_ = pvt::ping{7, {"b"}};
+    m.records_.resize(2);
+    m.rows_.resize(3);
+    const std::string body = pvt::encode(m);
+    cr_assert(pvt::decode(body).has_value());
+    for (std::size_t size = 0; size < body.size(); ++size)
+        cr_assert(!pvt::decode(body.substr(0, size)));
+    cr_assert(!pvt::decode(body + "x"));
+}
+
+
+Test(codec, sizes_are_as_stated)
+{
+    pvt::message m;
+    const std::size_t empty = pvt::encode(m).size();
+    member_record record;
+    record.id_ = {"abc"};
+    record.region_ = {"de"};
+    m.records_.push_back(record);
+    m.rows_.resize(1);
+    const std::size_t full = pvt::encode(m).size();
+    cr_assert(full - empty == pvt::encoded_size(record) + pvt::ROW_BYTES);
+}
+
+
+Test(endpoint, text_form)
+{
+    cr_assert(to_string(*parse_endpoint("127.0.0.1:8001")) == "127.0.0.1:8001");
+    for (const char* text :
+         {"",
+          "1.2.3:4",
+          "1.2.3.4",
+          "1.2.3.4:0",
+          "256.1.1.1:1",
+          "1.2.3.4:65536",
+          "1.2.3.4:5x",
+          "-1.2.3.4:5"})
+        cr_assert(!parse_endpoint(text));
+}
