--- a/src/libsettings/daemon_config.cpp
+++ b/src/libsettings/daemon_config.cpp
@@ -12,6 +12,8 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
+constexpr std::uint64_t KIB = 1024;
+constexpr std::uint64_t MIB = KIB * KIB;
 constexpr std::size_t MIN_SECRET_BYTES = 16;
 constexpr std::size_t MAX_SECRET_BYTES = 4096;
 constexpr std::size_t MAX_PLATFORM_ADDRESSES = 16;
@@ -65,8 +67,6 @@
 
 admission_sizes read_admission(pvt::table_reader& r)
 {
-    constexpr std::uint64_t KIB = 1024;
-    constexpr std::uint64_t MIB = KIB * KIB;
     admission_sizes a;
     a.max_body_bytes_ = read_count(r, "max_body_bytes", 4 * MIB, KIB, 64 * MIB);
     a.max_header_bytes_ = read_count(r, "max_header_bytes", 16 * KIB, KIB, MIB);
