settings: tree of levels with typed schema, validation, diff and JSON codec

Operators describe deployments, workspaces and host groups in one tree where each level overrides only what it must.

--- /dev/null
+++ b/src/include/monsoondock/settings/class_settings.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <chrono>
+
+namespace monsoondock::settings {
+
+/// Settings of one priority class.
+template <template <class> class Wrap>
+struct class_settings
+{
+    /// Time from arrival to the end of the answer when the caller names none.
+    Wrap<std::chrono::milliseconds> deadline_;
+    /// Longest time in a queue.
+    Wrap<std::chrono::milliseconds> max_wait_;
+};
+
+} // namespace monsoondock::settings
--- /dev/null
+++ b/src/include/monsoondock/settings/effective.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <monsoondock/base/result.hpp>
+#include <monsoondock/settings/place.hpp>
+#include <monsoondock/settings/settings_tree.hpp>
+
+#include <vector>
+
+namespace monsoondock::settings {
+
+/// Returns the nodes that speak for a place, in the order of precedence: a
+/// later one overrides. Problem not_found: the tree has no such data centre,
+/// deployment or workspace.
+base::result<std::vector<const settings_node*>>
+nodes_of(const settings_tree& tree, const place& where);
+
+
+/// Returns every setting that holds at a place, with the level and node that
+/// each comes from. Problem not_found as for nodes_of.
+base::result<effective_values>
+effective(const settings_tree& tree, const place& where);
+
+} // namespace monsoondock::settings
--- a/src/libsettings/convert.cpp
+++ b/src/libsettings/convert.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t MAX_NAME_CHARS = 63;
+constexpr std::size_t SHA256_HEX_CHARS = 64;
 
 
 template <class Value>
@@ -27,6 +28,14 @@
 }
 
 
+bool is_hash(const std::string& text)
+{
+    if (text.size() != SHA256_HEX_CHARS)
+        return false;
+    return text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+
 bool is_name_char(char c)
 {
     const bool letter = c >= 'a' && c <= 'z';
@@ -156,6 +165,39 @@
 }
 
 
+conversion<deployment_kind>
+convert(const raw_value& raw, const rule<deployment_kind>& r)
+{
+    const auto* text = std::get_if<std::string>(&raw);
+    if (text == nullptr)
+        return wrong_type(raw, r);
+    for (const auto kind : {deployment_kind::model, deployment_kind::service}) {
+        if (*text == to_string(kind))
+            return kind;
+    }
+    return refusal{to_toml_text(raw) + " is not a kind", allowed(r)};
+}
+
+
+conversion<std::vector<api_key_hash>>
+convert(const raw_value& raw, const rule<std::vector<api_key_hash>>& r)
+{
+    const auto* items = std::get_if<std::vector<std::string>>(&raw);
+    if (items == nullptr)
+        return wrong_type(raw, r);
+    std::vector<api_key_hash> hashes;
+    for (const std::string& item : *items) {
+        if (!is_hash(item))
+            return refusal{"\"" + item + "\" is not a hash", allowed(r)};
+        const api_key_hash hash{item};
+        if (std::find(hashes.begin(), hashes.end(), hash) != hashes.end())
+            return refusal{"\"" + item + "\" appears twice", allowed(r)};
+        hashes.push_back(hash);
+    }
+    return hashes;
+}
+
+
 conversion<std::string> convert_name(const raw_value& raw)
 {
     const auto* text = std::get_if<std::string>(&raw);
@@ -213,4 +255,57 @@
            std::to_string(r.max_) + " different strings \"ip:port\"";
 }
 
+
+std::string allowed(const rule<deployment_kind>& /*r*/)
+{
+    return "\"model\" or \"service\"";
+}
+
+
+std::string allowed(const rule<std::vector<api_key_hash>>& /*r*/)
+{
+    return "a list of different SHA-256 hashes, each a string of 64 lower-case "
+           "hexadecimal digits";
+}
+
+
+raw_value to_raw(bool value)
+{
+    return value;
+}
+
+
+raw_value to_raw(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+
+raw_value to_raw(double value)
+{
+    return value;
+}
+
+
+raw_value to_raw(std::chrono::milliseconds value)
+{
+    return duration_text(value);
+}
+
+
+raw_value to_raw(deployment_kind value)
+{
+    return std::string(to_string(value));
+}
+
+
+raw_value to_raw(const std::vector<api_key_hash>& value)
+{
+    std::vector<std::string> items;
+    items.reserve(value.size());
+    for (const api_key_hash& hash : value)
+        items.push_back(hash.value_);
+    return items;
+}
+
 } // namespace monsoondock::settings::pvt
--- a/src/libsettings/convert.hpp
+++ b/src/libsettings/convert.hpp
@@ -4,6 +4,8 @@
 #include "rule.hpp"
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/settings/api_key_hash.hpp>
+#include <monsoondock/settings/deployment_kind.hpp>
 
 #include <filesystem>
 #include <string>
@@ -45,6 +47,10 @@
 convert(const raw_value& raw, const rule<socket_address>& r);
 conversion<std::vector<socket_address>>
 convert(const raw_value& raw, const rule<std::vector<socket_address>>& r);
+conversion<deployment_kind>
+convert(const raw_value& raw, const rule<deployment_kind>& r);
+conversion<std::vector<api_key_hash>>
+convert(const raw_value& raw, const rule<std::vector<api_key_hash>>& r);
 
 
 /// Checks that raw is a name.
@@ -71,6 +77,17 @@
 std::string allowed(const rule<std::filesystem::path>& r);
 std::string allowed(const rule<socket_address>& r);
 std::string allowed(const rule<std::vector<socket_address>>& r);
+std::string allowed(const rule<deployment_kind>& r);
+std::string allowed(const rule<std::vector<api_key_hash>>& r);
+
+
+/// Each overload gives the raw form of a valid value.
+raw_value to_raw(bool value);
+raw_value to_raw(std::uint64_t value);
+raw_value to_raw(double value);
+raw_value to_raw(std::chrono::milliseconds value);
+raw_value to_raw(deployment_kind value);
+raw_value to_raw(const std::vector<api_key_hash>& value);
 
 
 /// Returns what an identifier may be, in words.
--- a/src/libsettings/daemon_config.cpp
+++ b/src/libsettings/daemon_config.cpp
@@ -87,7 +87,10 @@
     static const toml::table empty;
     const toml::table* table = parent.table(name);
     pvt::table_reader reader(
-        table != nullptr ? *table : empty, file, std::string(name), faults);
+        table != nullptr ? *table : empty,
+        file,
+        std::string(name) + ".",
+        faults);
     Section section = read(reader);
     reader.finish();
     return section;
--- /dev/null
+++ b/src/libsettings/setting.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "field.hpp"
+#include "level_set.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace monsoondock::settings::pvt {
+
+/// One key of the schema.
+template <class Value>
+struct setting
+{
+    std::string_view section_;
+    field<Value> field_;
+    level_set levels_;
+
+
+    /// Returns `section.key`.
+    std::string name() const
+    {
+        return std::string(section_) + "." + std::string(field_.key_);
+    }
+};
+
+} // namespace monsoondock::settings::pvt
--- a/src/libsettings/table_reader.cpp
+++ b/src/libsettings/table_reader.cpp
@@ -131,9 +131,7 @@
 
 std::string table_reader::full_name(std::string_view key) const
 {
-    if (prefix_.empty())
-        return std::string(key);
-    return prefix_ + "." + std::string(key);
+    return prefix_ + std::string(key);
 }
 
 
