claims: at most one run for calls that are not idempotent

Cause: payouts and bookings must reach their service at most once, whatever daemon they come to, and a refusal that says not_run must be true.

--- /dev/null
+++ b/src/include/monsoondock/claims/sweep.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/claims/moment.hpp>
+#include <monsoondock/platform/listing.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace monsoondock::claims {
+
+/// Number of key ranges into which the claims are divided for sweeping.
+inline constexpr unsigned SWEEP_RANGE_COUNT = 4096;
+
+
+/// How long claims are kept.
+struct claim_retention
+{
+    /// For a claim with an outcome.
+    std::chrono::hours finished_{24};
+    /// For a claim whose outcome is not known.
+    std::chrono::hours unresolved_{24 * 30};
+};
+
+
+/// A claim to delete if it still has this version.
+struct expired_claim
+{
+    std::string key_;
+    platform::version version_;
+
+    friend bool
+    operator==(const expired_claim&, const expired_claim&) = default;
+};
+
+
+/// Returns the prefix of the claims in one range.
+std::string sweep_prefix(unsigned range);
+
+
+/// Returns the ranges that self sweeps among all live daemons. Two daemons
+/// that disagree about the members sweep a range twice or leave it for later;
+/// both are harmless.
+std::vector<unsigned>
+sweep_ranges(const base::daemon_id& self, std::vector<base::daemon_id> members);
+
+
+/// Picks the oldest claims of one listed range that are past retention, at
+/// most limit of them. One step so costs one read and at most limit writes.
+std::vector<expired_claim> plan_sweep(
+    const platform::listing& range,
+    const claim_retention& retention,
+    wall_time now,
+    std::size_t limit);
+
+} // namespace monsoondock::claims
--- /dev/null
+++ b/src/libclaims/retry_decision_test.cpp
@@ -0,0 +1,77 @@
+#include <monsoondock/claims/retry_decision.hpp>
+
+#include <criterion/criterion.h>
+
+#include <array>
+
+using namespace monsoondock::claims;
+
+namespace {
+
+constexpr auto NOT_RUN = run_statement::not_run;
+constexpr auto UNKNOWN = run_statement::unknown;
+
+
+struct expectation
+{
+    failure failure_;
+    // Columns: unsent, maybe_sent, answered; idempotent, then at most once.
+    std::array<retry_decision, 3> idempotent_;
+    std::array<retry_decision, 3> at_most_once_;
+};
+
+constexpr std::array<expectation, FAILURE_COUNT> TABLE{{
+    {failure::no_upstream,
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}},
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::connect_failed,
+     {{{NOT_RUN, true}, {UNKNOWN, true}, {UNKNOWN, true}}},
+     {{{NOT_RUN, true}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::connection_lost,
+     {{{NOT_RUN, true}, {UNKNOWN, true}, {UNKNOWN, true}}},
+     {{{NOT_RUN, true}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::timeout,
+     {{{NOT_RUN, true}, {UNKNOWN, true}, {UNKNOWN, true}}},
+     {{{NOT_RUN, true}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::malformed_answer,
+     {{{NOT_RUN, true}, {UNKNOWN, true}, {UNKNOWN, true}}},
+     {{{NOT_RUN, true}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::refused_before_run,
+     {{{NOT_RUN, true}, {UNKNOWN, true}, {NOT_RUN, true}}},
+     {{{NOT_RUN, true}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::caller_left,
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}},
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::deadline_passed,
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}},
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+    {failure::store_unavailable,
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}},
+     {{{NOT_RUN, false}, {UNKNOWN, false}, {UNKNOWN, false}}}},
+}};
+
+} // namespace
+
+
+Test(retry_decision, whole_table)
+{
+    for (std::size_t f = 0; f < TABLE.size(); ++f) {
+        const expectation& e = TABLE[f];
+        cr_assert(static_cast<std::size_t>(e.failure_) == f);
+        for (int s = 0; s < 3; ++s) {
+            const auto state = static_cast<run_state>(s);
+            cr_expect(
+                decide_retry(state, e.failure_, repeatability::idempotent) ==
+                    e.idempotent_[s],
+                "idempotent, failure %zu, state %d",
+                f,
+                s);
+            cr_expect(
+                decide_retry(state, e.failure_, repeatability::at_most_once) ==
+                    e.at_most_once_[s],
+                "at most once, failure %zu, state %d",
+                f,
+                s);
+        }
+    }
+}
