--- a/src/include/monsoondock/membership/member_record.hpp
+++ b/src/include/monsoondock/membership/member_record.hpp
@@ -8,17 +8,13 @@
 
 namespace monsoondock::membership {
 
-/// Group of data centres with short round trips among them.
-using region_id = base::identifier<struct region_tag>;
-
-
 /// Everything that travels about one daemon. Each of the three names has at
 /// most 63 bytes.
 struct member_record
 {
     base::daemon_id id_;
     base::data_centre_id data_centre_;
-    region_id region_;
+    base::region_id region_;
     /// Where the other daemons reach it, by UDP and TCP.
     endpoint peer_;
     /// Where callers connect.
--- /dev/null
+++ b/src/include/monsoondock/wire/body_codec.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace monsoondock::wire {
+
+/// Archives of the bodies between daemons.
+using body_writer = cereal::PortableBinaryOutputArchive;
+using body_reader = cereal::PortableBinaryInputArchive;
+
+
+/// Writes text with a length of 32 bits.
+inline void write_text(body_writer& out, const std::string& text)
+{
+    out(static_cast<std::uint32_t>(text.size()));
+    out(cereal::binary_data(text.data(), text.size()));
+}
+
+
+/// Reads text of at most limit bytes. Throws std::range_error when it is
+/// longer; decode_body catches.
+inline void read_text(body_reader& in, std::string& text, std::size_t limit)
+{
+    std::uint32_t size = 0;
+    in(size);
+    if (size > limit)
+        throw std::range_error("text is too long");
+    text.resize(size);
+    in(cereal::binary_data(text.data(), text.size()));
+}
+
+
+/// Writes the number of items of a list.
+inline void write_count(body_writer& out, std::size_t count)
+{
+    out(static_cast<std::uint32_t>(count));
+}
+
+
+/// Reads a number of items that must be at most limit. Throws
+/// std::range_error when it is higher; decode_body catches.
+inline std::size_t read_count(body_reader& in, std::size_t limit)
+{
+    std::uint32_t count = 0;
+    in(count);
+    if (count > limit)
+        throw std::range_error("list is too long");
+    return count;
+}
+
+
+/// Returns the bytes of a value that has a function write(body_writer&, const
+/// Value&) in its namespace.
+template <class Value>
+std::string encode_body(const Value& value)
+{
+    std::ostringstream stream;
+    {
+        body_writer out(stream);
+        write(out, value);
+    }
+    return std::move(stream).str();
+}
+
+
+/// Reads a value that has a function read(body_reader&, Value&) in its
+/// namespace. Returns nothing when the bytes are cut short, too long or hold
+/// something out of range.
+template <class Value>
+std::optional<Value> decode_body(const std::string& bytes)
+{
+    try {
+        std::istringstream stream(bytes);
+        body_reader in(stream);
+        Value value;
+        read(in, value);
+        if (stream.peek() != std::istringstream::traits_type::eof())
+            return std::nullopt;
+        return value;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace monsoondock::wire
--- /dev/null
+++ b/src/include/monsoondock/wire/drop_counters.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <monsoondock/wire/drop_reason.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace monsoondock::wire {
+
+/// Totals of dropped envelopes by reason.
+struct drop_counters
+{
+    std::array<std::uint64_t, DROP_REASON_COUNT> totals_{};
+
+
+    /// Returns the total of one reason.
+    std::uint64_t of(drop_reason reason) const noexcept
+    {
+        return totals_[static_cast<std::size_t>(reason)];
+    }
+
+
+    /// Counts one drop.
+    void add(drop_reason reason) noexcept
+    {
+        ++totals_[static_cast<std::size_t>(reason)];
+    }
+};
+
+} // namespace monsoondock::wire
--- a/src/libmembership/injected_network.hpp
+++ b/src/libmembership/injected_network.hpp
@@ -64,7 +64,7 @@
     static base::daemon_id name(std::size_t host)
     {
         const std::string digits = std::to_string(host);
-        return {"entry-" + std::string(4 - digits.size(), '0') + digits};
+        return {std::string("entry-").append(4 - digits.size(), '0') + digits};
     }
 
 
--- a/src/libmembership/suspicion.cpp
+++ b/src/libmembership/suspicion.cpp
@@ -83,7 +83,8 @@
     node.updates_.restart(node.self_.id_);
     node.urgent_ = true;
     ++node.counters_.pauses_;
-    s.out_.events_.emplace_back(std::in_place_type<pause_noticed>, gap);
+    s.out_.events_.emplace_back(
+        std::in_place_type<pause_noticed>, pause_noticed{gap});
 }
 
 } // namespace monsoondock::membership::pvt
