settings: acceptance in the platform's store and revisions in daemons

An accepted revision must never be lost nor an older one come into force, with answers lost, operators racing and daemons restarting. Acceptance is a state machine of store calls and answers; the reader takes only higher revisions.

--- /dev/null
+++ b/src/include/monsoondock/settings/cold_start.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/settings/revision_keeper.hpp>
+
+#include <set>
+
+namespace monsoondock::settings {
+
+/// What a daemon waits for after its start before it serves, so that it does
+/// not serve with an older revision than its peers have in force.
+struct cold_start
+{
+    /// Peers that were asked for their bundle and have not answered.
+    std::set<base::daemon_id> asked_;
+    /// True once a peer has answered.
+    bool peer_answered_ = false;
+    /// True once the store has given its head.
+    bool store_answered_ = false;
+    /// Time from which the answer of one peer is enough.
+    base::time_point deadline_;
+};
+
+
+/// Notes the answer of a peer, also one without a bundle.
+void on_peer_answer(cold_start& start, const base::daemon_id& peer);
+
+
+/// Returns true when the daemon may serve: a revision is in force, no higher
+/// one is known, and the store has answered, or all peers asked, or at least
+/// one peer and the deadline has passed.
+bool may_serve(
+    const cold_start& start,
+    const revision_keeper& keeper,
+    base::time_point now);
+
+} // namespace monsoondock::settings
--- /dev/null
+++ b/src/include/monsoondock/settings/revision_keeper.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <monsoondock/settings/finding.hpp>
+#include <monsoondock/settings/settings_bundle.hpp>
+#include <monsoondock/settings/settings_tree.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoondock::settings {
+
+/// Behaviour of a revision_keeper.
+struct keeper_rules
+{
+    /// False lets an older revision replace a newer one, for tests of the
+    /// tests.
+    bool refuse_older_ = true;
+};
+
+
+/// What a keeper has met since it was made.
+struct keeper_counts
+{
+    /// Heads with a revision that is not above the one in force or on its way.
+    std::uint64_t refused_ = 0;
+    /// Revisions that came into force.
+    std::uint64_t applied_ = 0;
+    /// Revisions whose nodes were not valid.
+    std::uint64_t invalid_ = 0;
+};
+
+
+/// Reader's side of the settings in one daemon. It learns heads from the
+/// store's watch and from peers in any order, names the node objects to fetch
+/// and puts a revision into force when all its nodes are there and the whole
+/// is valid. The revision in force only grows. Not safe for concurrent use;
+/// the tree it gives out is immutable.
+class revision_keeper
+{
+public:
+    explicit revision_keeper(keeper_rules rules = {});
+
+
+    /// Takes a head. Returns the keys of the node objects to fetch.
+    std::vector<std::string> on_head(const settings_head& head);
+
+
+    /// Takes a head with its nodes from a peer.
+    void on_bundle(const settings_bundle& bundle);
+
+
+    /// Takes the JSON text of a node object that was fetched.
+    void on_node(std::string_view text);
+
+
+    /// Returns the keys of the node objects that are still missing, to fetch
+    /// again after a failure.
+    std::vector<std::string> wanted() const;
+
+
+    /// Returns the tree in force, or null before the first.
+    const std::shared_ptr<const settings_tree>& in_force() const
+    {
+        return in_force_;
+    }
+
+
+    /// Returns the revision in force; 0 before the first.
+    revision in_force_revision() const;
+
+
+    /// Returns the highest revision learnt of, in force or not.
+    revision latest() const;
+
+
+    /// Returns what is in force for a peer, or nothing before the first.
+    std::optional<settings_bundle> bundle() const;
+
+
+    /// Returns the faults of the latest revision that was not valid; empty
+    /// when a later one is in force.
+    const findings& faults() const
+    {
+        return faults_;
+    }
+
+
+    /// Returns the counts since the keeper was made.
+    const keeper_counts& counts() const
+    {
+        return counts_;
+    }
+
+private:
+    bool is_new(const settings_head& head) const;
+
+    void keep_node(settings_node node);
+
+    void reject(findings faults);
+
+    void try_apply();
+
+    keeper_rules rules_;
+    keeper_counts counts_;
+    findings faults_;
+    settings_head head_;
+    std::optional<settings_head> pending_;
+    std::map<node_path, settings_node> fetched_;
+    std::shared_ptr<const settings_tree> in_force_;
+};
+
+} // namespace monsoondock::settings
--- /dev/null
+++ b/src/libsettings/acceptance_machine.cpp
@@ -0,0 +1,505 @@
+#define BOOST_MPL_LIMIT_VECTOR_SIZE 30
+
+#include "acceptance_machine.hpp"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace monsoondock::settings::pvt {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+
+void ask_head(acceptance_run& run)
+{
+    ask(run, {read_object{std::string(HEAD_KEY)}, {}});
+}
+
+
+/// Returns true when the known nodes cover the head.
+bool covers(const acceptance_run& run, const settings_head& head)
+{
+    for (const auto& [path, at] : head.nodes_) {
+        const auto known = run.nodes_.find(path);
+        if (known == run.nodes_.end() || known->second.revision_ != at)
+            return false;
+    }
+    return true;
+}
+
+
+/// Asks for the head.
+struct reading_head : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        ask_head(*machine.run_);
+    }
+};
+
+
+/// Asks for the nodes of the head that are not known.
+struct reading_nodes : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        for (const std::string& key : missing_nodes(*machine.run_))
+            ask(*machine.run_, {read_object{key}, {}});
+    }
+};
+
+
+/// Applies the edit and leaves at once.
+struct deciding : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        decide(*machine.run_);
+    }
+};
+
+
+/// Creates the node objects of the candidate.
+struct writing_nodes : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        for (const auto& [key, text] : machine.run_->unwritten_)
+            ask(*machine.run_,
+                {write_object{key, text, platform::if_absent{}}, {}});
+    }
+};
+
+
+/// Writes the head on the condition that nobody else did.
+struct writing_head : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        ask(*machine.run_, head_write(*machine.run_));
+    }
+};
+
+
+/// Reads the head to learn whether it was written.
+struct reading_back : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        ask_head(*machine.run_);
+    }
+};
+
+
+struct finished : msm::front::state<>
+{};
+
+
+struct machine_def : msm::front::state_machine_def<machine_def>
+{
+    using initial_state = reading_head;
+
+    acceptance_run* run_ = nullptr;
+
+
+    // Guards.
+
+    struct lacks_nodes
+    {
+        template <class Machine, class From, class To>
+        bool
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            return !covers(*machine.run_, event.state_.head_);
+        }
+    };
+
+
+    struct has_nodes
+    {
+        template <class Machine, class From, class To>
+        bool
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            return covers(*machine.run_, event.state_.head_);
+        }
+    };
+
+
+    struct is_last_read
+    {
+        template <class Machine, class From, class To>
+        bool operator()(const node_read&, Machine& machine, From&, To&) const
+        {
+            return machine.run_->open_.empty();
+        }
+    };
+
+
+    struct is_decided
+    {
+        template <class Event, class Machine, class From, class To>
+        bool operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            return machine.run_->outcome_.has_value();
+        }
+    };
+
+
+    struct has_objects_to_write
+    {
+        template <class Event, class Machine, class From, class To>
+        bool operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            const acceptance_run& run = *machine.run_;
+            return !run.outcome_ && !run.unwritten_.empty();
+        }
+    };
+
+
+    /// An edit that only removes nodes changes nothing but the head.
+    struct has_only_head
+    {
+        template <class Event, class Machine, class From, class To>
+        bool operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            const acceptance_run& run = *machine.run_;
+            return !run.outcome_ && run.unwritten_.empty();
+        }
+    };
+
+
+    struct is_last_write
+    {
+        template <class Machine, class From, class To>
+        bool operator()(
+            const node_written& event, Machine& machine, From&, To&) const
+        {
+            return is_last(*machine.run_, event.key_);
+        }
+
+
+        template <class Machine, class From, class To>
+        bool operator()(
+            const node_read_back& event, Machine& machine, From&, To&) const
+        {
+            return is_ours(*machine.run_, event) &&
+                   is_last(*machine.run_, event.key_);
+        }
+
+
+        static bool is_ours(acceptance_run& run, const node_read_back& event)
+        {
+            return run.unwritten_.at(event.key_) == event.text_;
+        }
+
+
+        static bool is_last(acceptance_run& run, const std::string& key)
+        {
+            return run.unwritten_.size() == 1 && run.unwritten_.contains(key);
+        }
+    };
+
+
+    struct is_other_text
+    {
+        template <class Machine, class From, class To>
+        bool operator()(
+            const node_read_back& event, Machine& machine, From&, To&) const
+        {
+            return !is_last_write::is_ours(*machine.run_, event);
+        }
+    };
+
+
+    struct assumes_written
+    {
+        template <class Machine, class From, class To>
+        bool operator()(
+            const head_not_confirmed& event, Machine& machine, From&, To&) const
+        {
+            return event.answer_lost_ && !machine.run_->rules_.read_back_;
+        }
+    };
+
+
+    struct holds_token
+    {
+        template <class Machine, class From, class To>
+        bool
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            return remembers(event.state_.head_, machine.run_->edit_.token_);
+        }
+    };
+
+
+    struct is_unmoved
+    {
+        template <class Machine, class From, class To>
+        bool
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            return event.state_.version_ == machine.run_->current_.version_;
+        }
+    };
+
+
+    /// The head forgot the acceptances around the candidate.
+    struct is_forgotten
+    {
+        template <class Machine, class From, class To>
+        bool
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            const auto& history = event.state_.head_.history_;
+            return machine.run_->head_in_doubt_ && !history.empty() &&
+                   history.front().revision_ >
+                       machine.run_->candidate_.revision_;
+        }
+    };
+
+
+    struct has_rebased_too_often
+    {
+        template <class Machine, class From, class To>
+        bool operator()(const head_read&, Machine& machine, From&, To&) const
+        {
+            const acceptance_run& run = *machine.run_;
+            return run.rebases_ >= run.rules_.max_rebases_;
+        }
+    };
+
+
+    // Actions.
+
+    struct keep_head
+    {
+        template <class Machine, class From, class To>
+        void
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            machine.run_->current_ = event.state_;
+        }
+    };
+
+
+    /// The old condition cannot hold any more, so the edit is not in doubt.
+    struct rebase
+    {
+        template <class Machine, class From, class To>
+        void
+        operator()(const head_read& event, Machine& machine, From&, To&) const
+        {
+            ++machine.run_->rebases_;
+            machine.run_->head_in_doubt_ = false;
+            machine.run_->current_ = event.state_;
+        }
+    };
+
+
+    struct keep_node
+    {
+        template <class Machine, class From, class To>
+        void
+        operator()(const node_read& event, Machine& machine, From&, To&) const
+        {
+            machine.run_->nodes_.insert_or_assign(
+                event.node_.path_, event.node_);
+        }
+    };
+
+
+    struct strike_node
+    {
+        template <class Event, class Machine, class From, class To>
+        void operator()(const Event& event, Machine& machine, From&, To&) const
+        {
+            machine.run_->unwritten_.erase(event.key_);
+        }
+    };
+
+
+    struct read_node_back
+    {
+        template <class Machine, class From, class To>
+        void
+        operator()(const node_taken& event, Machine& machine, From&, To&) const
+        {
+            ask(*machine.run_, {read_object{event.key_}, {}});
+        }
+    };
+
+
+    struct raise_revision
+    {
+        template <class Event, class Machine, class From, class To>
+        void operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            raise_candidate(*machine.run_);
+        }
+    };
+
+
+    struct accept
+    {
+        template <class Event, class Machine, class From, class To>
+        void operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            acceptance_run& run = *machine.run_;
+            run.outcome_ = accepted{run.candidate_.revision_};
+        }
+    };
+
+
+    struct give_up_in_doubt
+    {
+        template <class Event, class Machine, class From, class To>
+        void operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            machine.run_->outcome_ = acceptance_unknown{
+                "the head no longer remembers revision " +
+                std::to_string(machine.run_->candidate_.revision_.value_)};
+        }
+    };
+
+
+    struct give_up
+    {
+        template <class Event, class Machine, class From, class To>
+        void operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            machine.run_->outcome_ =
+                not_accepted{"other edits were accepted first too often"};
+        }
+    };
+
+    // clang-format off
+    // Later rows are tried first when several guards of one event hold.
+    struct transition_table : boost::mpl::vector<
+        Row<reading_head,  head_read,          reading_nodes, keep_head,        lacks_nodes>,
+        Row<reading_head,  head_read,          deciding,      keep_head,        has_nodes>,
+        Row<reading_nodes, node_read,          none,          keep_node,        none>,
+        Row<reading_nodes, node_read,          deciding,      keep_node,        is_last_read>,
+        Row<deciding,      none,               finished,      none,             is_decided>,
+        Row<deciding,      none,               writing_nodes, none,             has_objects_to_write>,
+        Row<deciding,      none,               writing_head,  none,             has_only_head>,
+        Row<writing_nodes, node_written,       none,          strike_node,      none>,
+        Row<writing_nodes, node_written,       writing_head,  strike_node,      is_last_write>,
+        Row<writing_nodes, node_taken,         none,          read_node_back,   none>,
+        Row<writing_nodes, node_read_back,     none,          strike_node,      none>,
+        Row<writing_nodes, node_read_back,     writing_head,  strike_node,      is_last_write>,
+        Row<writing_nodes, node_read_back,     writing_nodes, raise_revision,   is_other_text>,
+        Row<writing_head,  head_written,       finished,      accept,           none>,
+        Row<writing_head,  head_not_confirmed, reading_back,  none,             none>,
+        Row<writing_head,  head_not_confirmed, finished,      accept,           assumes_written>,
+        Row<reading_back,  head_read,          reading_nodes, rebase,           lacks_nodes>,
+        Row<reading_back,  head_read,          deciding,      rebase,           has_nodes>,
+        Row<reading_back,  head_read,          finished,      give_up,          has_rebased_too_often>,
+        Row<reading_back,  head_read,          finished,      give_up_in_doubt, is_forgotten>,
+        Row<reading_back,  head_read,          writing_head,  none,             is_unmoved>,
+        Row<reading_back,  head_read,          finished,      accept,           holds_token>,
+        Row<reading_head,  ended,              finished,      none,             none>,
+        Row<reading_nodes, ended,              finished,      none,             none>,
+        Row<writing_nodes, ended,              finished,      none,             none>,
+        Row<writing_head,  ended,              finished,      none,             none>,
+        Row<reading_back,  ended,              finished,      none,             none>>
+    {};
+    // clang-format on
+
+
+    /// An event that a state does not expect is a late answer.
+    template <class Machine, class Event>
+    void no_transition(const Event& /*event*/, Machine& /*machine*/, int)
+    {}
+};
+
+} // namespace
+
+struct acceptance_machine::impl
+{
+    msm::back::state_machine<machine_def> machine_;
+};
+
+
+acceptance_machine::acceptance_machine(acceptance_run& run)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->machine_.run_ = &run;
+}
+
+
+acceptance_machine::~acceptance_machine() = default;
+
+
+void acceptance_machine::start()
+{
+    impl_->machine_.start();
+}
+
+
+void acceptance_machine::process_event(const head_read& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const node_read& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const node_written& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const node_taken& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const node_read_back& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const head_written& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const head_not_confirmed& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+void acceptance_machine::process_event(const ended& event)
+{
+    impl_->machine_.process_event(event);
+}
+
+
+acceptance_run& acceptance_machine::run()
+{
+    return *impl_->machine_.run_;
+}
+
+} // namespace monsoondock::settings::pvt
--- a/src/libsettings/assign.cpp
+++ b/src/libsettings/assign.cpp
@@ -58,12 +58,17 @@
 std::optional<refusal>
 assign(own_values& values, level at, std::string_view key, const raw_value& raw)
 {
-    std::optional<refusal> outcome = unknown_key(key);
+    bool known = false;
+    std::optional<refusal> refused;
     for_each_setting([&](const auto& s, auto access) {
-        if (s.name() == key)
-            outcome = assign_to(access(values), s, at, raw);
+        if (!s.is(key))
+            return;
+        known = true;
+        refused = assign_to(access(values), s, at, raw);
     });
-    return outcome;
+    if (!known)
+        return unknown_key(key);
+    return refused;
 }
 
 
@@ -71,7 +76,7 @@
 {
     bool known = false;
     for_each_setting([&](const auto& s, auto access) {
-        if (s.name() != key)
+        if (!s.is(key))
             return;
         access(values).reset();
         known = true;
@@ -84,7 +89,7 @@
 {
     std::optional<raw_value> found;
     for_each_setting([&](const auto& s, auto access) {
-        if (s.name() == key && access(values))
+        if (s.is(key) && access(values))
             found = to_raw(*access(values));
     });
     return found;
--- /dev/null
+++ b/src/libsettings/exploration_test.cpp
@@ -0,0 +1,71 @@
+#include "exploration_world_test.hpp"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+
+using namespace monsoondock::settings;
+
+namespace {
+
+constexpr std::uint64_t SEEDS = 600;
+constexpr int STEPS = 250;
+
+
+struct caught
+{
+    std::uint64_t seed_;
+    std::string what_;
+};
+
+
+std::optional<caught> explore(exploration::rules rules)
+{
+    for (std::uint64_t seed = 1; seed <= SEEDS; ++seed) {
+        exploration::world world(seed, rules);
+        if (auto failure = world.run(STEPS))
+            return caught{seed, *failure};
+    }
+    return std::nullopt;
+}
+
+
+void expect_caught(exploration::rules rules)
+{
+    const auto found = explore(rules);
+    cr_assert(found.has_value());
+    // Criterion counts a logged warning as a failure.
+    std::printf(
+        "caught by seed %lu: %s\n",
+        static_cast<unsigned long>(found->seed_),
+        found->what_.c_str());
+}
+
+} // namespace
+
+
+Test(exploration, every_schedule_keeps_the_invariants)
+{
+    const auto found = explore({});
+    cr_assert(
+        !found.has_value(),
+        "seed %lu: %s",
+        static_cast<unsigned long>(found->seed_),
+        found->what_.c_str());
+}
+
+
+Test(exploration, taking_an_older_revision_is_caught)
+{
+    exploration::rules rules;
+    rules.keeper_.refuse_older_ = false;
+    expect_caught(rules);
+}
+
+
+Test(exploration, acceptance_without_reading_back_is_caught)
+{
+    exploration::rules rules;
+    rules.acceptance_.read_back_ = false;
+    expect_caught(rules);
+}
--- /dev/null
+++ b/src/libsettings/exploration_world_test.cpp
@@ -0,0 +1,390 @@
+#include "exploration_world_test.hpp"
+
+#include <monsoondock/settings/node_codec.hpp>
+#include <monsoondock/settings/tree_file.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::settings::exploration {
+
+namespace {
+
+constexpr std::size_t OPERATORS = 3;
+constexpr std::size_t DAEMONS = 3;
+const base::time_point NEVER = base::time_point::max();
+
+const char* const PATHS[] = {
+    "org", "org/west", "org/west/one", "org/deployments/llm", "org/south"};
+const char* const KEYS[] = {
+    "deployment.spares", "deployment.min_groups", "limits.max_answer_tokens"};
+
+
+settings_tree first_tree()
+{
+    return std::get<settings_tree>(parse_tree(
+        R"(["org"]
+["org/west"]
+["org/west/one"]
+["org/deployments/llm"]
+deployment.kind = "model"
+deployment.idempotent = true
+)",
+        "first"));
+}
+
+} // namespace
+
+world::world(std::uint64_t seed, rules r) : rules_(r), random_(seed)
+{
+    operators_.resize(OPERATORS);
+    for (std::size_t i = 0; i < DAEMONS; ++i)
+        daemons_.push_back({revision_keeper(r.keeper_), {}, {}, {}, {}, {}});
+    for (daemon_state& d : daemons_)
+        d.start_.deadline_ = NEVER;
+}
+
+
+std::optional<std::string> world::run(int steps)
+{
+    for (int i = 0; i < steps && !failure_; ++i)
+        step();
+    if (!failure_)
+        settle();
+    if (!failure_)
+        check_end();
+    return failure_;
+}
+
+
+std::uint64_t world::pick(std::uint64_t count)
+{
+    return random_() % count;
+}
+
+
+bool world::chance(std::uint64_t percent)
+{
+    return pick(100) < percent;
+}
+
+
+void world::step()
+{
+    if (chance(down_ ? 10 : 2))
+        down_ = !down_;
+    if (!late_writes_.empty() && chance(20)) {
+        const std::size_t i = pick(late_writes_.size());
+        const write_object late = late_writes_[i];
+        late_writes_.erase(late_writes_.begin() + static_cast<long>(i));
+        execute(late);
+    }
+    operator_state& op = operators_[pick(OPERATORS)];
+    if (!op.acceptance_)
+        start_edit(op);
+    else if (chance(1))
+        op.acceptance_.reset();
+    else
+        make_call(op);
+    const std::size_t index = pick(DAEMONS);
+    daemon_state& d = daemons_[index];
+    if (chance(2)) {
+        restart(index);
+        return;
+    }
+    poll(d);
+    learn(d);
+    fetch(d);
+}
+
+
+/// Edits the newest tree or an older one that the operator still looks at.
+void world::start_edit(operator_state& op)
+{
+    settings_tree before;
+    if (!accepted_trees_.empty()) {
+        auto it = accepted_trees_.end();
+        const std::uint64_t back = 1 + pick(2);
+        for (std::uint64_t i = 0; i < back; ++i) {
+            if (it != accepted_trees_.begin())
+                --it;
+        }
+        before = it->second;
+    }
+    settings_tree after = before.nodes_.empty() ? first_tree() : before;
+    const node_path path{PATHS[pick(std::size(PATHS))]};
+    const bool removes = path.value_ == "org/south" && chance(50);
+    if (removes) {
+        after.nodes_.erase(path);
+    } else {
+        if (!after.nodes_.contains(path))
+            after.nodes_[path] = {path, parse_path(path)->level_, {}, {}};
+        const std::string value = std::to_string(1 + pick(60));
+        set_value(after, path, KEYS[pick(std::size(KEYS))], value);
+    }
+    op.edit_ = {diff(before, after), "op", "", std::to_string(++edit_count_)};
+    edits_[op.edit_.token_] = op.edit_.changes_;
+    op.acceptance_.emplace(op.edit_, rules_.acceptance_);
+    const auto calls = op.acceptance_->start();
+    op.calls_ = {calls.begin(), calls.end()};
+}
+
+
+void world::make_call(operator_state& op)
+{
+    if (op.calls_.empty()) {
+        fail("an acceptance waits for nothing");
+        return;
+    }
+    const std::size_t i = pick(op.calls_.size());
+    const store_call call = op.calls_[i];
+    op.calls_.erase(op.calls_.begin() + static_cast<long>(i));
+    if (const auto* w = std::get_if<write_object>(&call.what_)) {
+        answer(op, write_finished{w->key_, write(*w, faults_)});
+        return;
+    }
+    const std::string& key = key_of(call);
+    if (down_ || (faults_ && chance(5)))
+        answer(op, read_failed{key});
+    else
+        answer(op, object_read{key, store_.get(key)});
+}
+
+
+void world::answer(operator_state& op, const store_answer& a)
+{
+    for (store_call& call : op.acceptance_->on(a))
+        op.calls_.push_back(std::move(call));
+    if (!op.acceptance_->outcome())
+        return;
+    note_outcome(op);
+    op.acceptance_.reset();
+    op.calls_.clear();
+}
+
+
+platform::write_outcome world::write(const write_object& w, bool lossy)
+{
+    if (down_)
+        return platform::not_reached{"down"};
+    if (lossy && chance(10)) {
+        // The answer is lost; the write took effect, takes effect later or
+        // never does.
+        const std::uint64_t fate = pick(3);
+        if (fate == 0)
+            execute(w);
+        if (fate == 1)
+            late_writes_.push_back(w);
+        return platform::answer_lost{"lost"};
+    }
+    const auto outcome = store_.put(w.key_, w.value_, w.condition_);
+    if (std::holds_alternative<platform::written>(outcome))
+        note_head(*store_.get(w.key_));
+    return outcome;
+}
+
+
+void world::execute(const write_object& w)
+{
+    const auto outcome = store_.put(w.key_, w.value_, w.condition_);
+    if (std::holds_alternative<platform::written>(outcome))
+        note_head(*store_.get(w.key_));
+}
+
+
+/// Checks each accepted head against the one before it.
+void world::note_head(const platform::object& object)
+{
+    if (object.key_ != HEAD_KEY)
+        return;
+    const auto head = std::get<settings_head>(parse_head_json(object.value_));
+    settings_tree tree;
+    tree.revision_ = head.revision_;
+    for (const auto& [path, at] : head.nodes_) {
+        const auto node = store_.get(node_object_key(path, at));
+        if (!node) {
+            fail("a head names a node object that is not there");
+            return;
+        }
+        tree.nodes_[path] =
+            std::get<settings_node>(parse_node_json(node->value_));
+    }
+    settings_tree before;
+    if (!accepted_trees_.empty())
+        before = accepted_trees_.rbegin()->second;
+    if (head.revision_ <= before.revision_)
+        fail("the head's revision did not grow");
+    const std::string& token = head.history_.back().token_;
+    const auto& wanted = edits_[token];
+    for (const tree_change& made : diff(before, tree)) {
+        if (std::find(wanted.begin(), wanted.end(), made) == wanted.end())
+            fail("an acceptance reverted another: " + to_string(made));
+    }
+    for (const tree_change& change : wanted) {
+        const auto left = apply_changes(tree, {change});
+        const auto* same = std::get_if<settings_tree>(&left);
+        if (same == nullptr || !diff(tree, *same).empty())
+            fail("an acceptance left out: " + to_string(change));
+    }
+    accepted_trees_[head.revision_] = tree;
+    accepted_tokens_[token] = head.revision_;
+}
+
+
+void world::note_outcome(const operator_state& op)
+{
+    const acceptance_outcome& outcome = *op.acceptance_->outcome();
+    if (const auto* yes = std::get_if<accepted>(&outcome))
+        reported_.push_back({yes->revision_, op.edit_.token_});
+    else if (!std::holds_alternative<acceptance_unknown>(outcome))
+        denied_.push_back(op.edit_.token_);
+}
+
+
+/// The watch sees heads in order; peers' bundles come late and in any order.
+void world::poll(daemon_state& d)
+{
+    if (!down_ && chance(40)) {
+        if (const auto object = store_.get(HEAD_KEY)) {
+            d.store_heads_.push_back(
+                std::get<settings_head>(parse_head_json(object->value_)));
+            d.start_.store_answered_ = true;
+        }
+    }
+    if (!chance(30))
+        return;
+    const auto bundle = daemons_[pick(DAEMONS)].keeper_.bundle();
+    if (bundle)
+        d.peer_bundles_.push_back(*bundle);
+}
+
+
+void world::learn(daemon_state& d)
+{
+    if (!d.store_heads_.empty() && chance(50)) {
+        for (std::string& key : d.keeper_.on_head(d.store_heads_.front()))
+            d.fetches_.push_back(std::move(key));
+        d.store_heads_.pop_front();
+    }
+    if (!d.peer_bundles_.empty() && chance(30)) {
+        const std::size_t i = pick(d.peer_bundles_.size());
+        d.keeper_.on_bundle(d.peer_bundles_[i]);
+        // Some are delivered twice.
+        if (chance(80))
+            d.peer_bundles_.erase(
+                d.peer_bundles_.begin() + static_cast<long>(i));
+    }
+    check(d);
+}
+
+
+void world::fetch(daemon_state& d)
+{
+    if (d.fetches_.empty()) {
+        for (std::string& key : d.keeper_.wanted())
+            d.fetches_.push_back(std::move(key));
+    }
+    while (!d.fetches_.empty() && !down_ && chance(80)) {
+        const std::size_t i = pick(d.fetches_.size());
+        const auto object = store_.get(d.fetches_[i]);
+        d.fetches_.erase(d.fetches_.begin() + static_cast<long>(i));
+        if (object && !(faults_ && chance(10)))
+            d.keeper_.on_node(object->value_);
+        check(d);
+    }
+}
+
+
+/// The new process keeps nothing. It asks all others, which answer at once
+/// here, and may then not serve below the highest of them.
+void world::restart(std::size_t index)
+{
+    daemon_state& d = daemons_[index];
+    d = {revision_keeper(rules_.keeper_), {}, {}, {}, {}, {}};
+    d.start_.deadline_ = NEVER;
+    revision highest;
+    for (std::size_t i = 0; i < DAEMONS; ++i) {
+        if (i != index)
+            d.start_.asked_.insert({std::to_string(i)});
+    }
+    for (std::size_t i = 0; i < DAEMONS; ++i) {
+        if (i == index)
+            continue;
+        if (const auto bundle = daemons_[i].keeper_.bundle()) {
+            d.keeper_.on_bundle(*bundle);
+            highest = std::max(highest, bundle->head_.revision_);
+        }
+        on_peer_answer(d.start_, {std::to_string(i)});
+    }
+    const bool serves = may_serve(d.start_, d.keeper_, {});
+    if (serves && d.keeper_.in_force_revision() < highest)
+        fail("a restarted daemon serves below its peers");
+}
+
+
+void world::check(daemon_state& d)
+{
+    const revision now = d.keeper_.in_force_revision();
+    if (now < d.highest_in_force_)
+        fail("an older revision came into force");
+    if (now == d.highest_in_force_)
+        return;
+    d.highest_in_force_ = now;
+    const auto accepted_tree = accepted_trees_.find(now);
+    if (accepted_tree == accepted_trees_.end())
+        fail("a revision is in force that was not accepted");
+    else if (!diff(accepted_tree->second, *d.keeper_.in_force()).empty())
+        fail("the tree in force differs from the accepted one");
+}
+
+
+void world::settle()
+{
+    down_ = false;
+    faults_ = false;
+    for (const write_object& late : late_writes_)
+        execute(late);
+    late_writes_.clear();
+    for (operator_state& op : operators_) {
+        for (int i = 0; op.acceptance_ && i < 1000; ++i)
+            make_call(op);
+        if (op.acceptance_)
+            fail("an acceptance does not end");
+    }
+    const auto object = store_.get(HEAD_KEY);
+    if (!object)
+        return;
+    const auto head = std::get<settings_head>(parse_head_json(object->value_));
+    for (daemon_state& d : daemons_) {
+        d.keeper_.on_head(head);
+        for (const std::string& key : d.keeper_.wanted())
+            d.keeper_.on_node(store_.get(key)->value_);
+        check(d);
+        if (d.keeper_.in_force_revision() != head.revision_)
+            fail("a daemon does not have the last revision in force");
+    }
+}
+
+
+void world::check_end()
+{
+    for (const accepted_edit& edit : reported_) {
+        const auto found = accepted_tokens_.find(edit.token_);
+        if (found == accepted_tokens_.end())
+            fail("an edit reported as accepted was lost");
+        else if (found->second != edit.revision_)
+            fail("an edit was accepted as another revision than reported");
+    }
+    for (const std::string& token : denied_) {
+        if (accepted_tokens_.contains(token))
+            fail("an edit reported as not accepted was accepted");
+    }
+}
+
+
+void world::fail(const std::string& what)
+{
+    if (!failure_)
+        failure_ = what;
+}
+
+} // namespace monsoondock::settings::exploration
--- /dev/null
+++ b/src/libsettings/exploration_world_test.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <monsoondock/platform/memory_store.hpp>
+#include <monsoondock/settings/acceptance.hpp>
+#include <monsoondock/settings/cold_start.hpp>
+#include <monsoondock/settings/revision_keeper.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace monsoondock::settings::exploration {
+
+/// Rules under exploration; the defaults are those of the product.
+struct rules
+{
+    acceptance_rules acceptance_;
+    keeper_rules keeper_;
+};
+
+
+/// Operators, daemons and one store with faults, driven by random numbers
+/// from one seed.
+class world
+{
+public:
+    world(std::uint64_t seed, rules r);
+
+
+    /// Runs a schedule of steps, then lets all calls end without faults.
+    /// Returns the first broken invariant, or nothing.
+    std::optional<std::string> run(int steps);
+
+private:
+    struct operator_state
+    {
+        std::optional<acceptance> acceptance_;
+        settings_edit edit_;
+        std::deque<store_call> calls_;
+    };
+
+    struct daemon_state
+    {
+        revision_keeper keeper_;
+        revision highest_in_force_;
+        std::deque<std::string> fetches_;
+        std::deque<settings_head> store_heads_;
+        std::deque<settings_bundle> peer_bundles_;
+        cold_start start_;
+    };
+
+    struct accepted_edit
+    {
+        revision revision_;
+        std::string token_;
+    };
+
+    std::uint64_t pick(std::uint64_t count);
+
+    bool chance(std::uint64_t percent);
+
+    void step();
+
+    void start_edit(operator_state& op);
+
+    void make_call(operator_state& op);
+
+    void answer(operator_state& op, const store_answer& a);
+
+    platform::write_outcome write(const write_object& w, bool lossy);
+
+    void execute(const write_object& w);
+
+    void note_head(const platform::object& object);
+
+    void note_outcome(const operator_state& op);
+
+    void poll(daemon_state& d);
+
+    void learn(daemon_state& d);
+
+    void fetch(daemon_state& d);
+
+    void restart(std::size_t index);
+
+    void check(daemon_state& d);
+
+    void settle();
+
+    void check_end();
+
+    void fail(const std::string& what);
+
+    rules rules_;
+    std::mt19937_64 random_;
+    platform::memory_store store_;
+    bool down_ = false;
+    bool faults_ = true;
+    std::vector<operator_state> operators_;
+    std::vector<daemon_state> daemons_;
+    std::vector<write_object> late_writes_;
+    std::map<revision, settings_tree> accepted_trees_;
+    std::map<std::string, revision> accepted_tokens_;
+    std::vector<accepted_edit> reported_;
+    std::vector<std::string> denied_;
+    std::map<std::string, std::vector<tree_change>> edits_;
+    int edit_count_ = 0;
+    std::optional<std::string> failure_;
+};
+
+} // namespace monsoondock::settings::exploration
--- /dev/null
+++ b/src/libsettings/revision_keeper.cpp
@@ -0,0 +1,137 @@
+#include <monsoondock/settings/node_codec.hpp>
+#include <monsoondock/settings/revision_keeper.hpp>
+#include <monsoondock/settings/validate.hpp>
+
+#include <utility>
+
+namespace monsoondock::settings {
+
+revision_keeper::revision_keeper(keeper_rules rules) : rules_(rules) {}
+
+
+std::vector<std::string> revision_keeper::on_head(const settings_head& head)
+{
+    if (!is_new(head)) {
+        ++counts_.refused_;
+        return {};
+    }
+    pending_ = head;
+    try_apply();
+    return wanted();
+}
+
+
+void revision_keeper::on_bundle(const settings_bundle& bundle)
+{
+    if (!is_new(bundle.head_)) {
+        ++counts_.refused_;
+        return;
+    }
+    pending_ = bundle.head_;
+    for (const settings_node& node : bundle.nodes_)
+        keep_node(node);
+    try_apply();
+}
+
+
+void revision_keeper::on_node(std::string_view text)
+{
+    checked<settings_node> parsed = parse_node_json(text);
+    if (auto* faults = std::get_if<findings>(&parsed)) {
+        if (pending_)
+            reject(std::move(*faults));
+        return;
+    }
+    keep_node(std::get<settings_node>(std::move(parsed)));
+    try_apply();
+}
+
+
+std::vector<std::string> revision_keeper::wanted() const
+{
+    std::vector<std::string> keys;
+    if (!pending_)
+        return keys;
+    for (const auto& [path, at] : pending_->nodes_) {
+        const auto found = fetched_.find(path);
+        if (found == fetched_.end() || found->second.revision_ != at)
+            keys.push_back(node_object_key(path, at));
+    }
+    return keys;
+}
+
+
+revision revision_keeper::in_force_revision() const
+{
+    return in_force_ ? in_force_->revision_ : revision{};
+}
+
+
+revision revision_keeper::latest() const
+{
+    return pending_ ? pending_->revision_ : in_force_revision();
+}
+
+
+std::optional<settings_bundle> revision_keeper::bundle() const
+{
+    if (!in_force_)
+        return std::nullopt;
+    settings_bundle result{head_, {}};
+    result.nodes_.reserve(in_force_->nodes_.size());
+    for (const auto& [path, node] : in_force_->nodes_)
+        result.nodes_.push_back(node);
+    return result;
+}
+
+
+bool revision_keeper::is_new(const settings_head& head) const
+{
+    if (!rules_.refuse_older_)
+        return head.revision_ != latest();
+    return head.revision_ > latest();
+}
+
+
+/// A node that the pending head does not name would only take up room.
+void revision_keeper::keep_node(settings_node node)
+{
+    if (!pending_)
+        return;
+    const auto named = pending_->nodes_.find(node.path_);
+    if (named == pending_->nodes_.end() || named->second != node.revision_)
+        return;
+    fetched_.insert_or_assign(node.path_, std::move(node));
+}
+
+
+void revision_keeper::reject(findings faults)
+{
+    faults_ = std::move(faults);
+    ++counts_.invalid_;
+    pending_.reset();
+}
+
+
+void revision_keeper::try_apply()
+{
+    if (!pending_ || !wanted().empty())
+        return;
+    auto tree = std::make_shared<settings_tree>();
+    tree->revision_ = pending_->revision_;
+    for (const auto& [path, at] : pending_->nodes_)
+        tree->nodes_.emplace(path, fetched_.at(path));
+    findings faults = validate(*tree);
+    if (!faults.empty()) {
+        reject(std::move(faults));
+        return;
+    }
+    head_ = std::move(*pending_);
+    pending_.reset();
+    fetched_ = tree->nodes_;
+    in_force_ = std::move(tree);
+    faults_.clear();
+    ++counts_.applied_;
+}
+
+} // namespace monsoondock::settings
--- a/src/libsettings/setting.hpp
+++ b/src/libsettings/setting.hpp
@@ -22,6 +22,16 @@
     {
         return std::string(section_) + "." + std::string(field_.key_);
     }
+
+
+    /// Returns true when name is `section.key`.
+    bool is(std::string_view name) const
+    {
+        const std::size_t dot = section_.size();
+        return name.size() > dot && name[dot] == '.' &&
+               name.substr(0, dot) == section_ &&
+               name.substr(dot + 1) == field_.key_;
+    }
 };
 
 } // namespace monsoondock::settings::pvt
--- /dev/null
+++ b/src/libsettings/settings_head.cpp
@@ -0,0 +1,104 @@
+#include <monsoondock/settings/settings_head.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::settings {
+
+namespace {
+
+namespace json = boost::json;
+
+
+json::array history_json(const std::vector<head_entry>& history)
+{
+    json::array list;
+    for (const head_entry& entry : history)
+        list.push_back(json::object{
+            {"revision", entry.revision_.value_},
+            {"token", entry.token_},
+            {"author", entry.author_},
+            {"note", entry.note_}});
+    return list;
+}
+
+
+// The readers below throw what Boost.JSON throws; parse_head_json turns that
+// into a finding.
+
+revision read_revision(const json::value& value)
+{
+    return {value.to_number<std::uint64_t>()};
+}
+
+
+std::string read_text(const json::object& object, std::string_view key)
+{
+    return std::string(object.at(key).as_string());
+}
+
+
+head_entry read_entry(const json::value& value)
+{
+    const json::object& object = value.as_object();
+    return {
+        read_revision(object.at("revision")),
+        read_text(object, "token"),
+        read_text(object, "author"),
+        read_text(object, "note")};
+}
+
+
+settings_head read_head(const json::value& value)
+{
+    const json::object& object = value.as_object();
+    settings_head head;
+    head.revision_ = read_revision(object.at("revision"));
+    for (const auto& item : object.at("nodes").as_object())
+        head.nodes_.emplace(
+            node_path{std::string(item.key())}, read_revision(item.value()));
+    for (const json::value& entry : object.at("history").as_array())
+        head.history_.push_back(read_entry(entry));
+    return head;
+}
+
+} // namespace
+
+std::string to_json(const settings_head& head)
+{
+    json::object nodes;
+    for (const auto& [path, at] : head.nodes_)
+        nodes[path.value_] = at.value_;
+    json::object object;
+    object["revision"] = head.revision_.value_;
+    object["nodes"] = std::move(nodes);
+    object["history"] = history_json(head.history_);
+    return json::serialize(object);
+}
+
+
+checked<settings_head> parse_head_json(std::string_view text)
+{
+    try {
+        return read_head(json::parse({text.data(), text.size()}));
+    } catch (const std::exception& error) {
+        return findings{
+            {{},
+             0,
+             std::string(HEAD_KEY),
+             error.what(),
+             "a head object as monsoondockctl writes it"}};
+    }
+}
+
+
+bool remembers(const settings_head& head, const std::string& token)
+{
+    return std::any_of(
+        head.history_.begin(),
+        head.history_.end(),
+        [&](const head_entry& entry) { return entry.token_ == token; });
+}
+
+} // namespace monsoondock::settings
