--- a/src/include/monsoondock/groups/domain_record.hpp
+++ b/src/include/monsoondock/groups/domain_record.hpp
@@ -16,6 +16,8 @@
 {
     base::fabric_domain_id domain_;
     leader_term leader_;
+    /// True when a daemon doubts that the leader lives; the leader clears it.
+    bool challenged_ = false;
     /// Generation that the next group of this domain takes.
     base::generation next_{1};
     std::vector<group_record> groups_;
--- a/src/include/monsoondock/groups/group_timing.hpp
+++ b/src/include/monsoondock/groups/group_timing.hpp
@@ -15,11 +15,13 @@
     /// Time between two requests for verdicts to one daemon.
     std::chrono::milliseconds verdict_interval_{1000};
     /// Time for which a store read that shows the own term allows orders.
-    std::chrono::milliseconds term_lease_{6000};
-    /// Silence of a domain's leader after which the first candidate acts.
-    std::chrono::milliseconds takeover_after_{5000};
+    std::chrono::milliseconds term_lease_{4000};
+    /// Silence of a domain's leader after which the first candidate challenges.
+    std::chrono::milliseconds challenge_after_{3000};
     /// Additional silence for each further candidate.
-    std::chrono::milliseconds takeover_step_{2000};
+    std::chrono::milliseconds challenge_step_{1000};
+    /// Time that a leader has to clear a challenge.
+    std::chrono::milliseconds challenge_wait_{2000};
     /// Longest time between the sending of an order and its execution.
     std::chrono::milliseconds order_timeout_{2000};
     /// Allowance for clocks that run at slightly different rates and for the
--- a/src/include/monsoondock/groups/leadership.hpp
+++ b/src/include/monsoondock/groups/leadership.hpp
@@ -29,11 +29,9 @@
     const base::daemon_id& self);
 
 
-/// Returns true when a daemon of this rank should try to win the next term,
-/// given the time at which the leader last showed a valid lease. A domain
-/// without any leader is taken at once by rank 0.
-bool should_take_over(
-    const leader_term& current,
+/// Returns true when a daemon of this rank should challenge the leader, given
+/// the time at which the leader last showed a valid lease.
+bool should_challenge(
     std::size_t rank,
     base::time_point leader_seen,
     base::time_point now,
@@ -44,12 +42,11 @@
 domain_record with_next_term(const domain_record& record, leader_term self);
 
 
-/// Takes the confirmation that the store holds won, previous being the term
-/// before it. asked is when the confirming call left, now when its answer
-/// came. Acting starts after the longest lease of the previous leader.
+/// Takes the confirmation that the store holds won: a read that left at asked
+/// and was answered at now. Acting starts after the longest lease and the last
+/// order of the previous leader; the first term of a domain has none.
 leadership begin_term(
     const leader_term& won,
-    const leader_term& previous,
     base::time_point asked,
     base::time_point now,
     const group_timing& timing);
@@ -64,7 +61,7 @@
     const group_timing& timing);
 
 
-/// Returns true when the daemon may write the record and send orders at now.
+/// Returns true when the daemon may change groups and send orders at now.
 bool may_act(const leadership& lead, base::time_point now) noexcept;
 
 } // namespace monsoondock::groups
--- a/src/libgroups/domain_leader.cpp
+++ b/src/libgroups/domain_leader.cpp
@@ -300,11 +300,11 @@
 }
 
 
-void plan_groups(step_context& c)
+void plan_groups(step_context& c, std::vector<base::host_id> free_hosts)
 {
     const formation_plan plan = plan_formation(
         c.next_,
-        collect_free_hosts(c),
+        std::move(free_hosts),
         c.input_.demand_,
         c.input_.spare_hosts_);
     retire_surplus(c, plan);
@@ -324,13 +324,14 @@
     step_context c{memory, input, timing, input.record_, {}};
     forget_old_groups(c);
     step_groups(c);
+    std::vector<base::host_id> free_hosts = collect_free_hosts(c);
     // A leader without contact to any host must not take its own isolation
     // for the loss of the domain.
     if (!pvt::sees_any_host(input, timing)) {
         c.step_.orders_.clear();
         return std::move(c.step_);
     }
-    plan_groups(c);
+    plan_groups(c, std::move(free_hosts));
     if (!(c.next_ == input.record_)) {
         drop_retired(c);
         c.step_.write_ = std::move(c.next_);
--- a/src/libgroups/domain_record.cpp
+++ b/src/libgroups/domain_record.cpp
@@ -59,6 +59,7 @@
     record.leader_.term_ = read_number(from, "term");
     record.leader_.daemon_ = base::daemon_id{read_text(from, "leader")};
     record.leader_.incarnation_ = read_number(from, "incarnation");
+    record.challenged_ = from.at("challenged").as_bool();
     record.next_ = base::generation{read_number(from, "next_generation")};
     for (const json::value& group : from.at("groups").as_array())
         record.groups_.push_back(read_group(group.as_object()));
@@ -92,6 +93,7 @@
         {"term", record.leader_.term_},
         {"leader", record.leader_.daemon_.value_},
         {"incarnation", record.leader_.incarnation_},
+        {"challenged", record.challenged_},
         {"next_generation", record.next_.value_},
         {"groups", std::move(groups)}});
 }
--- a/src/libgroups/domain_record_test.cpp
+++ b/src/libgroups/domain_record_test.cpp
@@ -25,6 +25,7 @@
     domain_record record;
     record.domain_ = base::fabric_domain_id{"heredia-a"};
     record.leader_ = leader_term{3, base::daemon_id{"entry-1"}, 9};
+    record.challenged_ = true;
     record.next_ = base::generation{3};
     record.groups_ = {make_group("g1", 1, "h1"), make_group("g2", 2, "h2")};
     return record;
--- /dev/null
+++ b/src/libgroups/explored_world_test.hpp
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "explored_faults_test.hpp"
+
+#include <monsoondock/groups/domain_control.hpp>
+#include <monsoondock/groups/verdict_exchange.hpp>
+#include <monsoondock/platform/memory_store.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+
+namespace monsoondock::groups::test {
+
+using std::chrono::milliseconds;
+
+/// Mechanisms that an exploration can take out.
+struct mechanisms
+{
+    /// Age of the evidence is checked before a dispatch.
+    bool lease_ = true;
+    /// Generations are compared by daemons and by the engines that check.
+    bool fencing_ = true;
+    /// A new leader waits out the old lease, and a lapsed leader stops.
+    bool term_wait_ = true;
+    /// Hosts are released only when every lease has lapsed.
+    bool release_wait_ = true;
+    /// All groups of a domain are in one object.
+    bool one_object_ = true;
+};
+
+
+/// What happened in a run, to show that it reached the interesting states.
+struct coverage
+{
+    std::size_t accepted_ = 0;
+    std::size_t refused_ = 0;
+    std::size_t formed_ = 0;
+    std::size_t released_ = 0;
+    std::size_t terms_ = 0;
+};
+
+
+/// An order and the term of the leader that sent it.
+struct sent_order
+{
+    host_order order_;
+    std::uint64_t term_ = 0;
+};
+
+
+/// One model engine.
+struct engine
+{
+    base::host_id id_;
+    std::size_t domain_ = 0;
+    bool alive_ = true;
+    base::time_point paused_until_;
+    bool leaving_ = false;
+    bool listed_ = true;
+    bool checks_ = true;
+    base::group_id group_;
+    base::generation generation_;
+    /// Highest generation that it carried out.
+    base::generation highest_;
+    engine_phase phase_ = engine_phase::idle;
+    base::time_point ready_at_;
+    /// When it was last ready, by generation.
+    std::map<base::generation, base::time_point> last_ready_;
+    /// Orders that wait for the end of a pause.
+    std::vector<sent_order> waiting_;
+    std::uint64_t highest_term_ = 0;
+};
+
+
+/// One daemon: what it holds in memory, and its faults.
+struct daemon
+{
+    base::daemon_id id_;
+    std::uint64_t incarnation_ = 1;
+    base::time_point paused_until_;
+    base::time_point store_cut_until_;
+    base::time_point peers_cut_until_;
+    std::map<std::size_t, base::time_point> hosts_cut_until_;
+    evidence_table evidence_;
+    contact_table contacts_;
+    verdict_exchange exchange_;
+    std::map<std::size_t, domain_control> controls_;
+    std::map<std::size_t, domain_record> records_;
+    std::map<std::size_t, platform::version> versions_;
+    std::map<std::size_t, base::time_point> read_at_;
+    std::vector<host_view> hosts_;
+    /// Last sign of life of each host whatever its generation; used only when
+    /// fencing is taken out.
+    std::map<base::host_id, base::time_point> alive_at_;
+};
+
+
+/// Two domains, three daemons and a store, on injected time.
+class world
+{
+public:
+    world(std::uint64_t seed, mechanisms m);
+
+
+    /// Runs the faults; returns the first broken invariant, or nothing.
+    std::optional<std::string> run(const fault_list& faults, milliseconds end);
+
+
+    const coverage& seen() const
+    {
+        return coverage_;
+    }
+
+private:
+    struct event
+    {
+        base::time_point at_;
+        std::uint64_t order_;
+        std::function<void()> action_;
+
+        bool operator<(const event& other) const
+        {
+            return std::tie(other.at_, other.order_) < std::tie(at_, order_);
+        }
+    };
+
+    std::uint64_t pick(std::uint64_t limit);
+    bool chance(std::uint64_t percent);
+    milliseconds delay(std::uint64_t longest_ms);
+    void after(milliseconds wait, std::function<void()> action);
+    void on_daemon(
+        std::size_t d, milliseconds wait, std::function<void(daemon&)> action);
+    void fail(const std::string& what);
+
+    void apply(const fault& f);
+    void apply_to_host(const fault& f);
+    void apply_to_daemon(const fault& f);
+    void apply_to_store(const fault& f);
+    void pause_leader(std::size_t domain, base::time_point until);
+    void restart(daemon& d);
+    void operator_retires(std::size_t domain);
+
+    void tick(std::size_t d);
+    void dispatch_all(std::size_t d);
+    void dispatch(std::size_t d, const group_view& view);
+    void arrive(const group_view& view, base::time_point checked);
+    void read_store(std::size_t d);
+    void probe(std::size_t d, std::size_t host);
+    void probe_observed(std::size_t d);
+    void ask_peer(std::size_t d);
+    verdict_reply answer(const daemon& peer, std::uint64_t stamp) const;
+    void control(std::size_t d, std::size_t domain);
+    void write(std::size_t d, std::size_t domain, const domain_record& next);
+    void check_write(std::size_t domain, const domain_record& next);
+    void send_order(std::size_t d, const sent_order& order);
+    void obey(engine& e, const sent_order& sent);
+    void step_engines();
+
+    std::size_t domain_count() const;
+    std::string key(std::size_t domain) const;
+    std::size_t host_index(const base::host_id& id) const;
+    bool down(base::time_point until) const
+    {
+        return now_ < until;
+    }
+    std::vector<base::daemon_id> daemon_ids() const;
+    group_view view_of(const daemon& d, const group_record& group) const;
+    std::vector<host_view> hosts_of(const daemon& d, std::size_t domain) const;
+    bool allowed(const daemon& d, const group_view& view) const;
+    group_timing leader_timing() const;
+
+    std::mt19937_64 random_;
+    mechanisms mechanisms_;
+    group_timing timing_;
+    base::time_point now_;
+    std::uint64_t events_made_ = 0;
+    std::priority_queue<event> events_;
+    std::vector<engine> engines_;
+    std::vector<daemon> daemons_;
+    platform::memory_store store_;
+    base::time_point store_down_until_;
+    std::size_t answers_to_lose_ = 0;
+    std::size_t wanted_groups_ = 2;
+    std::vector<host_view> listed_;
+    std::map<std::size_t, domain_record> truth_;
+    std::optional<std::string> violation_;
+    coverage coverage_;
+};
+
+} // namespace monsoondock::groups::test
--- a/src/libgroups/leadership.cpp
+++ b/src/libgroups/leadership.cpp
@@ -33,17 +33,14 @@
 }
 
 
-bool should_take_over(
-    const leader_term& current,
+bool should_challenge(
     std::size_t rank,
     base::time_point leader_seen,
     base::time_point now,
     const group_timing& timing)
 {
-    const auto wait = timing.takeover_step_ * static_cast<int>(rank);
-    if (current.term_ == 0)
-        return now - leader_seen >= wait;
-    return now - leader_seen >= timing.takeover_after_ + wait;
+    const auto wait = timing.challenge_step_ * static_cast<int>(rank);
+    return now - leader_seen >= timing.challenge_after_ + wait;
 }
 
 
@@ -52,13 +49,13 @@
     domain_record next = record;
     self.term_ = record.leader_.term_ + 1;
     next.leader_ = std::move(self);
+    next.challenged_ = false;
     return next;
 }
 
 
 leadership begin_term(
     const leader_term& won,
-    const leader_term& previous,
     base::time_point asked,
     base::time_point now,
     const group_timing& timing)
@@ -67,8 +64,7 @@
     lead.won_ = won;
     lead.lease_until_ = asked + timing.term_lease_;
     lead.act_from_ = now;
-    // The last order of the previous leader may still be on its way.
-    if (previous.term_ != 0)
+    if (won.term_ > 1)
         lead.act_from_ +=
             timing.term_lease_ + timing.order_timeout_ + timing.margin_;
     return lead;
--- a/src/libgroups/may_dispatch_test.cpp
+++ b/src/libgroups/may_dispatch_test.cpp
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 using namespace monsoondock;
 using namespace monsoondock::groups;
 using namespace std::chrono_literals;
@@ -123,6 +125,19 @@
 }
 
 
+Test(verdict_exchange, keys_of_short_names_differ)
+{
+    std::set<std::uint64_t> keys;
+    for (std::uint64_t g = 1; g <= 200; ++g) {
+        keys.insert(verdict_key(
+            base::group_id{"0-" + std::to_string(g)}, base::generation{g}));
+        keys.insert(verdict_key(
+            base::group_id{"1-" + std::to_string(g)}, base::generation{g}));
+    }
+    cr_assert(keys.size() == 400);
+}
+
+
 Test(verdict_exchange, missing_members_get_no_evidence)
 {
     evidence_table source;
