standin: platform, engine and service stand-ins

Tests and the demo need the platform's object API, model engines and a plain service as separate processes with faults by command.

- libstandin: HTTP server loop, server-sent events, registration of hosts, answer tokens.
- monsoondock-platform-standin: memory_store behind HTTP with long-poll watches, outage, delay, lost write answers, lagging host list and counts.
- monsoondock-engine-standin: several hosts a process, orders with generations, slots with priorities, prefix cache, resume, cancel, crashes.
- monsoondock-service-standin: runs counted by key, crashes before and after a run, cut answers.

A dead host still serves /standin/ requests, because otherwise nothing could bring it back; docs/architecture.md says so. A group whose hosts share one process breaks as a whole when a member dies.

Found on the way: GCC 12 destroys twice what a co_await inside a braced initializer made ("munmap_chunk(): invalid pointer"); the awaited value is now a variable of its own.

--- /dev/null
+++ b/src/include/monsoondock/standin/sleep_for.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <chrono>
+
+namespace monsoondock::standin {
+
+/// Completes after length; at once when it is zero.
+boost::asio::awaitable<void> sleep_for(std::chrono::milliseconds length);
+
+} // namespace monsoondock::standin
--- /dev/null
+++ b/src/monsoondock-engine-standin/counts.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+namespace monsoondock::engine_standin {
+
+/// What one host did since its process started.
+struct counts
+{
+    /// Requests that got a slot.
+    std::uint64_t started_ = 0;
+    /// Requests whose whole answer was sent.
+    std::uint64_t finished_ = 0;
+    /// Requests that ended without a whole answer.
+    std::uint64_t cancelled_ = 0;
+    std::uint64_t tokens_ = 0;
+    /// Orders obeyed.
+    std::uint64_t orders_ = 0;
+    /// Orders and requests refused with 409 or 503.
+    std::uint64_t refused_ = 0;
+    std::uint64_t prefix_hits_ = 0;
+};
+
+} // namespace monsoondock::engine_standin
--- /dev/null
+++ b/src/monsoondock-engine-standin/status.cpp
@@ -0,0 +1,38 @@
+#include "status.hpp"
+
+namespace monsoondock::engine_standin {
+
+namespace asio = boost::asio;
+
+namespace {
+
+void sample_load(engine_host& h)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - h.load_.taken_at_ < h.faults_.status_lag_)
+        return;
+    h.load_ = {
+        now, h.queue_.running_, h.queue_.waiting_.size(), h.prefixes_.size()};
+}
+
+} // namespace
+
+asio::awaitable<void> answer_status(engine_host& h, standin::exchange& e)
+{
+    sample_load(h);
+    const replica& r = h.replica_;
+    const boost::json::value body{
+        {"host", h.id_},
+        {"group", r.group_},
+        {"generation", r.generation_},
+        {"phase", phase(r)},
+        {"role", role(r)},
+        {"deployment", r.deployment_},
+        {"running", h.load_.running_},
+        {"queued", h.load_.queued_},
+        {"cached_prefixes", h.load_.cached_prefixes_},
+        {"checks_generation", !h.faults_.ignore_generation_}};
+    co_await standin::reply(e, boost::beast::http::status::ok, body);
+}
+
+} // namespace monsoondock::engine_standin
--- /dev/null
+++ b/src/monsoondock-service-standin/faults.cpp
@@ -0,0 +1,20 @@
+#include "faults.hpp"
+
+#include <boost/json/value.hpp>
+
+namespace monsoondock::service_standin {
+
+void change_faults(faults& f, const boost::json::object& body)
+{
+    using ms = std::chrono::milliseconds;
+    if (const auto* v = body.if_contains("crash_before_run"))
+        f.crash_before_run_ = v->to_number<std::uint64_t>();
+    if (const auto* v = body.if_contains("crash_after_run"))
+        f.crash_after_run_ = v->to_number<std::uint64_t>();
+    if (const auto* v = body.if_contains("delay_ms"))
+        f.delay_ = ms(v->to_number<std::uint32_t>());
+    if (const auto* v = body.if_contains("cut_after_bytes"))
+        f.cut_after_bytes_ = v->to_number<std::uint64_t>();
+}
+
+} // namespace monsoondock::service_standin
