--- /dev/null
+++ b/testsuite/run_case.py
@@ -0,0 +1,75 @@
+#!/usr/bin/env python3
+"""Runs one golden case and compares its output with ref/out.txt.
+
+usage: run_case.py FOLDER --bin BIN_FOLDER [--update] [--timeout SECONDS]
+
+The case runs in a process group of its own, which is killed at the end, so
+no process outlives it. --update writes the output to ref/out.txt instead.
+"""
+
+import argparse
+import difflib
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("--bin", type=pathlib.Path, required=True)
+    parser.add_argument("--update", action="store_true")
+    parser.add_argument("--timeout", type=float, default=100.0)
+    return parser.parse_args()
+
+
+def kill_group(process):
+    try:
+        os.killpg(process.pid, signal.SIGKILL)
+    except ProcessLookupError:
+        pass
+
+
+def run(arguments):
+    """Returns the output and the exit status of the case."""
+    environment = dict(os.environ)
+    environment["MONSOONDOCK_BIN"] = str(arguments.bin.resolve())
+    environment["PYTHONPATH"] = str(pathlib.Path(__file__).resolve().parent)
+    environment["PYTHONDONTWRITEBYTECODE"] = "1"
+    process = subprocess.Popen(
+        [sys.executable, str(arguments.folder / "run.py")],
+        stdout=subprocess.PIPE,
+        env=environment,
+        start_new_session=True,
+        text=True)
+    try:
+        output, _ = process.communicate(timeout=arguments.timeout)
+        return output, process.returncode
+    except subprocess.TimeoutExpired:
+        kill_group(process)
+        output, _ = process.communicate()
+        return output + "TIMEOUT\n", 1
+    finally:
+        kill_group(process)
+
+
+def main():
+    arguments = parse_arguments()
+    output, status = run(arguments)
+    reference = arguments.folder / "ref" / "out.txt"
+    if arguments.update:
+        reference.write_text(output)
+        return status
+    expected = reference.read_text()
+    sys.stdout.writelines(difflib.unified_diff(
+        expected.splitlines(True), output.splitlines(True),
+        "ref/out.txt", "output"))
+    if status != 0:
+        print(f"run.py ended with status {status}")
+    return 1 if status != 0 or output != expected else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/testsuite/session.py
@@ -0,0 +1,236 @@
+"""Sessions of real processes for the golden cases and the demo.
+
+A Session starts programs on free ports, sends them requests, injects faults,
+and ends them all when its with-block is left. What it prints is normalised:
+each address that a process announced is shown as <process> or
+<process/host>.
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+
+READY_TIMEOUT_SECONDS = 20
+STOP_TIMEOUT_SECONDS = 20
+POLL_SECONDS = 0.01
+LISTENING = re.compile(r"listening address=(\S+)(?: host=(\S+))?")
+
+
+class Dropped(Exception):
+    """The connection closed before a whole answer arrived."""
+
+    def __init__(self, partial=b""):
+        super().__init__("dropped")
+        self.partial = partial
+
+
+class Response:
+    """Status, headers (lower-case names) and body of an answer."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = {k.lower(): v for k, v in headers}
+        self.body = body
+
+    def text(self):
+        return self.body.decode()
+
+    def json(self):
+        return json.loads(self.body)
+
+
+def wait_until(condition, what, timeout=READY_TIMEOUT_SECONDS):
+    """Polls until condition() is true and returns its value."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_SECONDS)
+    raise TimeoutError(f"no {what} after {timeout} s")
+
+
+def request(address, method, path, body=None, headers=None, timeout=15):
+    """Sends one request on a connection of its own. Raises Dropped when the
+    connection closes early or is refused."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    if isinstance(body, (dict, list)):
+        body = json.dumps(body)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return Response(answer.status, answer.getheaders(), answer.read())
+    except http.client.IncompleteRead as error:
+        raise Dropped(error.partial) from error
+    except (ConnectionError, http.client.HTTPException) as error:
+        raise Dropped() from error
+    finally:
+        connection.close()
+
+
+def stream_text(body):
+    """Returns the text of a streamed completion and whether it is whole: its
+    last chunk says stop and [DONE] follows."""
+    text, finished, done = "", False, False
+    for line in body.decode().split("\n"):
+        if not line.startswith("data: "):
+            continue
+        if line == "data: [DONE]":
+            done = finished
+            continue
+        choice = json.loads(line[len("data: "):])["choices"][0]
+        text += choice["delta"].get("content", "")
+        finished = choice["finish_reason"] == "stop"
+    return text, done
+
+
+def chat(prompt, max_tokens=4, stream=True, **more):
+    """Returns the body of a chat completion request."""
+    return {"messages": [{"role": "user", "content": prompt}],
+            "max_tokens": max_tokens, "stream": stream, **more}
+
+
+class Process:
+    """One program that a session started."""
+
+    def __init__(self, name, command, log):
+        self.name = name
+        self.addresses = []
+        self.hosts = {}
+        self.log = log
+        self.popen = subprocess.Popen(
+            command, stdout=subprocess.PIPE, stderr=open(log, "wb"), text=True)
+        self.reader = threading.Thread(target=self.read, daemon=True)
+        self.reader.start()
+
+    def read(self):
+        for line in self.popen.stdout:
+            match = LISTENING.search(line)
+            if not match:
+                continue
+            self.addresses.append(match[1])
+            if match[2]:
+                self.hosts[match[2]] = match[1]
+
+    @property
+    def address(self):
+        return self.addresses[0]
+
+    def send_signal(self, number):
+        self.popen.send_signal(number)
+
+    def wait(self):
+        """Returns the exit status."""
+        return self.popen.wait(STOP_TIMEOUT_SECONDS)
+
+
+class Session:
+    """Processes of one session; leaving the with-block kills them all."""
+
+    def __init__(self, bin_folder=None):
+        folder = bin_folder or os.environ["MONSOONDOCK_BIN"]
+        self.bin = pathlib.Path(folder)
+        self.processes = {}
+        self.replacements = []
+        self.scratch = tempfile.TemporaryDirectory(prefix="monsoondock-")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for process in self.processes.values():
+            if process.popen.poll() is None:
+                process.popen.kill()
+                process.popen.wait()
+        if kind is not None:
+            self.print_logs()
+        self.scratch.cleanup()
+
+    def print_logs(self):
+        for process in self.processes.values():
+            lines = process.log.read_text(errors="replace").splitlines()
+            print(f"--- standard error of {process.name}")
+            print("\n".join(lines[-20:]))
+
+    def write_file(self, name, text):
+        """Writes a file that lasts as long as the session."""
+        path = pathlib.Path(self.scratch.name) / name
+        path.write_text(text)
+        return path
+
+    def start(self, name, program, *arguments, listeners=1):
+        """Starts a program and waits until it has announced its listeners."""
+        command = [str(self.bin / program), *map(str, arguments)]
+        log = pathlib.Path(self.scratch.name) / f"{name}.{time.time_ns()}.log"
+        process = Process(name, command, log)
+        self.processes[name] = process
+
+        def ready():
+            if process.popen.poll() is not None:
+                raise RuntimeError(f"{name} ended while it started")
+            return len(process.addresses) >= listeners
+
+        wait_until(ready, f"listener of {name}")
+        self.name_addresses(process)
+        return process
+
+    def name_addresses(self, process):
+        names = {address: host for host, address in process.hosts.items()}
+        for address in process.addresses:
+            host = names.get(address)
+            shown = f"<{process.name}/{host}>" if host else f"<{process.name}>"
+            self.replacements.append((re.escape(address) + r"\b", shown))
+
+    def stop(self, process):
+        """Ends a process with SIGTERM and returns its exit status."""
+        process.send_signal(signal.SIGTERM)
+        return process.wait()
+
+    def kill(self, process):
+        process.popen.kill()
+        process.wait()
+
+    def pause(self, process):
+        process.send_signal(signal.SIGSTOP)
+
+    def resume(self, process):
+        process.send_signal(signal.SIGCONT)
+
+    def fault(self, address, **faults):
+        """Sets faults of a stand-in."""
+        answer = request(address, "POST", "/standin/faults", faults)
+        assert answer.status == 200, answer.text()
+
+    def hide(self, pattern, shown):
+        """Shows every match of pattern as shown from now on."""
+        self.replacements.append((pattern, shown))
+
+    def normalise(self, text):
+        for pattern, shown in self.replacements:
+            text = re.sub(pattern, shown, text)
+        return text
+
+    def say(self, text):
+        print(self.normalise(text), flush=True)
+
+    def show(self, label, call, *arguments, **named):
+        """Makes a call that returns a Response and prints the outcome."""
+        try:
+            answer = call(*arguments, **named)
+        except Dropped as error:
+            self.say(f"{label}: dropped after {len(error.partial)} bytes")
+            return None
+        self.say(f"{label}: {answer.status} {answer.text()}")
+        return answer
+
+    def show_request(self, label, address, method, path, body=None, **named):
+        """Sends a request and prints the outcome."""
+        return self.show(label, request, address, method, path, body, **named)
