quarantine: a request that crashes its groups loses two at the most

Cause: one request can crash every group that runs it, and callers repeat it through other daemons, also at once.

Change: suspect_registry confines a request that is not yet known harmless to two groups by its fingerprint, records losses in suspects/, runs a suspect again only as the one trial of a group, and refuses it everywhere after two losses. stable_digest moved from claims to base because both need it.

Ruled out: a record before each first run, asking peers first, slots per group.

--- a/src/include/monsoondock/claims/call_key.hpp
+++ b/src/include/monsoondock/claims/call_key.hpp
@@ -2,7 +2,6 @@
 
 #include <monsoondock/base/identifier.hpp>
 
-#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -26,11 +25,6 @@
 inline constexpr std::string_view CLAIM_PREFIX = "claims/";
 
 
-/// Returns 32 hexadecimal digits that are the same on every host. Parts are
-/// told apart, so moving a byte between neighbours changes the digest.
-std::string stable_digest(std::initializer_list<std::string_view> parts);
-
-
 /// Returns the key of the store object that holds the claim of the call.
 std::string claim_object_key(const call_key& key);
 
--- /dev/null
+++ b/src/include/monsoondock/quarantine/dispatch_question.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/quarantine/group_instance.hpp>
+#include <monsoondock/quarantine/suspect_fingerprint.hpp>
+
+#include <vector>
+
+namespace monsoondock::quarantine {
+
+/// A request that is ready to be sent to one of some whole groups.
+struct dispatch_question
+{
+    base::request_id request_;
+    suspect_fingerprint fingerprint_;
+    base::workspace_id workspace_;
+    base::deployment_id deployment_;
+    std::vector<group_instance> whole_groups_;
+};
+
+} // namespace monsoondock::quarantine
--- a/src/libclaims/claim_record.cpp
+++ b/src/libclaims/claim_record.cpp
@@ -1,5 +1,6 @@
 #include "base64.hpp"
 
+#include <monsoondock/base/stable_digest.hpp>
 #include <monsoondock/claims/claim_record.hpp>
 
 #include <boost/json.hpp>
@@ -146,7 +147,7 @@
 request_fingerprint fingerprint_request(
     std::string_view method, std::string_view target, std::string_view body)
 {
-    return {stable_digest({method, target, body})};
+    return {base::stable_digest({method, target, body})};
 }
 
 } // namespace monsoondock::claims
--- a/src/libclaims/kept_outcome.cpp
+++ b/src/libclaims/kept_outcome.cpp
@@ -1,4 +1,4 @@
-#include <monsoondock/claims/call_key.hpp>
+#include <monsoondock/base/stable_digest.hpp>
 #include <monsoondock/claims/kept_outcome.hpp>
 
 #include <boost/json.hpp>
@@ -25,7 +25,7 @@
     outcome.status_ = response.status_;
     outcome.content_type_ = response.content_type_;
     outcome.body_bytes_ = response.body_.size();
-    outcome.body_digest_ = stable_digest({response.body_});
+    outcome.body_digest_ = base::stable_digest({response.body_});
     if (response.body_.size() <= limit)
         outcome.body_ = response.body_;
     return outcome;
--- /dev/null
+++ b/src/libquarantine/confinement.cpp
@@ -0,0 +1,25 @@
+#include <monsoondock/base/rendezvous.hpp>
+#include <monsoondock/quarantine/confinement.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::quarantine {
+
+std::vector<base::group_id> rank_groups(
+    const suspect_fingerprint& fingerprint, std::vector<base::group_id> groups)
+{
+    std::sort(groups.begin(), groups.end());
+    groups.erase(std::unique(groups.begin(), groups.end()), groups.end());
+    std::vector<std::string> names;
+    names.reserve(groups.size());
+    for (const base::group_id& group : groups)
+        names.push_back(group.value_);
+    std::vector<base::group_id> ranked;
+    ranked.reserve(groups.size());
+    for (const std::size_t i :
+         base::rendezvous_order(fingerprint.value_, names, names.size()))
+        ranked.push_back(groups[i]);
+    return ranked;
+}
+
+} // namespace monsoondock::quarantine
--- /dev/null
+++ b/src/libquarantine/quarantine_command.cpp
@@ -0,0 +1,52 @@
+#include <monsoondock/quarantine/quarantine_command.hpp>
+
+namespace monsoondock::quarantine {
+
+unsigned http_status(quarantine_refusal reason) noexcept
+{
+    return reason == quarantine_refusal::quarantined ? 422 : 503;
+}
+
+
+const char* to_string(quarantine_refusal reason) noexcept
+{
+    switch (reason) {
+    case quarantine_refusal::quarantined:
+        return "request-quarantined";
+    case quarantine_refusal::on_trial_elsewhere:
+        return "suspect-on-trial";
+    case quarantine_refusal::no_trial_group:
+        return "no-group-for-suspect";
+    case quarantine_refusal::store_unavailable:
+        return "store-unavailable";
+    case quarantine_refusal::confined_groups_lost:
+        return "groups-lost";
+    }
+    return "internal";
+}
+
+
+const char* describe(quarantine_refusal reason) noexcept
+{
+    switch (reason) {
+    case quarantine_refusal::quarantined:
+        return "This request was in progress on two groups when they were "
+               "lost and is not sent again. Change the request, or ask an "
+               "operator to lift the quarantine.";
+    case quarantine_refusal::on_trial_elsewhere:
+        return "This request was in progress on a group that was lost; "
+               "another copy of it is running. Come back later.";
+    case quarantine_refusal::no_trial_group:
+        return "This request was in progress on a group that was lost and "
+               "needs a group without another such request. Come back later.";
+    case quarantine_refusal::store_unavailable:
+        return "This request was in progress on a group that was lost and "
+               "can't be sent again before the store answers.";
+    case quarantine_refusal::confined_groups_lost:
+        return "The groups for this request were lost moments ago. Come back "
+               "later.";
+    }
+    return "";
+}
+
+} // namespace monsoondock::quarantine
