monsoondockctl: settings, drains, groups, hosts, suspects and daemon queries

Operators read and change the settings tree, check files offline, see which level a value comes from, and ask daemons for members, entry hosts and routing decisions. Exit codes tell bad input, conflict and outage apart, and each error is one line with the next step.

--- a/src/include/monsoondock/settings/tree_change.hpp
+++ b/src/include/monsoondock/settings/tree_change.hpp
@@ -60,6 +60,12 @@
     const std::string& text);
 
 
+/// Removes one value, so that the node inherits it. Returns the fault that
+/// prevented it; a value that is not set is none.
+std::optional<finding>
+unset_value(settings_tree& tree, const node_path& path, const std::string& key);
+
+
 /// Returns "path key: before -> after" on one line.
 std::string to_string(const tree_change& change);
 
--- a/src/libsettings/effective.cpp
+++ b/src/libsettings/effective.cpp
@@ -78,6 +78,11 @@
             return not_found("data centre", where.data_centre_->value_);
         add_if_present(nodes, tree, *parent_path(node->path_));
         nodes.push_back(node);
+    } else if (where.region_) {
+        parts.level_ = level::region;
+        parts.region_ = *where.region_;
+        if (!add(nodes, tree, make_path(parts)))
+            return not_found("region", where.region_->value_);
     }
     if (where.deployment_) {
         parts.level_ = level::deployment;
--- a/src/libsettings/settings_tree_test.cpp
+++ b/src/libsettings/settings_tree_test.cpp
@@ -85,7 +85,8 @@
         at(tree,
            {base::data_centre_id{"one"},
             base::deployment_id{"llm"},
-            base::workspace_id{"big"}});
+            base::workspace_id{"big"},
+            {}});
     cr_assert(v.deployment_.spares_.value_ == 4);
     cr_assert(v.deployment_.spares_.path_.value_ == "org/west/one");
     cr_assert(v.deployment_.hosts_per_group_.level_ == level::deployment);
@@ -100,10 +101,11 @@
 Test(settings_tree, a_level_inherits_what_it_does_not_override)
 {
     const settings_tree tree = tree_of(TREE);
-    const auto v = at(tree, {base::data_centre_id{"two"}, {}, {}});
+    const auto v = at(tree, {base::data_centre_id{"two"}, {}, {}, {}});
     cr_assert(v.deployment_.spares_.path_.value_ == "org/west");
     cr_assert(v.interactive_.max_wait_.path_.value_ == "org");
-    cr_assert(!base::ok(effective(tree, {base::data_centre_id{"x"}, {}, {}})));
+    cr_assert(
+        !base::ok(effective(tree, {base::data_centre_id{"x"}, {}, {}, {}})));
 }
 
 
--- a/src/libsettings/tree_change.cpp
+++ b/src/libsettings/tree_change.cpp
@@ -174,6 +174,24 @@
 }
 
 
+std::optional<finding>
+unset_value(settings_tree& tree, const node_path& path, const std::string& key)
+{
+    const auto node = tree.nodes_.find(path);
+    if (node == tree.nodes_.end())
+        return finding{
+            {}, 0, path.value_, "is not a node", "a path of the tree"};
+    if (pvt::clear(node->second.values_, key))
+        return std::nullopt;
+    return finding{
+        {},
+        0,
+        path.value_ + ":" + key,
+        "is an unknown key",
+        "a key of `monsoondockctl settings keys`"};
+}
+
+
 std::string to_string(const tree_change& change)
 {
     std::string text = change.path_.value_;
--- a/src/libsettings/validate.cpp
+++ b/src/libsettings/validate.cpp
@@ -278,11 +278,11 @@
     const tree_index index = index_of(tree);
     std::vector<place> places{place{}};
     for (const auto& data_centre : index.data_centres_)
-        places.push_back({data_centre, {}, {}});
+        places.push_back({data_centre, {}, {}, {}});
     for (const auto& deployment : index.deployments_) {
-        places.push_back({{}, deployment, {}});
+        places.push_back({{}, deployment, {}, {}});
         for (const auto& data_centre : index.data_centres_)
-            places.push_back({data_centre, deployment, {}});
+            places.push_back({data_centre, deployment, {}, {}});
     }
     for (const place& where : places)
         check_place(tree, where, faults);
--- /dev/null
+++ b/src/monsoondockctl/accept_edit.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "exit_code.hpp"
+#include "platform_session.hpp"
+
+#include <monsoondock/settings/tree_change.hpp>
+
+#include <vector>
+
+namespace monsoondockctl {
+
+/// Brings changes into the store, prints the outcome and returns its code.
+exit_code accept_edit(
+    platform_session& session,
+    const options& o,
+    const std::vector<monsoondock::settings::tree_change>& changes);
+
+} // namespace monsoondockctl
--- /dev/null
+++ b/src/monsoondockctl/current_tree.cpp
@@ -0,0 +1,82 @@
+#include "current_tree.hpp"
+
+#include <monsoondock/settings/node_codec.hpp>
+
+namespace monsoondockctl {
+
+namespace base = monsoondock::base;
+namespace settings = monsoondock::settings;
+
+namespace {
+
+base::problem corrupt(const settings::findings& faults)
+{
+    return {
+        base::problem_code::corrupt,
+        "the store holds settings that cannot be read: " +
+            to_string(faults.at(0)),
+        "use the version of monsoondockctl that wrote them"};
+}
+
+
+base::result<settings::settings_node>
+to_node(const platform_session::object_result& read)
+{
+    if (!base::ok(read))
+        return base::error(read);
+    const auto& object = base::value(read);
+    auto node = settings::parse_node_json(object ? object->value_ : "");
+    if (auto* faults = std::get_if<settings::findings>(&node))
+        return corrupt(*faults);
+    return std::get<settings::settings_node>(std::move(node));
+}
+
+} // namespace
+
+base::result<settings::settings_head> read_head(platform_session& session)
+{
+    const auto read = session.get(std::string(settings::HEAD_KEY));
+    if (!base::ok(read))
+        return base::error(read);
+    const auto& object = base::value(read);
+    if (!object)
+        return settings::settings_head{};
+    auto head = settings::parse_head_json(object->value_);
+    if (auto* faults = std::get_if<settings::findings>(&head))
+        return corrupt(*faults);
+    return std::get<settings::settings_head>(std::move(head));
+}
+
+
+base::result<settings::settings_tree> read_tree(platform_session& session)
+{
+    const auto head = read_head(session);
+    if (!base::ok(head))
+        return base::error(head);
+    std::vector<std::string> keys;
+    for (const auto& [path, at] : base::value(head).nodes_)
+        keys.push_back(settings::node_object_key(path, at));
+    settings::settings_tree tree;
+    tree.revision_ = base::value(head).revision_;
+    for (const auto& read : session.get_all(keys)) {
+        auto node = to_node(read);
+        if (!base::ok(node))
+            return base::error(node);
+        const settings::node_path path = base::value(node).path_;
+        tree.nodes_.emplace(path, base::value(std::move(node)));
+    }
+    return tree;
+}
+
+
+std::optional<base::problem> check_platform(const options& o)
+{
+    if (!o.platform_.empty())
+        return std::nullopt;
+    return base::problem{
+        base::problem_code::invalid_argument,
+        "no platform is named",
+        "add --platform ip:port"};
+}
+
+} // namespace monsoondockctl
--- /dev/null
+++ b/src/monsoondockctl/current_tree.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "platform_session.hpp"
+
+#include <monsoondock/base/result.hpp>
+#include <monsoondock/settings/settings_head.hpp>
+#include <monsoondock/settings/settings_tree.hpp>
+
+namespace monsoondockctl {
+
+/// Reads the accepted head; revision 0 when there is none.
+monsoondock::base::result<monsoondock::settings::settings_head>
+read_head(platform_session& session);
+
+
+/// Reads the accepted tree; empty when there is none.
+monsoondock::base::result<monsoondock::settings::settings_tree>
+read_tree(platform_session& session);
+
+
+/// Returns a problem when no --platform was given.
+std::optional<monsoondock::base::problem> check_platform(const options& o);
+
+} // namespace monsoondockctl
--- /dev/null
+++ b/src/monsoondockctl/options.cpp
@@ -0,0 +1,185 @@
+#include "options.hpp"
+
+#include <monsoondock/settings/duration_text.hpp>
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <string_view>
+
+DEFINE_string(platform, "", "ip:port of the platform; several with commas");
+DEFINE_string(daemon, "", "ip:port where a daemon serves callers");
+DEFINE_string(output, "text", "text or json");
+DEFINE_string(timeout, "5s", "bound of each call, such as 500ms or 5s");
+DEFINE_string(region, "", "region to ask about");
+DEFINE_string(data_centre, "", "data centre to ask about");
+DEFINE_string(deployment, "", "deployment to ask about");
+DEFINE_string(workspace, "", "workspace to ask about");
+DEFINE_string(author, "", "who makes a change; the login name otherwise");
+DEFINE_string(note, "", "why the change is made");
+DEFINE_uint64(if_revision, 0, "accept only on top of this revision; 0 for any");
+DEFINE_string(api_key_file, "", "file with an API key of the workspace");
+
+namespace monsoondockctl {
+
+namespace {
+
+namespace settings = monsoondock::settings;
+
+constexpr std::string_view OWN_FLAGS[] = {
+    "platform",
+    "daemon",
+    "output",
+    "timeout",
+    "region",
+    "data_centre",
+    "deployment",
+    "workspace",
+    "author",
+    "note",
+    "if_revision",
+    "api_key_file"};
+
+using maybe_error = std::optional<usage_error>;
+
+
+struct flag_text
+{
+    std::string name_;
+    std::optional<std::string> value_;
+};
+
+
+flag_text split_flag(std::string_view word)
+{
+    word.remove_prefix(std::min(word.find_first_not_of('-'), word.size()));
+    const std::size_t equals = word.find('=');
+    flag_text flag{std::string(word.substr(0, equals)), {}};
+    std::replace(flag.name_.begin(), flag.name_.end(), '-', '_');
+    if (equals != std::string_view::npos)
+        flag.value_ = std::string(word.substr(equals + 1));
+    return flag;
+}
+
+
+bool is_own(const std::string& name)
+{
+    return std::find(std::begin(OWN_FLAGS), std::end(OWN_FLAGS), name) !=
+           std::end(OWN_FLAGS);
+}
+
+
+maybe_error set_flag(const flag_text& flag)
+{
+    const std::string set =
+        gflags::SetCommandLineOption(flag.name_.c_str(), flag.value_->c_str());
+    if (set.empty())
+        return usage_error{
+            "\"" + *flag.value_ + "\" is no value for --" + flag.name_};
+    return std::nullopt;
+}
+
+
+template <class Id>
+void set_place(std::optional<Id>& target, const std::string& value)
+{
+    if (!value.empty())
+        target = Id{value};
+}
+
+
+maybe_error read_addresses(options& o)
+{
+    std::string rest = FLAGS_platform;
+    while (!rest.empty()) {
+        const std::size_t comma = std::min(rest.find(','), rest.size());
+        const auto address =
+            settings::parse_socket_address(rest.substr(0, comma));
+        if (!address)
+            return usage_error{"--platform takes ip:port, not host names"};
+        o.platform_.push_back(*address);
+        rest.erase(0, comma + 1);
+    }
+    if (FLAGS_daemon.empty())
+        return std::nullopt;
+    o.daemon_ = settings::parse_socket_address(FLAGS_daemon);
+    if (!o.daemon_)
+        return usage_error{"--daemon takes ip:port, not host names"};
+    return std::nullopt;
+}
+
+
+maybe_error read_flags(options& o)
+{
+    if (auto error = read_addresses(o))
+        return error;
+    if (FLAGS_output != "text" && FLAGS_output != "json")
+        return usage_error{"--output takes text or json"};
+    o.output_ =
+        FLAGS_output == "json" ? output_format::json : output_format::text;
+    const auto timeout = settings::parse_duration(FLAGS_timeout);
+    if (!timeout || timeout->count() == 0)
+        return usage_error{"--timeout takes a time such as 500ms or 5s"};
+    o.timeout_ = *timeout;
+    set_place(o.place_.region_, FLAGS_region);
+    set_place(o.place_.data_centre_, FLAGS_data_centre);
+    set_place(o.place_.deployment_, FLAGS_deployment);
+    set_place(o.place_.workspace_, FLAGS_workspace);
+    const char* login = std::getenv("USER");
+    o.author_ = FLAGS_author.empty() && login != nullptr ? login : FLAGS_author;
+    o.note_ = FLAGS_note;
+    if (FLAGS_if_revision != 0)
+        o.if_revision_ = settings::revision{FLAGS_if_revision};
+    o.api_key_file_ = FLAGS_api_key_file;
+    return std::nullopt;
+}
+
+} // namespace
+
+std::variant<command_line, usage_error>
+parse_command_line(int argc, const char* const* argv)
+{
+    command_line line;
+    for (int i = 1; i < argc; ++i) {
+        const std::string_view word = argv[i];
+        if (word.size() < 2 || word[0] != '-') {
+            line.words_.emplace_back(word);
+            continue;
+        }
+        flag_text flag = split_flag(word);
+        if (flag.name_ == "help" || flag.name_ == "version") {
+            (flag.name_ == "help" ? line.options_.help_
+                                  : line.options_.version_) = true;
+            continue;
+        }
+        if (!is_own(flag.name_))
+            return usage_error{"there is no flag --" + flag.name_};
+        if (!flag.value_ && i + 1 == argc)
+            return usage_error{"--" + flag.name_ + " needs a value"};
+        if (!flag.value_)
+            flag.value_ = argv[++i];
+        if (auto error = set_flag(flag))
+            return *error;
+    }
+    if (auto error = read_flags(line.options_))
+        return *error;
+    return line;
+}
+
+
+std::string describe_flags()
+{
+    std::string text;
+    for (const std::string_view name : OWN_FLAGS) {
+        const auto info =
+            gflags::GetCommandLineFlagInfoOrDie(std::string(name).c_str());
+        text += "  --" + info.name + ": " + info.description;
+        if (!info.default_value.empty())
+            text += " (" + info.default_value + ")";
+        text += "\n";
+    }
+    return text;
+}
+
+} // namespace monsoondockctl
--- /dev/null
+++ b/src/monsoondockctl/settings_get.cpp
@@ -0,0 +1,65 @@
+#include "command.hpp"
+#include "current_tree.hpp"
+#include "failure.hpp"
+#include "print.hpp"
+
+#include <monsoondock/settings/node_codec.hpp>
+#include <monsoondock/settings/tree_file.hpp>
+
+#include <boost/json.hpp>
+
+#include <iostream>
+
+namespace monsoondockctl {
+
+namespace json = boost::json;
+namespace base = monsoondock::base;
+namespace settings = monsoondock::settings;
+
+namespace {
+
+void print_tree(const settings::settings_tree& tree, output_format format)
+{
+    if (format == output_format::text) {
+        std::cout << "# revision " << tree.revision_.value_ << "\n"
+                  << to_toml(tree);
+        return;
+    }
+    json::array nodes;
+    for (const auto& [path, node] : tree.nodes_)
+        nodes.push_back(json::parse(to_json(node)));
+    print(
+        json::object{
+            {"revision", tree.revision_.value_}, {"nodes", std::move(nodes)}},
+        format);
+}
+
+} // namespace
+
+exit_code settings_get(const request& r)
+{
+    if (const auto missing = check_platform(r.options_))
+        return fail(*missing);
+    platform_session session(r.options_);
+    auto tree = read_tree(session);
+    if (!base::ok(tree))
+        return fail(base::error(tree));
+    if (r.arguments_.empty()) {
+        print_tree(base::value(tree), r.options_.output_);
+        return exit_code::ok;
+    }
+    const settings::node_path path{r.arguments_[0]};
+    const auto* node = find_node(base::value(tree), path);
+    if (node == nullptr)
+        return fail(
+            exit_code::failed,
+            "there is no node " + path.value_,
+            "see the paths with `settings get`");
+    settings::settings_tree one;
+    one.revision_ = node->revision_;
+    one.nodes_.emplace(path, *node);
+    print_tree(one, r.options_.output_);
+    return exit_code::ok;
+}
+
+} // namespace monsoondockctl
--- /dev/null
+++ b/src/monsoondockctl/settings_history.cpp
@@ -0,0 +1,31 @@
+#include "command.hpp"
+#include "current_tree.hpp"
+#include "failure.hpp"
+#include "print.hpp"
+
+#include <boost/json.hpp>
+
+namespace monsoondockctl {
+
+namespace json = boost::json;
+namespace base = monsoondock::base;
+
+exit_code settings_history(const request& r)
+{
+    if (const auto missing = check_platform(r.options_))
+        return fail(*missing);
+    platform_session session(r.options_);
+    const auto head = read_head(session);
+    if (!base::ok(head))
+        return fail(base::error(head));
+    json::array rows;
+    for (const auto& entry : base::value(head).history_)
+        rows.push_back(json::object{
+            {"revision", entry.revision_.value_},
+            {"author", entry.author_},
+            {"note", entry.note_}});
+    print(rows, r.options_.output_);
+    return exit_code::ok;
+}
+
+} // namespace monsoondockctl
