--- a/src/include/monsoondock/groups/group_timing.hpp
+++ b/src/include/monsoondock/groups/group_timing.hpp
@@ -9,11 +9,14 @@
 struct group_timing
 {
     /// Age at which evidence about a host no longer allows a dispatch.
-    std::chrono::milliseconds dispatch_lease_{6000};
-    /// Time between two status probes of one host by one observer.
-    std::chrono::milliseconds probe_interval_{2000};
-    /// Time between two requests for verdicts to one daemon.
+    std::chrono::milliseconds dispatch_lease_{8000};
+    /// Shortest and longest time between two status probes of one host by one
+    /// observer; see paced_interval.
+    std::chrono::milliseconds probe_interval_{1000};
+    std::chrono::milliseconds longest_probe_interval_{4000};
+    /// Shortest and longest time between two rounds of verdict requests.
     std::chrono::milliseconds verdict_interval_{1000};
+    std::chrono::milliseconds longest_verdict_interval_{3000};
     /// Time for which a store read that shows the own term allows orders.
     std::chrono::milliseconds term_lease_{4000};
     /// Silence of a domain's leader after which the first candidate challenges.
@@ -28,7 +31,7 @@
     /// time between the check of a dispatch and its first byte.
     std::chrono::milliseconds margin_{500};
     /// Time without evidence after which a member counts as lost.
-    std::chrono::milliseconds repair_after_{8000};
+    std::chrono::milliseconds repair_after_{10000};
     /// Longest time that a group may stay in forming.
     std::chrono::milliseconds formation_timeout_{120000};
     /// Longest time that a planned retirement waits for running requests.
--- a/src/include/monsoondock/groups/lease_claim.hpp
+++ b/src/include/monsoondock/groups/lease_claim.hpp
@@ -16,11 +16,4 @@
 };
 
 
-/// Serialization hook for cereal.
-template <class Archive>
-void serialize(Archive& archive, lease_claim& c)
-{
-    archive(c.domain_, c.term_);
-}
-
 } // namespace monsoondock::groups
--- a/src/include/monsoondock/groups/verdict_entry.hpp
+++ b/src/include/monsoondock/groups/verdict_entry.hpp
@@ -27,11 +27,4 @@
 };
 
 
-/// Serialization hook for cereal.
-template <class Archive>
-void serialize(Archive& archive, verdict_entry& e)
-{
-    archive(e.key_, e.age_ms_, e.missing_);
-}
-
 } // namespace monsoondock::groups
--- a/src/include/monsoondock/groups/verdict_messages.hpp
+++ b/src/include/monsoondock/groups/verdict_messages.hpp
@@ -3,11 +3,19 @@
 #include <monsoondock/groups/lease_claim.hpp>
 #include <monsoondock/groups/verdict_entry.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
 namespace monsoondock::groups {
 
+/// Most groups in one request or reply.
+inline constexpr std::size_t MAX_VERDICT_GROUPS = 64;
+
+/// Most claims of leadership in one reply.
+inline constexpr std::size_t MAX_LEASE_CLAIMS = 8;
+
+
 /// Asks a daemon for its verdicts.
 struct verdict_request
 {
@@ -28,19 +36,4 @@
 };
 
 
-/// Serialization hook for cereal.
-template <class Archive>
-void serialize(Archive& archive, verdict_request& r)
-{
-    archive(r.stamp_, r.groups_);
-}
-
-
-/// Serialization hook for cereal.
-template <class Archive>
-void serialize(Archive& archive, verdict_reply& r)
-{
-    archive(r.stamp_, r.entries_, r.leases_);
-}
-
 } // namespace monsoondock::groups
--- a/src/libgroups/explored_world_test.cpp
+++ b/src/libgroups/explored_world_test.cpp
@@ -44,12 +44,13 @@
     : random_(seed ^ 0x9e3779b97f4a7c15ULL), mechanisms_(m),
       timing_(short_timing()), now_(milliseconds(1000000))
 {
-    const bool checks = mechanisms_.fencing_ && chance(50);
+    // All engines check generations, or none, or some.
+    const std::uint64_t checking = pick(3) * 50;
     for (std::size_t i = 0; i < domain_number * hosts_per_domain; ++i) {
         engine e;
         e.id_ = base::host_id{"h" + std::to_string(i)};
         e.domain_ = i / hosts_per_domain;
-        e.checks_ = checks;
+        e.checks_ = mechanisms_.fencing_ && chance(checking);
         engines_.push_back(std::move(e));
     }
     for (std::size_t i = 0; i < daemon_number; ++i) {
--- /dev/null
+++ b/src/libgroups/verdict_codec.cpp
@@ -0,0 +1,116 @@
+#include <monsoondock/groups/verdict_codec.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::groups {
+
+namespace {
+
+constexpr std::uint8_t REQUEST_KIND = 1;
+constexpr std::uint8_t REPLY_KIND = 2;
+
+
+void write_item(wire::body_writer& out, std::uint64_t key)
+{
+    out(key);
+}
+
+
+void write_item(wire::body_writer& out, const verdict_entry& entry)
+{
+    out(entry.key_, entry.age_ms_, entry.missing_);
+}
+
+
+void write_item(wire::body_writer& out, const lease_claim& claim)
+{
+    out(claim.domain_, claim.term_);
+}
+
+
+void read_item(wire::body_reader& in, std::uint64_t& key)
+{
+    in(key);
+}
+
+
+void read_item(wire::body_reader& in, verdict_entry& entry)
+{
+    in(entry.key_, entry.age_ms_, entry.missing_);
+}
+
+
+void read_item(wire::body_reader& in, lease_claim& claim)
+{
+    in(claim.domain_, claim.term_);
+}
+
+
+template <class Item>
+void write_list(
+    wire::body_writer& out, const std::vector<Item>& items, std::size_t limit)
+{
+    const std::size_t count = std::min(items.size(), limit);
+    wire::write_count(out, count);
+    for (std::size_t i = 0; i < count; ++i)
+        write_item(out, items[i]);
+}
+
+
+template <class Item>
+void read_list(
+    wire::body_reader& in, std::vector<Item>& items, std::size_t limit)
+{
+    items.resize(wire::read_count(in, limit));
+    for (Item& item : items)
+        read_item(in, item);
+}
+
+
+verdict_request read_request(wire::body_reader& in)
+{
+    verdict_request request;
+    in(request.stamp_);
+    read_list(in, request.groups_, MAX_VERDICT_GROUPS);
+    return request;
+}
+
+
+verdict_reply read_reply(wire::body_reader& in)
+{
+    verdict_reply reply;
+    in(reply.stamp_);
+    read_list(in, reply.entries_, MAX_VERDICT_GROUPS);
+    read_list(in, reply.leases_, MAX_LEASE_CLAIMS);
+    return reply;
+}
+
+} // namespace
+
+void write(wire::body_writer& out, const verdict_message& message)
+{
+    if (const auto* request = std::get_if<verdict_request>(&message)) {
+        out(REQUEST_KIND, request->stamp_);
+        write_list(out, request->groups_, MAX_VERDICT_GROUPS);
+        return;
+    }
+    const auto& reply = std::get<verdict_reply>(message);
+    out(REPLY_KIND, reply.stamp_);
+    write_list(out, reply.entries_, MAX_VERDICT_GROUPS);
+    write_list(out, reply.leases_, MAX_LEASE_CLAIMS);
+}
+
+
+void read(wire::body_reader& in, verdict_message& message)
+{
+    std::uint8_t kind = 0;
+    in(kind);
+    if (kind == REQUEST_KIND)
+        message = read_request(in);
+    else if (kind == REPLY_KIND)
+        message = read_reply(in);
+    else
+        throw std::range_error("unknown kind of verdict message");
+}
+
+} // namespace monsoondock::groups
--- /dev/null
+++ b/src/libgroups/verdict_codec_test.cpp
@@ -0,0 +1,140 @@
+#include <monsoondock/groups/group_timing.hpp>
+#include <monsoondock/groups/pacing.hpp>
+#include <monsoondock/groups/verdict_codec.hpp>
+#include <monsoondock/wire/limits.hpp>
+#include <monsoondock/wire/sealer.hpp>
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+
+using namespace monsoondock;
+using namespace monsoondock::groups;
+
+namespace {
+
+// The size to design for: 470 daemons, 15 data centres, 330 groups of 16.
+constexpr std::size_t groups_per_data_centre = 22;
+constexpr std::size_t daemons_per_data_centre = 31;
+constexpr std::size_t data_centres_per_region = 3;
+constexpr std::size_t udp_header_bytes = 28;
+
+
+verdict_reply make_reply(std::size_t groups, std::size_t leases)
+{
+    verdict_reply reply;
+    reply.stamp_ = 123456789012345ULL;
+    for (std::size_t i = 0; i < groups; ++i)
+        reply.entries_.push_back({0x9f0a80e724ffc648ULL + i, 1500, 0});
+    for (std::size_t i = 0; i < leases; ++i)
+        reply.leases_.push_back({0x3501f27618c8e7b8ULL + i, 7});
+    return reply;
+}
+
+
+std::size_t datagram_bytes(const verdict_message& message)
+{
+    wire::sealer sealer(
+        base::daemon_id{"entry-heredia-31"},
+        1,
+        {{1, std::string(32, 'k')}, std::nullopt});
+    return udp_header_bytes + sealer
+                                  .seal(
+                                      wire::channel::verdict,
+                                      "10.0.0.31:7946",
+                                      wire::encode_body(message))
+                                  .size();
+}
+
+} // namespace
+
+
+Test(verdict_codec, messages_survive)
+{
+    const verdict_message request = verdict_request{42, {1, 2, 3}};
+    const auto asked =
+        wire::decode_body<verdict_message>(wire::encode_body(request));
+    cr_assert(asked && std::get<verdict_request>(*asked).groups_.size() == 3);
+    const verdict_message reply = make_reply(22, 2);
+    const auto answered =
+        wire::decode_body<verdict_message>(wire::encode_body(reply));
+    cr_assert(answered.has_value());
+    const auto& back = std::get<verdict_reply>(*answered);
+    cr_assert(back.entries_ == std::get<verdict_reply>(reply).entries_);
+    cr_assert(back.leases_ == std::get<verdict_reply>(reply).leases_);
+}
+
+
+Test(verdict_codec, malformed_bodies_are_refused)
+{
+    const std::string body =
+        wire::encode_body<verdict_message>(make_reply(5, 1));
+    for (std::size_t length = 0; length < body.size(); ++length)
+        cr_assert(!wire::decode_body<verdict_message>(body.substr(0, length)));
+    cr_assert(!wire::decode_body<verdict_message>(body + "x"));
+    std::string unknown = body;
+    unknown[1] = 9;
+    cr_assert(!wire::decode_body<verdict_message>(unknown));
+    std::string too_long = body;
+    too_long[10] = 65;
+    cr_assert(!wire::decode_body<verdict_message>(too_long));
+}
+
+
+Test(verdict_codec, largest_reply_fits_a_datagram)
+{
+    const std::string body = wire::encode_body<verdict_message>(
+        make_reply(MAX_VERDICT_GROUPS + 9, MAX_LEASE_CLAIMS + 9));
+    cr_assert(
+        body.size() + wire::MAX_ENVELOPE_BYTES <= wire::MAX_DATAGRAM_BYTES);
+}
+
+
+Test(verdict_codec, control_of_groups_fits_the_budget_of_a_daemon)
+{
+    const group_timing timing;
+    // Every daemon observes 2 x 5,300 / 470 hosts.
+    const std::size_t probed = 2 * 5300 / 470 + 1;
+    const auto probe_every = paced_interval(
+        probed,
+        PROBE_BYTES,
+        PROBE_BYTES_PER_SECOND,
+        timing.probe_interval_,
+        timing.longest_probe_interval_);
+    // 22 groups have about 16 different preferred observers among 31 daemons;
+    // each other data centre of the region answers through one relay.
+    const std::size_t near = datagram_bytes(verdict_request{1, {1}}) +
+                             datagram_bytes(make_reply(2, 1));
+    const std::size_t far =
+        datagram_bytes(verdict_request{1, {}}) +
+        datagram_bytes(make_reply(groups_per_data_centre, 2));
+    const std::size_t round =
+        2 * (16 * near + (data_centres_per_region - 1) * far);
+    const auto ask_every = paced_interval(
+        1,
+        round,
+        VERDICT_BYTES_PER_SECOND,
+        timing.verdict_interval_,
+        timing.longest_verdict_interval_);
+    // Push: one datagram to each daemon of the data centre in each interval.
+    const std::size_t push = 2 * (daemons_per_data_centre - 1) *
+                             (datagram_bytes(make_reply(2, 1)) + 16);
+    const std::size_t probes = probed * PROBE_BYTES * 1000 /
+                               static_cast<std::size_t>(probe_every.count());
+    const std::size_t verdicts =
+        round * 1000 / static_cast<std::size_t>(ask_every.count());
+    std::printf(
+        "near request and reply %zu B, far %zu B; probes every %lld ms: "
+        "%zu B/s; pull every %lld ms: %zu B/s; push as often in the own data "
+        "centre alone: %zu B/s against %zu B/s by pull\n",
+        near,
+        far,
+        static_cast<long long>(probe_every.count()),
+        probes,
+        static_cast<long long>(ask_every.count()),
+        verdicts,
+        push * 1000 / static_cast<std::size_t>(ask_every.count()),
+        2 * 16 * near * 1000 / static_cast<std::size_t>(ask_every.count()));
+    cr_assert(probes + verdicts < 6500);
+    cr_assert(probe_every + ask_every < timing.dispatch_lease_);
+}
