traffic: callers' front door and relay to groups and services

Cause: the whole path needs the part between callers and upstreams. Ruled out: relaying raw bytes; a broken upstream could then not be told from a complete answer, and a stream could not be resumed. Change: sessions with bounded input, whole server-sent events, resume after a broken upstream, connections kept apart by generation, cancel on disconnect, refusals with a typed run state, histograms by workspace and class.

--- /dev/null
+++ b/src/include/monsoondock/traffic/group_row.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/base/generation.hpp>
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/traffic/upstream_load.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+
+namespace monsoondock::traffic {
+
+/// A replica group as a traffic thread sees it.
+struct group_row
+{
+    base::group_id group_;
+    base::deployment_id deployment_;
+    base::data_centre_id data_centre_;
+    /// Fencing number that goes with every request.
+    base::generation generation_;
+    /// Address of the group's head, which takes requests.
+    boost::asio::ip::tcp::endpoint head_;
+    /// The evidence that every host is alive under this generation holds
+    /// until here; no request may be sent later.
+    base::time_point fresh_until_{};
+    std::shared_ptr<upstream_load> load_;
+};
+
+
+/// Returns true when a request may be sent to the group at now.
+inline bool may_dispatch(const group_row& row, base::time_point now)
+{
+    return now < row.fresh_until_ && !row.load_->suspect_.load();
+}
+
+} // namespace monsoondock::traffic
--- /dev/null
+++ b/src/include/monsoondock/traffic/service_row.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/traffic/upstream_load.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace monsoondock::traffic {
+
+/// One host of a plain service.
+struct service_host
+{
+    base::host_id host_;
+    base::data_centre_id data_centre_;
+    boost::asio::ip::tcp::endpoint address_;
+    std::shared_ptr<upstream_load> load_;
+};
+
+
+/// A plain service and the hosts that may get new work.
+struct service_row
+{
+    base::deployment_id deployment_;
+    /// False: a call may run at most once and needs an Idempotency-Key.
+    bool idempotent_ = true;
+    std::vector<service_host> hosts_;
+};
+
+} // namespace monsoondock::traffic
--- /dev/null
+++ b/src/libtraffic/caller_session.cpp
@@ -0,0 +1,278 @@
+#include "caller_session.hpp"
+
+#include "await_tuple.hpp"
+#include "front.hpp"
+#include "refusals.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <iomanip>
+#include <sstream>
+#include <variant>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t max_request_id_bytes = 64;
+constexpr std::size_t first_read_bytes = 1024;
+
+
+// The connection ended or can't be used further, without an answer.
+struct closed
+{};
+
+using read_result = std::variant<caller_request, refusal, closed>;
+
+
+// Keeps a shared count right on every way out.
+class count_guard
+{
+public:
+    explicit count_guard(std::atomic<std::uint64_t>& count) : count_(count)
+    {
+        ++count_;
+    }
+
+    count_guard(const count_guard&) = delete;
+    count_guard& operator=(const count_guard&) = delete;
+
+    ~count_guard()
+    {
+        --count_;
+    }
+
+private:
+    std::atomic<std::uint64_t>& count_;
+};
+
+
+read_result to_read_result(const boost::system::error_code& failure)
+{
+    if (failure == http::error::header_limit)
+        return bad_request(
+            http::status::request_header_fields_too_large,
+            "header_too_large",
+            "the request head is larger than this daemon takes");
+    if (failure == http::error::body_limit)
+        return bad_request(
+            http::status::payload_too_large,
+            "body_too_large",
+            "the request body is larger than this daemon takes");
+    if (failure == beast::error::timeout)
+        return bad_request(
+            http::status::request_timeout,
+            "slow_request",
+            "the request did not arrive in time");
+    if (failure.category() ==
+            make_error_code(http::error::bad_method).category() &&
+        failure != http::error::end_of_stream &&
+        failure != http::error::partial_message)
+        return bad_request(
+            http::status::bad_request,
+            "malformed_request",
+            "the request is not valid HTTP: " + failure.message());
+    return closed{};
+}
+
+
+// Waits for the first bytes of the next request. Returns false when the
+// caller closed the connection or stayed silent for too long.
+asio::awaitable<bool>
+wait_for_request(caller_connection& caller, const limits& bounds)
+{
+    if (caller.buffer_.size() > 0)
+        co_return true;
+    caller.stream_.expires_after(bounds.idle_);
+    const auto [failure, size] = co_await caller.stream_.async_read_some(
+        caller.buffer_.prepare(first_read_bytes), await_tuple);
+    caller.buffer_.commit(size);
+    co_return !failure;
+}
+
+
+asio::awaitable<read_result>
+read_request(caller_connection& caller, const limits& bounds)
+{
+    if (!co_await wait_for_request(caller, bounds))
+        co_return closed{};
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(bounds.max_header_bytes_);
+    parser.body_limit(bounds.max_body_bytes_);
+    caller.stream_.expires_after(bounds.header_);
+    const auto [head_failure, head_bytes] = co_await http::async_read_header(
+        caller.stream_, caller.buffer_, parser, await_tuple);
+    if (head_failure)
+        co_return to_read_result(head_failure);
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> go_on(http::status::continue_, 11);
+        co_await http::async_write(caller.stream_, go_on, await_tuple);
+    }
+    caller.stream_.expires_after(bounds.body_);
+    const auto [body_failure, body_bytes] = co_await http::async_read(
+        caller.stream_, caller.buffer_, parser, await_tuple);
+    if (body_failure)
+        co_return to_read_result(body_failure);
+    co_return parser.release();
+}
+
+
+bool is_valid_id(std::string_view id)
+{
+    return !id.empty() && id.size() <= max_request_id_bytes &&
+           std::all_of(id.begin(), id.end(), [](unsigned char c) {
+               return std::isalnum(c) || c == '-' || c == '_' || c == '.';
+           });
+}
+
+
+base::request_id make_request_id(traffic_thread& thread)
+{
+    constexpr int digits = 16;
+    std::ostringstream text;
+    text << std::hex << std::setfill('0') << std::setw(digits)
+         << thread.random_();
+    return {text.str()};
+}
+
+
+request_context make_context(traffic_thread& thread, caller_request request)
+{
+    request_context context;
+    context.arrived_ = base::boot_clock::now();
+    context.snapshot_ = thread.parts_.snapshots_.get();
+    const std::string given(request["X-Request-Id"]);
+    context.id_ =
+        is_valid_id(given) ? base::request_id{given} : make_request_id(thread);
+    context.request_ = std::move(request);
+    return context;
+}
+
+
+// Probes and scrapes would fill the log.
+bool is_logged(const request_context& context)
+{
+    return context.label_.workspace_ != "none";
+}
+
+
+void report(
+    traffic_thread& thread,
+    const request_context& context,
+    const reply& outcome)
+{
+    auto& metrics = thread.parts_.metrics_;
+    const auto took = base::boot_clock::now() - context.arrived_;
+    const std::string name = outcome_name(outcome);
+    if (std::holds_alternative<refusal>(outcome))
+        metrics.add(
+            metrics::counter::refusals, {context.label_.workspace_, name});
+    if (std::holds_alternative<caller_gone>(outcome))
+        metrics.add(metrics::counter::cancelled, context.label_);
+    if (!is_logged(context))
+        return;
+    metrics.add(metrics::counter::requests, context.label_);
+    metrics.observe(metrics::latency::request, context.label_, took);
+    base::event_line line("request");
+    line.field("request", context.id_)
+        .field("workspace", context.workspace_)
+        .field("class", context.label_.class_)
+        .field("target", std::string_view(context.request_.target()))
+        .field("upstream", context.report_.upstream_)
+        .field("attempts", context.report_.attempts_)
+        .field("tokens", context.report_.tokens_)
+        .field("outcome", name)
+        .field("took", took);
+    if (context.report_.first_token_)
+        line.field("first_token", *context.report_.first_token_);
+}
+
+
+// Returns true when the connection can carry another request.
+asio::awaitable<bool> write_response(
+    traffic_thread& thread,
+    caller_connection& caller,
+    buffered_response response,
+    bool keep_alive)
+{
+    const bool keep = keep_alive && !thread.counts_.closing_;
+    response.keep_alive(keep);
+    response.prepare_payload();
+    caller.stream_.expires_after(thread.parts_.limits_.idle_);
+    const auto [failure, sent] =
+        co_await http::async_write(caller.stream_, response, await_tuple);
+    co_return keep && !failure;
+}
+
+
+asio::awaitable<bool> finish(
+    traffic_thread& thread,
+    caller_connection& caller,
+    const request_context& context,
+    reply outcome)
+{
+    const bool keep = context.request_.keep_alive();
+    if (auto* refused = std::get_if<refusal>(&outcome)) {
+        auto response = to_response(*refused);
+        response.set("X-Request-Id", context.id_.value_);
+        co_return co_await write_response(
+            thread, caller, std::move(response), keep);
+    }
+    if (auto* response = std::get_if<buffered_response>(&outcome)) {
+        response->set("X-Request-Id", context.id_.value_);
+        co_return co_await write_response(
+            thread, caller, std::move(*response), keep);
+    }
+    co_return std::holds_alternative<streamed>(outcome) && keep &&
+        !thread.counts_.closing_;
+}
+
+
+asio::awaitable<bool>
+serve_next(traffic_thread& thread, caller_connection& caller)
+{
+    auto read = co_await read_request(caller, thread.parts_.limits_);
+    if (std::holds_alternative<closed>(read))
+        co_return false;
+    const count_guard request_guard(thread.counts_.requests_);
+    if (auto* refused = std::get_if<refusal>(&read)) {
+        thread.parts_.metrics_.add(
+            metrics::counter::bad_requests, {"none", refused->type_});
+        co_await write_response(thread, caller, to_response(*refused), false);
+        co_return false;
+    }
+    request_context context =
+        make_context(thread, std::get<caller_request>(std::move(read)));
+    reply outcome = co_await serve_request(thread, caller, context);
+    report(thread, context, outcome);
+    co_return co_await finish(thread, caller, context, std::move(outcome));
+}
+
+} // namespace
+
+asio::awaitable<void>
+run_session(traffic_thread& thread, asio::ip::tcp::socket socket)
+{
+    const count_guard connection_guard(thread.counts_.connections_);
+    caller_connection caller(std::move(socket));
+    boost::system::error_code ignored;
+    caller.stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    while (co_await serve_next(thread, caller)) {
+    }
+    caller.stream_.socket().shutdown(
+        asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/chat_attempt.cpp
@@ -0,0 +1,317 @@
+#include "chat_attempt.hpp"
+
+#include "await_tuple.hpp"
+#include "caller_writer.hpp"
+#include "dispatch_ticket.hpp"
+#include "refusals.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using answer_parser = http::response_parser<http::buffer_body>;
+
+constexpr unsigned http_version_1_1 = 11;
+constexpr std::size_t read_buffer_bytes = 4096;
+constexpr std::size_t max_buffered_answer_bytes = 8 * 1024 * 1024;
+
+
+// Everything that one attempt works on.
+struct attempt
+{
+    traffic_thread& thread_;
+    caller_connection& caller_;
+    request_context& context_;
+    chat_progress& progress_;
+    const group_row& group_;
+    std::unique_ptr<upstream_connection> upstream_;
+};
+
+
+pool_key key_of(const attempt& a)
+{
+    return {a.group_.head_, a.group_.generation_};
+}
+
+
+const limits& bounds_of(const attempt& a)
+{
+    return a.thread_.parts_.limits_;
+}
+
+
+caller_request make_upstream_request(const attempt& a)
+{
+    const caller_request& source = a.context_.request_;
+    caller_request request(
+        http::verb::post, "/v1/chat/completions", http_version_1_1);
+    request.set(http::field::host, "engine");
+    request.set(http::field::content_type, "application/json");
+    request.set("X-Request-Id", a.context_.id_.value_);
+    request.set("X-Group", a.group_.group_.value_);
+    request.set("X-Generation", std::to_string(a.group_.generation_.value_));
+    request.set("X-Priority", a.context_.label_.class_);
+    if (a.progress_.splitter_.progress_.tokens_ > 0)
+        request.set(
+            "X-Resume-From",
+            std::to_string(a.progress_.splitter_.progress_.tokens_));
+    const auto trace = source.find("traceparent");
+    if (trace != source.end())
+        request.set("traceparent", trace->value());
+    request.body() = source.body();
+    request.prepare_payload();
+    return request;
+}
+
+
+// The next wait ends at the caller's deadline or after too long a silence,
+// whichever comes first.
+void set_read_timeout(attempt& a)
+{
+    std::chrono::nanoseconds wait = bounds_of(a).upstream_idle_;
+    if (a.context_.deadline_)
+        wait = std::min(wait, *a.context_.deadline_ - base::boot_clock::now());
+    a.upstream_->stream_.expires_after(
+        std::max(wait, std::chrono::nanoseconds::zero()));
+}
+
+
+bool deadline_is_over(const request_context& context)
+{
+    return context.deadline_ && base::boot_clock::now() >= *context.deadline_;
+}
+
+
+attempt_result broken(attempt& a, std::string_view reason)
+{
+    a.thread_.parts_.metrics_.add(
+        metrics::counter::upstream_failures, a.context_.label_);
+    base::event_line("upstream_failed", base::severity::warning)
+        .field("request", a.context_.id_)
+        .field("group", a.group_.group_)
+        .field("reason", reason)
+        .field("tokens", a.progress_.splitter_.progress_.tokens_);
+    if (deadline_is_over(a.context_) && !a.progress_.head_sent_)
+        return reply(deadline_passed(a.progress_.run_));
+    return attempt_broken{};
+}
+
+
+attempt_result not_run(attempt& a, std::string_view reason)
+{
+    a.group_.load_->suspect_ = true;
+    base::event_line("dispatch_refused", base::severity::warning)
+        .field("request", a.context_.id_)
+        .field("group", a.group_.group_)
+        .field("generation", a.group_.generation_.value_)
+        .field("reason", reason);
+    return attempt_not_run{};
+}
+
+
+bool answers_own_request(const attempt& a, const answer_parser& parser)
+{
+    const auto& head = parser.get();
+    const auto id = head.find("X-Request-Id");
+    return id == head.end() || id->value() == a.context_.id_.value_;
+}
+
+
+// Reads the next part of the body into bytes and returns its size, or
+// nothing when the answer broke off.
+asio::awaitable<std::optional<std::size_t>> read_part(
+    attempt& a,
+    answer_parser& parser,
+    std::array<char, read_buffer_bytes>& bytes)
+{
+    parser.get().body().data = bytes.data();
+    parser.get().body().size = bytes.size();
+    parser.get().body().more = true;
+    set_read_timeout(a);
+    const auto [failure, used] = co_await http::async_read_some(
+        a.upstream_->stream_, a.upstream_->buffer_, parser, await_tuple);
+    if (failure && failure != http::error::need_buffer)
+        co_return std::nullopt;
+    co_return bytes.size() - parser.get().body().size;
+}
+
+
+void observe_tokens(attempt& a, std::uint64_t fresh)
+{
+    const base::time_point now = base::boot_clock::now();
+    auto& metrics = a.thread_.parts_.metrics_;
+    auto& report = a.context_.report_;
+    if (!report.first_token_) {
+        report.first_token_ = now - a.context_.arrived_;
+        metrics.observe(
+            metrics::latency::first_token,
+            a.context_.label_,
+            *report.first_token_);
+    } else if (fresh > 0) {
+        metrics.observe(
+            metrics::latency::token_gap,
+            a.context_.label_,
+            (now - a.progress_.last_write_) / static_cast<std::int64_t>(fresh));
+    }
+    metrics.add(metrics::counter::tokens, a.context_.label_, fresh);
+    report.tokens_ += fresh;
+    a.progress_.last_write_ = now;
+}
+
+
+// Returns false when the caller is gone.
+asio::awaitable<bool> forward_events(attempt& a, std::string_view bytes)
+{
+    auto& splitter = a.progress_.splitter_;
+    const std::uint64_t before = splitter.progress_.tokens_;
+    const std::string events = take_events(splitter, bytes);
+    if (events.empty())
+        co_return true;
+    if (!a.progress_.head_sent_) {
+        a.progress_.head_sent_ = true;
+        const bool sent =
+            co_await write_stream_head(a.caller_, a.context_, bounds_of(a));
+        if (!sent)
+            co_return false;
+    }
+    observe_tokens(a, splitter.progress_.tokens_ - before);
+    co_return co_await write_chunk(a.caller_, events, bounds_of(a));
+}
+
+
+void keep_connection(attempt& a, const answer_parser& parser)
+{
+    if (parser.keep_alive() && a.upstream_->buffer_.size() == 0)
+        a.thread_.pool_.give(key_of(a), std::move(a.upstream_));
+}
+
+
+asio::awaitable<attempt_result> relay_stream(attempt& a, answer_parser& parser)
+{
+    std::array<char, read_buffer_bytes> bytes{};
+    auto& splitter = a.progress_.splitter_;
+    // What an earlier attempt left of an event will be sent again.
+    splitter.pending_.clear();
+    while (!parser.is_done()) {
+        const auto size = co_await read_part(a, parser, bytes);
+        if (!size)
+            co_return broken(a, "the stream broke off");
+        if (!co_await forward_events(a, {bytes.data(), *size}))
+            co_return reply(caller_gone{});
+        if (splitter.pending_.size() > max_event_bytes)
+            co_return broken(a, "an event is too long");
+    }
+    if (!splitter.progress_.done_)
+        co_return broken(a, "the stream ended without its last event");
+    keep_connection(a, parser);
+    if (!co_await write_last_chunk(a.caller_, bounds_of(a)))
+        co_return reply(caller_gone{});
+    co_return reply(streamed{});
+}
+
+
+asio::awaitable<attempt_result>
+relay_buffered(attempt& a, answer_parser& parser)
+{
+    std::array<char, read_buffer_bytes> bytes{};
+    std::string body;
+    while (!parser.is_done()) {
+        const auto size = co_await read_part(a, parser, bytes);
+        if (!size)
+            co_return broken(a, "the answer broke off");
+        body.append(bytes.data(), *size);
+        if (body.size() > max_buffered_answer_bytes)
+            co_return broken(a, "the answer is too large");
+    }
+    const auto& head = parser.get();
+    buffered_response response(head.result(), http_version_1_1);
+    response.set(http::field::content_type, head[http::field::content_type]);
+    response.body() = std::move(body);
+    keep_connection(a, parser);
+    co_return reply(std::move(response));
+}
+
+
+bool says_not_run(http::status status)
+{
+    return status == http::status::conflict ||
+           status == http::status::service_unavailable;
+}
+
+
+asio::awaitable<attempt_result> relay_answer(attempt& a)
+{
+    answer_parser parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    set_read_timeout(a);
+    const auto [failure, used] = co_await http::async_read_header(
+        a.upstream_->stream_, a.upstream_->buffer_, parser, await_tuple);
+    if (failure)
+        co_return broken(a, "no answer came: " + failure.message());
+    if (!answers_own_request(a, parser))
+        co_return broken(a, "the answer belongs to another request");
+    const auto& head = parser.get();
+    if (says_not_run(head.result()))
+        co_return not_run(a, "the engine did not take it");
+    if (head.result_int() >= 500)
+        co_return broken(a, "the engine failed");
+    a.progress_.run_ = run_state::answered;
+    if (head[http::field::content_type].starts_with("text/event-stream"))
+        co_return co_await relay_stream(a, parser);
+    co_return co_await relay_buffered(a, parser);
+}
+
+
+// Returns false when no byte of the request can have left.
+asio::awaitable<bool> open_upstream(attempt& a)
+{
+    a.upstream_ = a.thread_.pool_.take(key_of(a));
+    if (a.upstream_ == nullptr)
+        a.upstream_ =
+            co_await connect_upstream(a.group_.head_, bounds_of(a).connect_);
+    co_return a.upstream_ != nullptr;
+}
+
+} // namespace
+
+asio::awaitable<attempt_result> attempt_chat(
+    traffic_thread& thread,
+    caller_connection& caller,
+    request_context& context,
+    chat_progress& progress,
+    const group_row& group)
+{
+    attempt a{thread, caller, context, progress, group, nullptr};
+    const dispatch_ticket ticket(group.load_);
+    ++context.report_.attempts_;
+    context.report_.upstream_ = group.group_.value_;
+    if (!co_await open_upstream(a))
+        co_return not_run(a, "no connection to the head");
+    const caller_request request = make_upstream_request(a);
+    // The connect may have taken long, so the evidence is checked again.
+    if (!may_dispatch(group, base::boot_clock::now()))
+        co_return not_run(a, "the evidence of the group has expired");
+    progress.run_ = run_state::maybe_sent;
+    set_read_timeout(a);
+    const auto [failure, sent] =
+        co_await http::async_write(a.upstream_->stream_, request, await_tuple);
+    if (failure)
+        co_return broken(a, "the request could not be sent");
+    co_return co_await relay_answer(a);
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/chat_relay.cpp
@@ -0,0 +1,114 @@
+#include "chat_relay.hpp"
+
+#include "caller_writer.hpp"
+#include "chat_attempt.hpp"
+#include "disconnect_watch.hpp"
+#include "group_choice.hpp"
+#include "refusals.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t max_attempts = 3;
+
+
+bool is_known_model(
+    const routing_snapshot& snapshot, const base::deployment_id& model)
+{
+    const auto& models = snapshot.models_;
+    return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+
+// A caller that already has part of the stream is told by an error event, and
+// the missing last chunk marks the answer as incomplete.
+asio::awaitable<reply> give_up(
+    traffic_thread& thread,
+    caller_connection& caller,
+    const request_context& context,
+    const chat_progress& progress)
+{
+    const bool late =
+        context.deadline_ && base::boot_clock::now() >= *context.deadline_;
+    if (!progress.head_sent_) {
+        if (late)
+            co_return deadline_passed(progress.run_);
+        co_return no_upstream(
+            progress.run_, "no whole group of the model can take the request");
+    }
+    co_await write_chunk(
+        caller,
+        "data: {\"error\":{\"type\":\"broken_stream\",\"message\":\"the answer "
+        "is incomplete\"}}\n\n",
+        thread.parts_.limits_);
+    co_return broken_stream{"no group could resume the stream"};
+}
+
+
+asio::awaitable<reply> run_attempts(
+    traffic_thread& thread,
+    caller_connection& caller,
+    request_context& context,
+    chat_progress& progress)
+{
+    std::vector<base::group_id> tried;
+    while (context.report_.attempts_ < max_attempts) {
+        context.snapshot_ = thread.parts_.snapshots_.get();
+        const auto snapshot = context.snapshot_;
+        const group_row* group = choose_group(
+            *snapshot, progress.chat_.model_, tried, base::boot_clock::now());
+        if (group == nullptr)
+            break;
+        tried.push_back(group->group_);
+        if (context.report_.attempts_ > 0)
+            thread.parts_.metrics_.add(
+                metrics::counter::retries, context.label_);
+        if (progress.head_sent_)
+            thread.parts_.metrics_.add(
+                metrics::counter::resumed_streams, context.label_);
+        auto result =
+            co_await attempt_chat(thread, caller, context, progress, *group);
+        if (auto* finished = std::get_if<reply>(&result))
+            co_return std::move(*finished);
+    }
+    co_return co_await give_up(thread, caller, context, progress);
+}
+
+} // namespace
+
+asio::awaitable<reply> serve_chat(
+    traffic_thread& thread, caller_connection& caller, request_context& context)
+{
+    using namespace asio::experimental::awaitable_operators;
+
+    const auto parsed = parse_chat_request(context.request_.body());
+    if (!base::ok(parsed))
+        co_return bad_request(
+            http::status::bad_request,
+            "invalid_body",
+            base::error(parsed).message_);
+    chat_progress progress;
+    progress.chat_ = base::value(parsed);
+    if (!is_known_model(*context.snapshot_, progress.chat_.model_))
+        co_return bad_request(
+            http::status::not_found,
+            "unknown_model",
+            "no deployment has the name `" + progress.chat_.model_.value_ +
+                "`; GET /v1/models lists them");
+    auto ended = co_await (
+        run_attempts(thread, caller, context, progress) ||
+        wait_for_disconnect(caller));
+    if (ended.index() == 0)
+        co_return std::get<0>(std::move(ended));
+    co_return caller_gone{};
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/disconnect_watch.cpp
@@ -0,0 +1,34 @@
+#include "disconnect_watch.hpp"
+
+#include "await_tuple.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <array>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> wait_for_disconnect(caller_connection& caller)
+{
+    auto& socket = caller.stream_.socket();
+    const auto [failure] = co_await socket.async_wait(
+        asio::ip::tcp::socket::wait_read, await_tuple);
+    if (failure)
+        co_return;
+    std::array<char, 1> byte{};
+    boost::system::error_code peek_failure;
+    socket.receive(
+        asio::buffer(byte), asio::ip::tcp::socket::message_peek, peek_failure);
+    if (peek_failure)
+        co_return;
+    // The caller sent its next request early; only a failed write can tell
+    // now that it went away.
+    asio::steady_timer forever(co_await asio::this_coro::executor);
+    forever.expires_at(asio::steady_timer::time_point::max());
+    co_await forever.async_wait(await_tuple);
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/front.cpp
@@ -0,0 +1,222 @@
+#include "front.hpp"
+
+#include "chat_relay.hpp"
+#include "key_hash.hpp"
+#include "refusals.hpp"
+#include "service_relay.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string_view>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned http_version_1_1 = 11;
+constexpr std::chrono::milliseconds max_deadline = std::chrono::hours(1);
+constexpr std::chrono::milliseconds not_ready_retry_after{1000};
+
+
+buffered_response json_response(const json::value& body)
+{
+    buffered_response response(http::status::ok, http_version_1_1);
+    response.set(http::field::content_type, "application/json");
+    response.body() = json::serialize(body);
+    return response;
+}
+
+
+buffered_response text_response(http::status status, std::string text)
+{
+    buffered_response response(status, http_version_1_1);
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    response.body() = std::move(text);
+    return response;
+}
+
+
+reply list_models(const routing_snapshot& snapshot)
+{
+    json::array data;
+    for (const base::deployment_id& model : snapshot.models_)
+        data.push_back({{"id", model.value_}, {"object", "model"}});
+    return json_response({{"object", "list"}, {"data", std::move(data)}});
+}
+
+
+reply list_entry_hosts(const traffic_thread& thread, const routing_snapshot& s)
+{
+    json::array hosts;
+    for (const std::string& address : s.entry_hosts_)
+        hosts.emplace_back(address);
+    return json_response(
+        {{"hosts", std::move(hosts)},
+         {"ttl_ms", thread.parts_.limits_.entry_host_ttl_.count()}});
+}
+
+
+const workspace_row*
+find_workspace(const routing_snapshot& snapshot, const std::string& hash)
+{
+    for (const workspace_row& row : snapshot.workspaces_) {
+        const auto& hashes = row.key_hashes_;
+        if (std::find(hashes.begin(), hashes.end(), hash) != hashes.end())
+            return &row;
+    }
+    return nullptr;
+}
+
+
+// Returns the refusal, or nothing when the key names a workspace.
+std::optional<refusal> authenticate(request_context& context)
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header =
+        context.request_[http::field::authorization];
+    const workspace_row* workspace = nullptr;
+    if (header.starts_with(scheme))
+        workspace = find_workspace(
+            *context.snapshot_, key_hash(header.substr(scheme.size())));
+    if (workspace == nullptr)
+        return bad_request(
+            http::status::unauthorized,
+            "unknown_key",
+            "the Authorization header names no known API key");
+    context.workspace_ = workspace->workspace_;
+    context.label_.workspace_ = workspace->workspace_.value_;
+    return std::nullopt;
+}
+
+
+std::optional<refusal> read_priority(request_context& context)
+{
+    context.label_.class_ = "interactive";
+    const auto header = context.request_.find("X-Priority");
+    if (header == context.request_.end())
+        return std::nullopt;
+    if (header->value() != "interactive" && header->value() != "report")
+        return bad_request(
+            http::status::bad_request,
+            "invalid_priority",
+            "X-Priority is `interactive` or `report`");
+    context.label_.class_ = std::string(header->value());
+    return std::nullopt;
+}
+
+
+std::optional<refusal> read_deadline(request_context& context)
+{
+    const auto header = context.request_.find("X-Deadline-Ms");
+    if (header == context.request_.end())
+        return std::nullopt;
+    const std::string_view text = header->value();
+    std::int64_t ms = 0;
+    const auto [end, failure] =
+        std::from_chars(text.data(), text.data() + text.size(), ms);
+    const bool whole = end == text.data() + text.size();
+    if (failure != std::errc() || !whole || ms < 1 || ms > max_deadline.count())
+        return bad_request(
+            http::status::bad_request,
+            "invalid_deadline",
+            "X-Deadline-Ms is a number from 1 to 3600000");
+    context.deadline_ = context.arrived_ + std::chrono::milliseconds(ms);
+    return std::nullopt;
+}
+
+
+// Answers what needs no API key, or returns nothing.
+std::optional<reply>
+serve_operator(traffic_thread& thread, const request_context& context)
+{
+    const std::string target(context.request_.target());
+    if (context.request_.method() != http::verb::get)
+        return std::nullopt;
+    const auto& snapshot = *context.snapshot_;
+    if (target == "/healthz")
+        return text_response(http::status::ok, "ok\n");
+    if (target == "/readyz") {
+        if (snapshot.ready_ && !snapshot.draining_)
+            return text_response(http::status::ok, "ready\n");
+        return text_response(
+            http::status::service_unavailable,
+            snapshot.draining_ ? "draining\n" : "not ready\n");
+    }
+    if (target == "/metrics")
+        return text_response(http::status::ok, thread.parts_.metrics_.render());
+    if (target.starts_with("/admin/") && thread.parts_.admin_) {
+        auto body = thread.parts_.admin_(target);
+        if (!body)
+            return bad_request(
+                http::status::not_found, "unknown_path", "no such page");
+        buffered_response response(http::status::ok, http_version_1_1);
+        response.set(http::field::content_type, "application/json");
+        response.body() = std::move(*body);
+        return response;
+    }
+    return std::nullopt;
+}
+
+
+std::optional<refusal> check_caller(request_context& context)
+{
+    if (!context.snapshot_->ready_)
+        return refusal{
+            http::status::service_unavailable,
+            "not_ready",
+            "the daemon has no settings yet",
+            run_state::unsent,
+            not_ready_retry_after};
+    if (auto refused = authenticate(context))
+        return refused;
+    if (auto refused = read_priority(context))
+        return refused;
+    return read_deadline(context);
+}
+
+
+refusal wrong_method(const char* allowed)
+{
+    return bad_request(
+        http::status::method_not_allowed,
+        "wrong_method",
+        std::string("the path takes ") + allowed);
+}
+
+} // namespace
+
+asio::awaitable<reply> serve_request(
+    traffic_thread& thread, caller_connection& caller, request_context& context)
+{
+    if (auto answer = serve_operator(thread, context))
+        co_return std::move(*answer);
+    if (auto refused = check_caller(context))
+        co_return std::move(*refused);
+    const std::string_view target = context.request_.target();
+    const bool get = context.request_.method() == http::verb::get;
+    const bool post = context.request_.method() == http::verb::post;
+    if (target == "/v1/chat/completions") {
+        if (!post)
+            co_return wrong_method("POST");
+        co_return co_await serve_chat(thread, caller, context);
+    }
+    if (target.starts_with("/services/"))
+        co_return co_await serve_service_call(thread, context);
+    if (target == "/v1/models" && get)
+        co_return list_models(*context.snapshot_);
+    if (target == "/v1/entry-hosts" && get)
+        co_return list_entry_hosts(thread, *context.snapshot_);
+    co_return bad_request(
+        http::status::not_found, "unknown_path", "no such path");
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/front.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "caller_connection.hpp"
+#include "reply.hpp"
+#include "request_context.hpp"
+#include "traffic_thread.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace monsoondock::traffic::pvt {
+
+/// Finds out what a request wants, checks its key and headers, and serves it.
+boost::asio::awaitable<reply> serve_request(
+    traffic_thread& thread,
+    caller_connection& caller,
+    request_context& context);
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/refusals.cpp
@@ -0,0 +1,46 @@
+#include "refusals.hpp"
+
+namespace monsoondock::traffic::pvt {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+// A group is replaced or proved alive again within seconds.
+constexpr std::chrono::milliseconds upstream_retry_after{2000};
+
+} // namespace
+
+refusal bad_request(http::status status, std::string type, std::string detail)
+{
+    return {
+        status,
+        std::move(type),
+        std::move(detail),
+        run_state::unsent,
+        std::nullopt};
+}
+
+
+refusal no_upstream(run_state run, std::string detail)
+{
+    return {
+        http::status::service_unavailable,
+        "no_upstream",
+        std::move(detail),
+        run,
+        upstream_retry_after};
+}
+
+
+refusal deadline_passed(run_state run)
+{
+    return {
+        http::status::gateway_timeout,
+        "deadline_passed",
+        "the deadline of the request passed before an answer was complete",
+        run,
+        std::nullopt};
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/refusals.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <monsoondock/traffic/refusal.hpp>
+
+#include <string>
+
+namespace monsoondock::traffic::pvt {
+
+/// Returns a refusal of a request that can never succeed as it is.
+refusal bad_request(
+    boost::beast::http::status status, std::string type, std::string detail);
+
+
+/// Returns a refusal because nothing can take the request now.
+refusal no_upstream(run_state run, std::string detail);
+
+
+/// Returns a refusal because the caller's deadline passed.
+refusal deadline_passed(run_state run);
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/server.cpp
@@ -0,0 +1,165 @@
+#include "await_tuple.hpp"
+#include "caller_session.hpp"
+#include "traffic_thread.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/traffic/server.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <sys/socket.h>
+#include <thread>
+#include <vector>
+
+namespace monsoondock::traffic {
+
+namespace asio = boost::asio;
+
+using pvt::traffic_thread;
+
+namespace {
+
+// The kernel spreads new connections over all acceptors of the address.
+using reuse_port =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+// Waits so long after a failed accept, so that a lack of file descriptors
+// does not turn into a busy loop.
+constexpr std::chrono::milliseconds accept_pause{50};
+
+struct worker
+{
+    worker(server_parts& parts, pvt::server_counts& counts, unsigned seed)
+        : state_(parts, counts, seed), acceptor_(state_.context_)
+    {}
+
+    traffic_thread state_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+
+void listen(asio::ip::tcp::acceptor& a, const asio::ip::tcp::endpoint& address)
+{
+    a.open(address.protocol());
+    a.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    a.set_option(reuse_port(true));
+    a.bind(address);
+    a.listen();
+}
+
+
+bool is_full(const traffic_thread& thread)
+{
+    return thread.counts_.connections_ >=
+           thread.parts_.limits_.max_connections_;
+}
+
+
+asio::awaitable<void> accept_loop(worker& w)
+{
+    asio::steady_timer pause(w.state_.context_);
+    while (w.acceptor_.is_open()) {
+        auto [failure, socket] =
+            co_await w.acceptor_.async_accept(pvt::await_tuple);
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        if (failure) {
+            pause.expires_after(accept_pause);
+            co_await pause.async_wait(pvt::await_tuple);
+            continue;
+        }
+        if (is_full(w.state_))
+            continue;
+        asio::co_spawn(
+            w.state_.context_,
+            pvt::run_session(w.state_, std::move(socket)),
+            asio::detached);
+    }
+}
+
+} // namespace
+
+struct server::impl
+{
+    explicit impl(server_parts parts) : parts_(std::move(parts)) {}
+
+    server_parts parts_;
+    pvt::server_counts counts_;
+    std::vector<std::unique_ptr<worker>> workers_;
+};
+
+
+server::server(server_parts parts)
+    : impl_(std::make_unique<impl>(std::move(parts)))
+{}
+
+
+server::~server()
+{
+    stop();
+}
+
+
+base::result<base::done>
+server::start(asio::ip::tcp::endpoint address, std::size_t threads)
+{
+    std::random_device seed;
+    for (std::size_t i = 0; i < threads; ++i) {
+        auto w =
+            std::make_unique<worker>(impl_->parts_, impl_->counts_, seed());
+        try {
+            listen(w->acceptor_, address);
+        } catch (const boost::system::system_error& failure) {
+            return base::problem{
+                base::problem_code::unavailable,
+                std::string("can't listen: ") + failure.what(),
+                "set caller_address to a free address of this host"};
+        }
+        impl_->workers_.push_back(std::move(w));
+    }
+    for (auto& w : impl_->workers_) {
+        asio::co_spawn(w->state_.context_, accept_loop(*w), asio::detached);
+        w->thread_ = std::thread([&context = w->state_.context_] {
+            const auto guard = asio::make_work_guard(context);
+            context.run();
+        });
+    }
+    return base::done{};
+}
+
+
+void server::stop_accepting()
+{
+    impl_->counts_.closing_ = true;
+    for (auto& w : impl_->workers_) {
+        asio::post(w->state_.context_, [&a = w->acceptor_] {
+            boost::system::error_code ignored;
+            a.close(ignored);
+        });
+    }
+}
+
+
+std::uint64_t server::active_requests() const
+{
+    return impl_->counts_.requests_;
+}
+
+
+void server::stop()
+{
+    for (auto& w : impl_->workers_)
+        w->state_.context_.stop();
+    for (auto& w : impl_->workers_) {
+        if (w->thread_.joinable())
+            w->thread_.join();
+    }
+    impl_->workers_.clear();
+}
+
+} // namespace monsoondock::traffic
--- /dev/null
+++ b/src/libtraffic/service_exchange.cpp
@@ -0,0 +1,95 @@
+#include "service_exchange.hpp"
+
+#include "await_tuple.hpp"
+#include "dispatch_ticket.hpp"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned http_version_1_1 = 11;
+constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
+
+
+void copy_field(
+    const caller_request& source, caller_request& target, const char* name)
+{
+    const auto field = source.find(name);
+    if (field != source.end())
+        target.set(name, field->value());
+}
+
+
+caller_request
+make_service_request(const request_context& context, const std::string& path)
+{
+    const caller_request& source = context.request_;
+    caller_request request(source.method(), path, http_version_1_1);
+    request.set(http::field::host, "service");
+    request.set("X-Request-Id", context.id_.value_);
+    request.set("X-Workspace", context.workspace_.value_);
+    static constexpr std::array passed{
+        "Content-Type", "Accept", "Idempotency-Key", "traceparent"};
+    for (const char* name : passed)
+        copy_field(source, request, name);
+    request.keep_alive(false);
+    request.body() = source.body();
+    request.prepare_payload();
+    return request;
+}
+
+
+std::chrono::nanoseconds
+time_left(const request_context& context, std::chrono::nanoseconds bound)
+{
+    if (!context.deadline_)
+        return bound;
+    const auto left = *context.deadline_ - base::boot_clock::now();
+    return std::clamp<std::chrono::nanoseconds>(
+        left, std::chrono::nanoseconds::zero(), bound);
+}
+
+} // namespace
+
+asio::awaitable<call_result> call_service(
+    traffic_thread& thread,
+    const request_context& context,
+    const service_host& host,
+    std::string path)
+{
+    const limits& bounds = thread.parts_.limits_;
+    const dispatch_ticket ticket(host.load_);
+    const auto upstream =
+        co_await connect_upstream(host.address_, bounds.connect_);
+    if (upstream == nullptr)
+        co_return call_failed{run_state::unsent, "no connection to the host"};
+    const caller_request request = make_service_request(context, path);
+    upstream->stream_.expires_after(time_left(context, bounds.upstream_idle_));
+    const auto [write_failure, sent] =
+        co_await http::async_write(upstream->stream_, request, await_tuple);
+    if (write_failure)
+        co_return call_failed{run_state::maybe_sent, "the sending broke off"};
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_answer_bytes);
+    const auto [read_failure, used] = co_await http::async_read(
+        upstream->stream_, upstream->buffer_, parser, await_tuple);
+    if (read_failure)
+        co_return call_failed{run_state::maybe_sent, "the answer broke off"};
+    const auto& answer = parser.get();
+    buffered_response response(answer.result(), http_version_1_1);
+    response.set(http::field::content_type, answer[http::field::content_type]);
+    response.body() = answer.body();
+    co_return response;
+}
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/traffic_thread.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "upstream_pool.hpp"
+
+#include <monsoondock/traffic/server.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <random>
+
+namespace monsoondock::traffic::pvt {
+
+/// Counts that the traffic threads share.
+struct server_counts
+{
+    std::atomic<std::uint64_t> connections_{0};
+    std::atomic<std::uint64_t> requests_{0};
+    std::atomic<bool> closing_{false};
+};
+
+
+/// State of one traffic thread. Only its own thread touches the members that
+/// are not shared by reference.
+struct traffic_thread
+{
+    traffic_thread(server_parts& parts, server_counts& counts, unsigned seed)
+        : parts_(parts), counts_(counts), random_(seed)
+    {}
+
+    server_parts& parts_;
+    server_counts& counts_;
+    boost::asio::io_context context_{1};
+    upstream_pool pool_;
+    std::mt19937_64 random_;
+};
+
+} // namespace monsoondock::traffic::pvt
--- /dev/null
+++ b/src/libtraffic/upstream_connection.cpp
@@ -0,0 +1,26 @@
+#include "upstream_connection.hpp"
+
+#include "await_tuple.hpp"
+
+#include <boost/asio/this_coro.hpp>
+
+namespace monsoondock::traffic::pvt {
+
+namespace asio = boost::asio;
+
+asio::awaitable<std::unique_ptr<upstream_connection>> connect_upstream(
+    asio::ip::tcp::endpoint address, std::chrono::milliseconds timeout)
+{
+    auto c = std::make_unique<upstream_connection>(
+        co_await asio::this_coro::executor);
+    c->stream_.expires_after(timeout);
+    const auto [failure] =
+        co_await c->stream_.async_connect(address, await_tuple);
+    if (failure)
+        co_return nullptr;
+    boost::system::error_code ignored;
+    c->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return c;
+}
+
+} // namespace monsoondock::traffic::pvt
