--- a/src/include/monsoondock/traffic/server.hpp
+++ b/src/include/monsoondock/traffic/server.hpp
@@ -43,7 +43,7 @@
     /// Listens on address and starts the threads. Returns a problem of code
     /// unavailable when the address can't be used.
     base::result<base::done>
-    start(boost::asio::ip::tcp::endpoint address, std::size_t threads);
+    start(const boost::asio::ip::tcp::endpoint& address, std::size_t threads);
 
 
     /// Stops accepting connections; those open go on, and each ends after
--- a/src/include/monsoondock/traffic/workspace_row.hpp
+++ b/src/include/monsoondock/traffic/workspace_row.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/settings/api_key_hash.hpp>
 
-#include <string>
 #include <vector>
 
 namespace monsoondock::traffic {
@@ -11,8 +11,8 @@
 struct workspace_row
 {
     base::workspace_id workspace_;
-    /// SHA-256 of each key in lower-case hexadecimal digits.
-    std::vector<std::string> key_hashes_;
+    /// Hashes of the keys that name it; the keys themselves are kept nowhere.
+    std::vector<settings::api_key_hash> key_hashes_;
 };
 
 } // namespace monsoondock::traffic
--- /dev/null
+++ b/src/libdaemon/control_state.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "admin_board.hpp"
+#include "drain_table.hpp"
+#include "host_record.hpp"
+
+#include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/platform/http_client.hpp>
+#include <monsoondock/settings/daemon_config.hpp>
+#include <monsoondock/settings/settings_tree.hpp>
+#include <monsoondock/traffic/snapshot_holder.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace monsoondock::daemon {
+
+/// All control state of a daemon. Only the control thread touches it; the
+/// references lead to things that are safe for several threads.
+struct control_state
+{
+    const settings::daemon_config& config_;
+    traffic::snapshot_holder& snapshots_;
+    metrics::registry& metrics_;
+    admin_board& admin_;
+    boost::asio::io_context& context_;
+    platform::http_client store_;
+    std::mt19937_64 random_;
+
+    /// Settings in force; null before the first ones.
+    std::shared_ptr<const settings::settings_tree> settings_{};
+    /// The platform's lagging list of hosts.
+    std::map<base::host_id, host_record> hosts_{};
+    bool hosts_known_ = false;
+    drain_table drains_{};
+    /// Groups that may take requests, kept by the group control.
+    std::vector<traffic::group_row> groups_{};
+    /// Caller addresses of open entry hosts, kept by the peer control.
+    std::vector<std::string> entry_hosts_{};
+    /// Loads of plain services' hosts; they outlive single snapshots.
+    std::map<base::host_id, std::shared_ptr<traffic::upstream_load>>
+        service_loads_{};
+    /// True from the start of a planned stop or an operator's drain.
+    bool draining_ = false;
+};
+
+
+/// Builds a snapshot from the state and hands it to the traffic threads.
+void publish_snapshot(control_state& state);
+
+} // namespace monsoondock::daemon
--- /dev/null
+++ b/src/libdaemon/peer_control.cpp
@@ -0,0 +1,10 @@
+#include "peer_control.hpp"
+
+namespace monsoondock::daemon {
+
+boost::asio::awaitable<void> run_peer_control(control_state& /*state*/)
+{
+    co_return;
+}
+
+} // namespace monsoondock::daemon
--- /dev/null
+++ b/src/libdaemon/run_daemon.cpp
@@ -0,0 +1,162 @@
+#include "control_state.hpp"
+#include "drain_feed.hpp"
+#include "group_control.hpp"
+#include "host_feed.hpp"
+#include "peer_control.hpp"
+#include "settings_feed.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/daemon/run_daemon.hpp>
+#include <monsoondock/traffic/server.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace monsoondock::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds drain_poll{20};
+
+
+asio::ip::tcp::endpoint to_endpoint(const settings::socket_address& address)
+{
+    return {asio::ip::make_address(address.ip_), address.port_};
+}
+
+
+std::vector<asio::ip::tcp::endpoint>
+to_endpoints(const std::vector<settings::socket_address>& addresses)
+{
+    std::vector<asio::ip::tcp::endpoint> result;
+    result.reserve(addresses.size());
+    for (const auto& address : addresses)
+        result.push_back(to_endpoint(address));
+    return result;
+}
+
+
+traffic::limits to_limits(const settings::daemon_config& config)
+{
+    traffic::limits limits;
+    limits.max_body_bytes_ = config.admission_.max_body_bytes_;
+    limits.max_header_bytes_ =
+        static_cast<std::uint32_t>(config.admission_.max_header_bytes_);
+    limits.max_connections_ = config.admission_.max_connections_;
+    limits.header_ = config.timeouts_.header_;
+    limits.body_ = config.timeouts_.body_;
+    limits.idle_ = config.timeouts_.idle_;
+    limits.connect_ = config.timeouts_.connect_;
+    limits.upstream_idle_ = config.timeouts_.upstream_idle_;
+    limits.entry_host_ttl_ = config.timeouts_.entry_host_ttl_;
+    return limits;
+}
+
+
+// Waits until all requests in progress have ended or the bound is over.
+asio::awaitable<void>
+finish_requests(control_state& state, const traffic::server& server)
+{
+    asio::steady_timer timer(state.context_);
+    const auto end =
+        base::boot_clock::now() + state.config_.timeouts_.shutdown_;
+    while (server.active_requests() > 0 && base::boot_clock::now() < end) {
+        timer.expires_after(drain_poll);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+
+asio::awaitable<void>
+stop_gracefully(control_state& state, traffic::server& server)
+{
+    base::event_line("stopping")
+        .field("daemon", state.config_.daemon_)
+        .field("active_requests", server.active_requests());
+    state.draining_ = true;
+    publish_snapshot(state);
+    asio::steady_timer timer(
+        state.context_, state.config_.timeouts_.entry_host_ttl_);
+    co_await timer.async_wait(asio::use_awaitable);
+    server.stop_accepting();
+    co_await finish_requests(state, server);
+    base::event_line("stopped")
+        .field("daemon", state.config_.daemon_)
+        .field("cut_requests", server.active_requests());
+    state.context_.stop();
+}
+
+
+asio::awaitable<void>
+wait_for_signals(control_state& state, traffic::server& server)
+{
+    constexpr auto await_tuple = asio::as_tuple(asio::use_awaitable);
+    asio::signal_set signals(state.context_, SIGTERM, SIGINT);
+    co_await signals.async_wait(await_tuple);
+    asio::co_spawn(
+        state.context_, stop_gracefully(state, server), asio::detached);
+    co_await signals.async_wait(await_tuple);
+    base::event_line("stopped_at_once", base::severity::warning)
+        .field("cut_requests", server.active_requests());
+    state.context_.stop();
+}
+
+
+void spawn_all(control_state& state, traffic::server& server)
+{
+    auto& context = state.context_;
+    asio::co_spawn(context, run_settings_feed(state), asio::detached);
+    asio::co_spawn(context, run_host_feed(state), asio::detached);
+    asio::co_spawn(context, run_drain_feed(state), asio::detached);
+    asio::co_spawn(context, run_peer_control(state), asio::detached);
+    asio::co_spawn(context, run_group_control(state), asio::detached);
+    asio::co_spawn(context, wait_for_signals(state, server), asio::detached);
+}
+
+} // namespace
+
+base::result<base::done> run_daemon(const settings::daemon_config& config)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context(1);
+    traffic::snapshot_holder snapshots;
+    metrics::registry metrics;
+    admin_board admin;
+    control_state state{
+        config,
+        snapshots,
+        metrics,
+        admin,
+        context,
+        platform::http_client(
+            context.get_executor(),
+            to_endpoints(config.platform_addresses_),
+            config.timeouts_.platform_),
+        std::mt19937_64(std::random_device()())};
+    traffic::server server(
+        {snapshots, metrics, to_limits(config), [&admin](const auto& target) {
+             return admin.read(target);
+         }});
+    auto started = server.start(
+        to_endpoint(config.caller_address_), config.traffic_threads_);
+    if (!base::ok(started))
+        return started;
+    base::event_line("started")
+        .field("daemon", config.daemon_)
+        .field("data_centre", config.data_centre_)
+        .field("caller_address", settings::to_string(config.caller_address_));
+    spawn_all(state, server);
+    context.run();
+    server.stop();
+    return base::done{};
+}
+
+} // namespace monsoondock::daemon
--- /dev/null
+++ b/src/libdaemon/snapshot.cpp
@@ -0,0 +1,122 @@
+#include "control_state.hpp"
+
+#include <monsoondock/settings/effective.hpp>
+#include <monsoondock/settings/socket_address.hpp>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <optional>
+
+namespace monsoondock::daemon {
+
+namespace {
+
+std::optional<boost::asio::ip::tcp::endpoint>
+to_endpoint(const std::string& address)
+{
+    const auto parsed = settings::parse_socket_address(address);
+    if (!parsed)
+        return std::nullopt;
+    boost::system::error_code failure;
+    const auto ip = boost::asio::ip::make_address(parsed->ip_, failure);
+    if (failure)
+        return std::nullopt;
+    return boost::asio::ip::tcp::endpoint(ip, parsed->port_);
+}
+
+
+std::shared_ptr<traffic::upstream_load>
+load_of(control_state& state, const base::host_id& host)
+{
+    auto& load = state.service_loads_[host];
+    if (load == nullptr)
+        load = std::make_shared<traffic::upstream_load>();
+    return load;
+}
+
+
+std::vector<traffic::service_host>
+hosts_of(control_state& state, const base::deployment_id& deployment)
+{
+    std::vector<traffic::service_host> result;
+    for (const auto& [id, host] : state.hosts_) {
+        if (host.kind_ != host_kind::service || host.leaving_ ||
+            host.deployment_ != deployment || state.drains_.hosts_.contains(id))
+            continue;
+        const auto address = to_endpoint(host.address_);
+        if (address)
+            result.push_back(
+                {id, host.data_centre_, *address, load_of(state, id)});
+    }
+    return result;
+}
+
+
+void add_deployment(
+    control_state& state,
+    traffic::routing_snapshot& snapshot,
+    const base::deployment_id& deployment)
+{
+    const auto found = settings::effective(
+        *state.settings_,
+        {state.config_.data_centre_, deployment, std::nullopt});
+    if (!base::ok(found))
+        return;
+    const auto& values = base::value(found).deployment_;
+    if (values.kind_.value_ == settings::deployment_kind::model) {
+        snapshot.models_.push_back(deployment);
+        return;
+    }
+    snapshot.services_.push_back(
+        {deployment, values.idempotent_.value_, hosts_of(state, deployment)});
+}
+
+
+void add_workspace(
+    const settings::settings_tree& tree,
+    traffic::routing_snapshot& snapshot,
+    const base::workspace_id& workspace)
+{
+    const auto found =
+        settings::effective(tree, {std::nullopt, std::nullopt, workspace});
+    if (!base::ok(found))
+        return;
+    snapshot.workspaces_.push_back(
+        {workspace, base::value(found).workspace_.api_key_hashes_.value_});
+}
+
+
+void add_settings(control_state& state, traffic::routing_snapshot& snapshot)
+{
+    snapshot.settings_revision_ = state.settings_->revision_.value_;
+    for (const auto& [path, node] : state.settings_->nodes_) {
+        const auto parts = settings::parse_path(path);
+        if (!parts)
+            continue;
+        if (parts->level_ == settings::level::deployment)
+            add_deployment(state, snapshot, parts->deployment_);
+        if (parts->level_ == settings::level::workspace)
+            add_workspace(*state.settings_, snapshot, parts->workspace_);
+    }
+}
+
+} // namespace
+
+void publish_snapshot(control_state& state)
+{
+    auto snapshot = std::make_shared<traffic::routing_snapshot>();
+    snapshot->ready_ = state.settings_ != nullptr && state.hosts_known_;
+    snapshot->draining_ = state.draining_;
+    snapshot->groups_ = state.groups_;
+    snapshot->entry_hosts_ = state.entry_hosts_;
+    if (state.settings_ != nullptr)
+        add_settings(state, *snapshot);
+    state.metrics_.set(
+        metrics::gauge::settings_revision,
+        static_cast<double>(snapshot->settings_revision_));
+    state.metrics_.set(
+        metrics::gauge::ready, snapshot->ready_ && !snapshot->draining_);
+    state.snapshots_.publish(std::move(snapshot));
+}
+
+} // namespace monsoondock::daemon
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -27,7 +27,7 @@
 
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::size_t read_buffer_bytes = 4096;
-constexpr std::size_t max_buffered_answer_bytes = 8 * 1024 * 1024;
+constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 
 // Everything that one attempt works on.
--- a/src/libtraffic/event_splitter.hpp
+++ b/src/libtraffic/event_splitter.hpp
@@ -23,7 +23,7 @@
 };
 
 /// Longest event that an upstream may send, in bytes.
-inline constexpr std::size_t max_event_bytes = 256 * 1024;
+inline constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
 
 /// Appends bytes and returns all events that are whole by now, counted in
--- a/src/libtraffic/front.cpp
+++ b/src/libtraffic/front.cpp
@@ -1,10 +1,11 @@
 #include "front.hpp"
 
 #include "chat_relay.hpp"
-#include "key_hash.hpp"
 #include "refusals.hpp"
 #include "service_relay.hpp"
 
+#include <monsoondock/settings/api_key_hash.hpp>
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -65,8 +66,8 @@
 }
 
 
-const workspace_row*
-find_workspace(const routing_snapshot& snapshot, const std::string& hash)
+const workspace_row* find_workspace(
+    const routing_snapshot& snapshot, const settings::api_key_hash& hash)
 {
     for (const workspace_row& row : snapshot.workspaces_) {
         const auto& hashes = row.key_hashes_;
@@ -86,7 +87,8 @@
     const workspace_row* workspace = nullptr;
     if (header.starts_with(scheme))
         workspace = find_workspace(
-            *context.snapshot_, key_hash(header.substr(scheme.size())));
+            *context.snapshot_,
+            settings::hash_api_key(header.substr(scheme.size())));
     if (workspace == nullptr)
         return bad_request(
             http::status::unauthorized,
--- a/src/libtraffic/server.cpp
+++ b/src/libtraffic/server.cpp
@@ -106,7 +106,7 @@
 
 
 base::result<base::done>
-server::start(asio::ip::tcp::endpoint address, std::size_t threads)
+server::start(const asio::ip::tcp::endpoint& address, std::size_t threads)
 {
     std::random_device seed;
     for (std::size_t i = 0; i < threads; ++i) {
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr unsigned http_version_1_1 = 11;
-constexpr std::size_t max_answer_bytes = 8 * 1024 * 1024;
+constexpr std::size_t max_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 
 void copy_field(
--- /dev/null
+++ b/src/monsoondockd/main.cpp
@@ -0,0 +1,84 @@
+#include <monsoondock/daemon/run_daemon.hpp>
+#include <monsoondock/settings/daemon_config.hpp>
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <iostream>
+
+DEFINE_string(config, "", "TOML file with the settings of this daemon");
+DEFINE_bool(check, false, "check the settings file and exit");
+DECLARE_bool(help);
+DECLARE_bool(version);
+
+namespace {
+
+namespace settings = monsoondock::settings;
+
+constexpr int exit_failed = 1;
+constexpr int exit_bad_usage = 2;
+
+constexpr const char* usage =
+    "usage: monsoondockd --config FILE [--check]\n"
+    "\n"
+    "Runs one entry host: it serves callers and takes part in control.\n"
+    "\n"
+    "  --config FILE  TOML file with the settings of this daemon\n"
+    "  --check        check the file, print what is wrong, and exit\n"
+    "  --version      print the version and exit\n"
+    "  --help         print this text and exit\n"
+    "\n"
+    "SIGTERM stops it gracefully, a second one at once. The log goes to\n"
+    "standard error. Exit codes: 0 stopped or checked, 1 failed, 2 bad usage\n"
+    "or bad settings.\n";
+
+
+int report_findings(const settings::findings& found)
+{
+    for (const settings::finding& f : found)
+        std::cerr << "monsoondockd: " << settings::to_string(f) << '\n';
+    return exit_bad_usage;
+}
+
+
+int run(const settings::daemon_config& config)
+{
+    const auto ended = monsoondock::daemon::run_daemon(config);
+    if (monsoondock::base::ok(ended))
+        return 0;
+    std::cerr << "monsoondockd: "
+              << monsoondock::base::to_string(monsoondock::base::error(ended))
+              << '\n';
+    return exit_failed;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    if (FLAGS_help) {
+        std::cout << usage;
+        return 0;
+    }
+    if (FLAGS_version) {
+        std::cout << "monsoondockd " << MONSOONDOCK_VERSION << '\n';
+        return 0;
+    }
+    if (FLAGS_config.empty() || argc > 1) {
+        std::cerr << "monsoondockd: name the settings file with --config; "
+                     "--help shows the usage\n";
+        return exit_bad_usage;
+    }
+    const auto loaded = settings::load_daemon_config(FLAGS_config);
+    if (const auto* found = std::get_if<settings::findings>(&loaded))
+        return report_findings(*found);
+    if (FLAGS_check) {
+        std::cout << FLAGS_config << ": no faults\n";
+        return 0;
+    }
+    // The hosts have no disks, so the log goes to standard error only.
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    return run(std::get<settings::daemon_config>(loaded));
+}
