load: tool that sends a mixed load and checks every answer

Measuring policy and faults needs callers whose demand does not wait for the answers and who notice a wrong one.

Callers ask for entry hosts, keep the answer for its time to live, follow it, and go on to the next address when one can't be reached. Times count from when a request was due.

The golden case load-tool shows a fake daemon whose answers are crossed, short, unfinished, cut or falsely refused: each is reported as what it is.

--- /dev/null
+++ b/src/include/monsoondock/load/plan.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <monsoondock/load/arrival.hpp>
+#include <monsoondock/load/profile.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace monsoondock::load {
+
+/// What a plan is made from.
+struct plan_options
+{
+    profile profile_;
+    std::uint64_t seed_ = 1;
+    std::size_t workspaces_ = 1;
+    /// Requests per second at rate factor 1.
+    double base_rate_ = 10.0;
+    std::chrono::milliseconds duration_{10000};
+    /// Most requests of the plan; later ones are left out.
+    std::size_t max_requests_ = 20000;
+    /// Prompt prefixes that the sessions of one workspace share.
+    std::size_t prefixes_ = 8;
+    /// Mean number of tokens of an interactive answer; reports have four
+    /// times as many.
+    std::size_t mean_tokens_ = 16;
+};
+
+
+/// Returns the requests of a run in order of time. The same options give the
+/// same plan, whatever becomes of the requests: arrivals are open-loop.
+std::vector<arrival> make_plan(const plan_options& options);
+
+} // namespace monsoondock::load
--- /dev/null
+++ b/src/libload/caller.cpp
@@ -0,0 +1,120 @@
+#include "caller.hpp"
+
+#include "refusal.hpp"
+#include "requests.hpp"
+
+#include <monsoondock/load/answer_check.hpp>
+
+namespace monsoondock::load::pvt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int OK = 200;
+
+
+/// Asks the daemons in turn which entry hosts to use.
+asio::awaitable<void> refresh_entry_list(caller_state& s, std::size_t workspace)
+{
+    const request q = make_entry_request(s.options_.workspaces_[workspace]);
+    for (const std::string& address : s.options_.entry_hosts_) {
+        const send_outcome result =
+            co_await send(s.pool_, address, q, true, s.options_.timeout_);
+        const auto* answer = std::get_if<raw_answer>(&result);
+        if (!answer || answer->status_ != OK)
+            continue;
+        const auto now = base::boot_clock::now();
+        const auto list = parse_entry_list(answer->body_, now);
+        if (!list || list->addresses_.empty())
+            continue;
+        s.lists_[workspace] = *list;
+        co_return;
+    }
+}
+
+
+asio::awaitable<std::vector<std::string>>
+entry_hosts(caller_state& s, std::size_t workspace)
+{
+    if (s.lists_[workspace].expires_at_ <= base::boot_clock::now())
+        co_await refresh_entry_list(s, workspace);
+    co_return s.lists_[workspace].addresses_;
+}
+
+
+difference check(const arrival& a, const std::string& body)
+{
+    if (a.class_ == request_class::call)
+        return check_call(a, body);
+    return check_completion(a, body);
+}
+
+
+outcome judge(const arrival& a, const raw_answer& answer, base::time_point due)
+{
+    const auto total = answer.last_byte_at_ - due;
+    if (answer.status_ != OK)
+        return read_refusal(answer, total);
+    if (const difference d = check(a, answer.body_))
+        return wrong{*d};
+    return completed{
+        answer.first_byte_at_ - due, total, answer.longest_gap_, a.max_tokens_};
+}
+
+
+/// Sends q to the first of the hosts that can be reached.
+asio::awaitable<send_outcome> send_to_any(
+    caller_state& s,
+    const std::vector<std::string>& hosts,
+    const request& q,
+    bool may_be_sent_again)
+{
+    for (const std::string& host : hosts) {
+        send_outcome result = co_await send(
+            s.pool_, host, q, may_be_sent_again, s.options_.timeout_);
+        if (!std::holds_alternative<unreachable>(result))
+            co_return result;
+    }
+    co_return unreachable{};
+}
+
+
+/// Sends a call that completed once more: its answer must stay the same.
+asio::awaitable<outcome> repeat(
+    caller_state& s,
+    const std::vector<std::string>& hosts,
+    const request& q,
+    const std::string& body,
+    outcome first)
+{
+    const std::vector<std::string> reversed(hosts.rbegin(), hosts.rend());
+    const send_outcome result = co_await send_to_any(s, reversed, q, false);
+    const auto* answer = std::get_if<raw_answer>(&result);
+    if (answer && answer->status_ == OK && answer->body_ != body)
+        co_return wrong{"repeated call got another answer"};
+    co_return first;
+}
+
+} // namespace
+
+asio::awaitable<outcome>
+call(caller_state& s, const arrival& a, base::time_point due)
+{
+    const auto hosts = co_await entry_hosts(s, a.workspace_);
+    const request q = make_request(s.options_, a);
+    const bool may_be_sent_again = a.class_ != request_class::call;
+    const send_outcome result =
+        co_await send_to_any(s, hosts, q, may_be_sent_again);
+    if (std::holds_alternative<unreachable>(result))
+        co_return broken{"no entry host reached"};
+    if (const auto* failure = std::get_if<broken>(&result))
+        co_return *failure;
+    const raw_answer& answer = std::get<raw_answer>(result);
+    outcome judged = judge(a, answer, due);
+    if (!a.repeated_ || !std::holds_alternative<completed>(judged))
+        co_return judged;
+    co_return co_await repeat(s, hosts, q, answer.body_, judged);
+}
+
+} // namespace monsoondock::load::pvt
--- /dev/null
+++ b/src/libload/connection_pool.cpp
@@ -0,0 +1,162 @@
+#include "connection_pool.hpp"
+
+#include <monsoondock/standin/no_throw.hpp>
+#include <monsoondock/standin/process.hpp>
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace monsoondock::load::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using standin::NO_THROW;
+
+namespace {
+
+constexpr std::uint64_t BODY_LIMIT_BYTES = std::uint64_t{64} * 1024 * 1024;
+
+using connection_ptr = std::unique_ptr<connection>;
+using parser = http::response_parser<http::string_body>;
+using error_code = boost::system::error_code;
+
+
+std::string reason(const error_code& error)
+{
+    if (error == boost::beast::error::timeout)
+        return "timeout";
+    if (error == http::error::end_of_stream)
+        return "closed before the answer";
+    if (error == http::error::partial_message)
+        return "cut answer";
+    return error.message();
+}
+
+
+connection_ptr take_idle(connection_pool& pool, const std::string& address)
+{
+    auto& idle = pool.idle_[address];
+    if (idle.empty())
+        return nullptr;
+    connection_ptr c = std::move(idle.back());
+    idle.pop_back();
+    return c;
+}
+
+
+asio::awaitable<connection_ptr>
+connect(const std::string& address, std::chrono::milliseconds timeout)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto c = std::make_unique<connection>(executor);
+    const auto endpoint = standin::parse_endpoint(address);
+    c->stream_.expires_after(timeout);
+    const auto [error] = co_await c->stream_.async_connect(endpoint, NO_THROW);
+    if (error)
+        co_return nullptr;
+    error_code ignored;
+    c->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return c;
+}
+
+
+/// Notes that more of the body arrived.
+void note_arrival(raw_answer& a, const parser& p)
+{
+    const std::size_t size = p.get().body().size();
+    if (size == a.body_.size())
+        return;
+    const auto now = base::boot_clock::now();
+    if (a.body_.empty())
+        a.first_byte_at_ = now;
+    else
+        a.longest_gap_ = std::max(a.longest_gap_, now - a.last_byte_at_);
+    a.last_byte_at_ = now;
+    a.body_.append(p.get().body(), a.body_.size(), std::string::npos);
+}
+
+
+asio::awaitable<error_code> read_body(connection& c, parser& p, raw_answer& a)
+{
+    note_arrival(a, p);
+    while (!p.is_done()) {
+        const auto [error, count] =
+            co_await http::async_read_some(c.stream_, c.buffer_, p, NO_THROW);
+        note_arrival(a, p);
+        if (error)
+            co_return error;
+    }
+    co_return error_code{};
+}
+
+
+/// Sends q on c and reads the answer into a.
+asio::awaitable<error_code>
+converse(connection& c, request& q, parser& p, raw_answer& a)
+{
+    const auto [unsent, sent] =
+        co_await http::async_write(c.stream_, q, NO_THROW);
+    if (unsent)
+        co_return unsent;
+    const auto [lost, received] =
+        co_await http::async_read_header(c.stream_, c.buffer_, p, NO_THROW);
+    if (lost)
+        co_return lost;
+    a.status_ = static_cast<int>(p.get().result_int());
+    a.retry_after_ = p.get().count(http::field::retry_after) > 0;
+    co_return co_await read_body(c, p, a);
+}
+
+
+/// Sends q on an open connection and keeps it when it can be used again.
+asio::awaitable<send_outcome> send_on(
+    connection_pool& pool,
+    std::string address,
+    connection_ptr c,
+    request& q,
+    std::chrono::milliseconds timeout)
+{
+    c->stream_.expires_after(timeout);
+    parser p;
+    p.body_limit(BODY_LIMIT_BYTES);
+    raw_answer a;
+    const error_code error = co_await converse(*c, q, p, a);
+    if (error)
+        co_return broken{reason(error)};
+    if (a.body_.empty())
+        a.first_byte_at_ = a.last_byte_at_ = base::boot_clock::now();
+    if (p.get().keep_alive() && c->buffer_.size() == 0)
+        pool.idle_[address].push_back(std::move(c));
+    co_return a;
+}
+
+} // namespace
+
+asio::awaitable<send_outcome> send(
+    connection_pool& pool,
+    std::string address,
+    request q,
+    bool may_be_sent_again,
+    std::chrono::milliseconds timeout)
+{
+    q.prepare_payload();
+    connection_ptr idle;
+    if (may_be_sent_again)
+        idle = take_idle(pool, address);
+    if (idle) {
+        auto outcome =
+            co_await send_on(pool, address, std::move(idle), q, timeout);
+        const auto* failure = std::get_if<broken>(&outcome);
+        if (!failure || failure->reason_ != reason(http::error::end_of_stream))
+            co_return outcome;
+    }
+    connection_ptr fresh = co_await connect(address, timeout);
+    if (!fresh)
+        co_return unreachable{};
+    co_return co_await send_on(pool, address, std::move(fresh), q, timeout);
+}
+
+} // namespace monsoondock::load::pvt
--- /dev/null
+++ b/src/libload/raw_answer.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/load/outcome.hpp>
+
+#include <string>
+#include <variant>
+
+namespace monsoondock::load::pvt {
+
+/// HTTP answer with the times at which its parts arrived.
+struct raw_answer
+{
+    int status_ = 0;
+    std::string body_;
+    bool retry_after_ = false;
+    /// When the first byte of the body arrived.
+    base::time_point first_byte_at_;
+    base::time_point last_byte_at_;
+    /// Longest time between two parts of the body.
+    base::duration longest_gap_{0};
+};
+
+
+/// No connection could be made, so nothing was sent.
+struct unreachable
+{};
+
+/// How sending one HTTP request ends.
+using send_outcome = std::variant<raw_answer, unreachable, broken>;
+
+} // namespace monsoondock::load::pvt
--- /dev/null
+++ b/testsuite/load-tool/fake_daemon.py
@@ -0,0 +1,119 @@
+"""A caller-side daemon in one process whose answers are right or wrong by
+workspace: the API key says how."""
+
+import http.server
+import json
+import threading
+import zlib
+
+
+def token(prompt, position):
+    digest = zlib.crc32(f"{prompt}#{position}".encode())
+    return f"w{position}-{digest:08x} "
+
+
+def chunk(text, reason):
+    delta = {"content": text} if text else {}
+    return "data: " + json.dumps(
+        {"id": "x", "object": "chat.completion.chunk", "choices": [
+            {"index": 0, "delta": delta, "finish_reason": reason}]}) + "\n\n"
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    wbufsize = -1
+
+    def log_message(self, *arguments):
+        pass
+
+    def setup(self):
+        super().setup()
+        self.server.connections += 1
+
+    def mode(self):
+        return self.headers["Authorization"].removeprefix("Bearer ")
+
+    def answer(self, status, text, **headers):
+        data = text.encode()
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", len(data))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def do_GET(self):
+        if self.path == "/standin/runs":
+            self.answer(200, json.dumps(self.server.runs))
+            return
+        own = "%s:%d" % self.server.server_address
+        # The first address is closed: callers must go on to the next.
+        hosts = [self.server.closed_address, own]
+        self.answer(200, json.dumps({"hosts": hosts, "ttl_ms": 60000}))
+
+    def do_POST(self):
+        size = int(self.headers["Content-Length"])
+        body = self.rfile.read(size).decode()
+        if self.mode() == "refused":
+            self.refuse()
+        elif self.path.startswith("/services/"):
+            self.call(body)
+        else:
+            self.complete(json.loads(body))
+
+    def refuse(self):
+        key = self.headers["Idempotency-Key"]
+        if key:
+            self.server.runs[key] = 1
+        problem = {"type": "limit", "run": "not_run", "retry_after_ms": 900}
+        self.answer(429, json.dumps(problem), Retry_After="1")
+
+    def call(self, body):
+        key = self.headers["Idempotency-Key"]
+        runs = self.server.runs
+        first = runs.setdefault(key, 1)
+        if self.mode() == "crossed":
+            runs[key] = 2
+        self.answer(200, json.dumps({"key": key, "run": first, "echo": body}))
+
+    def complete(self, body):
+        prompt = body["messages"][-1]["content"]
+        if self.mode() == "crossed":
+            prompt = "another prompt"
+        tokens = [token(prompt, i) for i in range(body["max_tokens"])]
+        if self.mode() == "short":
+            tokens.pop()
+        if not body["stream"]:
+            self.answer_whole("".join(tokens))
+            return
+        events = [chunk(t, None) for t in tokens]
+        if self.mode() != "unfinished":
+            events += [chunk("", "stop"), "data: [DONE]\n\n"]
+        self.stream(events)
+
+    def answer_whole(self, text):
+        choice = {"message": {"content": text}, "finish_reason": "stop"}
+        self.answer(200, json.dumps({"choices": [choice]}))
+
+    def stream(self, events):
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for event in events:
+            data = event.encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        if self.mode() == "cut":
+            self.close_connection = True
+            return
+        self.wfile.write(b"0\r\n\r\n")
+
+
+def start(closed_address):
+    """Returns a running server; it ends with the process."""
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    server.daemon_threads = True
+    server.closed_address = closed_address
+    server.runs = {}
+    server.connections = 0
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
