--- a/src/include/monsoondock/quarantine/dispatch_question.hpp
+++ b/src/include/monsoondock/quarantine/dispatch_question.hpp
@@ -4,6 +4,7 @@
 #include <monsoondock/quarantine/group_instance.hpp>
 #include <monsoondock/quarantine/suspect_fingerprint.hpp>
 
+#include <string>
 #include <vector>
 
 namespace monsoondock::quarantine {
@@ -13,6 +14,9 @@
 {
     base::request_id request_;
     suspect_fingerprint fingerprint_;
+    /// Start of the prompt that groups may have cached; may be empty. Equal
+    /// requests must have equal prefixes.
+    std::string prefix_;
     base::workspace_id workspace_;
     base::deployment_id deployment_;
     std::vector<group_instance> whole_groups_;
--- a/src/libquarantine/confinement.cpp
+++ b/src/libquarantine/confinement.cpp
@@ -1,4 +1,5 @@
 #include <monsoondock/base/rendezvous.hpp>
+#include <monsoondock/base/stable_hash.hpp>
 #include <monsoondock/quarantine/confinement.hpp>
 
 #include <algorithm>
@@ -6,7 +7,9 @@
 namespace monsoondock::quarantine {
 
 std::vector<base::group_id> rank_groups(
-    const suspect_fingerprint& fingerprint, std::vector<base::group_id> groups)
+    const suspect_fingerprint& fingerprint,
+    const std::string& prefix,
+    std::vector<base::group_id> groups)
 {
     std::sort(groups.begin(), groups.end());
     groups.erase(std::unique(groups.begin(), groups.end()), groups.end());
@@ -19,6 +22,14 @@
     for (const std::size_t i :
          base::rendezvous_order(fingerprint.value_, names, names.size()))
         ranked.push_back(groups[i]);
+    if (prefix.empty() || names.empty())
+        return ranked;
+    const auto homes = base::rendezvous_order(
+        prefix, names, std::min(PREFIX_HOMES, names.size()));
+    const std::size_t holder =
+        homes[base::stable_hash(fingerprint.value_) % homes.size()];
+    const auto found = std::find(ranked.begin(), ranked.end(), groups[holder]);
+    std::rotate(ranked.begin(), found, found + 1);
     return ranked;
 }
 
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -276,7 +276,8 @@
     std::vector<base::group_id> groups(held.begin(), held.end());
     for (const group_instance& whole : question.whole_groups_)
         groups.push_back(whole.group_);
-    return rank_groups(question.fingerprint_, std::move(groups));
+    return rank_groups(
+        question.fingerprint_, question.prefix_, std::move(groups));
 }
 
 
--- /dev/null
+++ b/src/librouting/gcra.cpp
@@ -0,0 +1,48 @@
+#include <monsoondock/routing/gcra.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::routing {
+
+namespace {
+
+constexpr double LEAST_RATE_PER_SECOND = 1e-3;
+
+
+std::chrono::nanoseconds interval_of(double per_second)
+{
+    const std::chrono::duration<double> interval(1.0 / per_second);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(interval);
+}
+
+} // namespace
+
+
+gcra::gcra(double per_second, std::chrono::nanoseconds burst)
+    : per_second_(std::max(per_second, LEAST_RATE_PER_SECOND)), burst_(burst)
+{}
+
+
+void gcra::set_rate(double per_second, base::time_point now)
+{
+    const double rate = std::max(per_second, LEAST_RATE_PER_SECOND);
+    if (next_ > now) {
+        const std::chrono::duration<double, std::nano> left = next_ - now;
+        next_ = now + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                          left * (per_second_ / rate));
+    }
+    per_second_ = rate;
+}
+
+
+std::chrono::nanoseconds gcra::take(base::time_point now)
+{
+    const base::time_point start = std::max(next_, now);
+    const auto early = start - now;
+    if (early > burst_)
+        return early - burst_;
+    next_ = start + interval_of(per_second_);
+    return std::chrono::nanoseconds(0);
+}
+
+} // namespace monsoondock::routing
