engine-standin: a shorter known prefix halves the time to the first token

Requests of new sessions share only their first message with earlier ones, and real engines reuse that part; before, only an equal prefix of all messages but the last counted, so routing by shared prefix could not be measured.

--- a/src/monsoondock-engine-standin/completion.cpp
+++ b/src/monsoondock-engine-standin/completion.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-constexpr int CACHED_PREFIX_SPEEDUP = 4;
+constexpr int LONGEST_PREFIX_SPEEDUP = 4;
+constexpr int SHORTER_PREFIX_SPEEDUP = 2;
 constexpr int REPORT_PRIORITY = 1;
 constexpr int INTERACTIVE_PRIORITY = 0;
 
@@ -143,11 +144,17 @@
 
 std::chrono::milliseconds first_token_time(engine_host& h, const prompt& p)
 {
-    const auto full = h.faults_.first_token_time_;
-    if (!h.prefixes_.use(p.prefix_))
-        return full;
-    ++h.counts_.prefix_hits_;
-    return full / CACHED_PREFIX_SPEEDUP;
+    int speedup = 1;
+    for (std::size_t i = 0; i < p.prefixes_.size(); ++i) {
+        const bool known = h.prefixes_.use(p.prefixes_[i]);
+        const int gain =
+            i == 0 ? LONGEST_PREFIX_SPEEDUP : SHORTER_PREFIX_SPEEDUP;
+        if (known)
+            speedup = std::max(speedup, gain);
+    }
+    if (speedup > 1)
+        ++h.counts_.prefix_hits_;
+    return h.faults_.first_token_time_ / speedup;
 }
 
 
--- a/src/monsoondock-engine-standin/faults.hpp
+++ b/src/monsoondock-engine-standin/faults.hpp
@@ -13,7 +13,7 @@
 {
     /// Time between two tokens of one request.
     std::chrono::milliseconds token_time_{20};
-    /// Time to the first token; a quarter of it for a cached prefix.
+    /// Time to the first token; a half or a quarter for a cached prefix.
     std::chrono::milliseconds first_token_time_{50};
     /// Age that the load in a status may have.
     std::chrono::milliseconds status_lag_{0};
--- a/src/monsoondock-engine-standin/prompt.cpp
+++ b/src/monsoondock-engine-standin/prompt.cpp
@@ -18,10 +18,16 @@
 void read_messages(prompt& p, const boost::json::array& messages)
 {
     p.text_ = content(messages.at(messages.size() - 1));
+    if (messages.size() == 1) {
+        p.prefixes_.push_back(p.text_.substr(0, PREFIX_BYTES));
+        return;
+    }
+    std::string before;
     for (std::size_t i = 0; i + 1 < messages.size(); ++i)
-        p.prefix_ += content(messages[i]) + '\n';
-    if (p.prefix_.empty())
-        p.prefix_ = p.text_.substr(0, PREFIX_BYTES);
+        before += content(messages[i]) + '\n';
+    p.prefixes_.push_back(before);
+    if (messages.size() > 2)
+        p.prefixes_.push_back(content(messages[0]) + '\n');
 }
 
 
--- a/src/monsoondock-engine-standin/prompt.hpp
+++ b/src/monsoondock-engine-standin/prompt.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace monsoondock::engine_standin {
 
@@ -13,9 +14,10 @@
 {
     /// Content of the last message.
     std::string text_;
-    /// Contents of the messages before it; for a single message its first
-    /// PREFIX_BYTES. What the prefix cache compares.
-    std::string prefix_;
+    /// What the prefix cache compares, longest first: the contents of the
+    /// messages before the last one, then the content of the first message;
+    /// for a single message its first PREFIX_BYTES.
+    std::vector<std::string> prefixes_;
     std::size_t max_tokens_ = 0;
     /// Tokens that the caller has already.
     std::size_t resume_from_ = 0;
