--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -12,6 +12,7 @@
 import pathlib
 import re
 import signal
+import socket
 import subprocess
 import tempfile
 import threading
@@ -98,6 +99,20 @@
             "max_tokens": max_tokens, "stream": stream, **more}
 
 
+def free_port():
+    """Returns a port that no TCP or UDP socket of this host uses now."""
+    while True:
+        with socket.socket() as tcp, \
+                socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
 class Process:
     """One program that a session started."""
 
@@ -166,12 +181,18 @@
         path.write_text(text)
         return path
 
-    def start(self, name, program, *arguments, listeners=1):
-        """Starts a program and waits until it has announced its listeners."""
+    def launch(self, name, program, *arguments):
+        """Starts a program without waiting for anything."""
         command = [str(self.bin / program), *map(str, arguments)]
         log = pathlib.Path(self.scratch.name) / f"{name}.{time.time_ns()}.log"
         process = Process(name, command, log)
-        self.processes[name] = process
+        # A process that takes the name of an earlier one must not hide it.
+        self.processes[f"{name}.{process.popen.pid}"] = process
+        return process
+
+    def start(self, name, program, *arguments, listeners=1):
+        """Starts a program and waits until it has announced its listeners."""
+        process = self.launch(name, program, *arguments)
 
         def ready():
             if process.popen.poll() is not None:
@@ -182,6 +203,12 @@
         self.name_addresses(process)
         return process
 
+    def run_tool(self, program, *arguments, timeout=30):
+        """Runs a program to its end and returns what subprocess.run does."""
+        return subprocess.run(
+            [str(self.bin / program), *map(str, arguments)],
+            capture_output=True, text=True, timeout=timeout)
+
     def name_addresses(self, process):
         names = {address: host for host, address in process.hosts.items()}
         for address in process.addresses:
