--- a/src/include/monsoondock/membership/node_config.hpp
+++ b/src/include/monsoondock/membership/node_config.hpp
@@ -19,6 +19,8 @@
     /// A suspicion lasts this long times the decimal logarithm of the number
     /// of members, and never less than this.
     std::chrono::milliseconds suspicion_base_{3000};
+    /// Time between two searches for suspicions that have run out.
+    std::chrono::milliseconds expiry_period_{500};
     /// Time between two probes of dead members.
     std::chrono::milliseconds dead_probe_period_{5000};
     /// How long a dead member stays in the table.
--- a/src/libmembership/compare.cpp
+++ b/src/libmembership/compare.cpp
@@ -67,11 +67,12 @@
 }
 
 
-void try_seeds(step& s, bool alone)
+void try_seeds(step& s)
 {
     node_state& node = s.node_;
     if (s.now_ < node.due_.seed_)
         return;
+    const bool alone = live_count(node) == 1;
     node.due_.seed_ = s.now_ + (alone ? node.config_.join_period_
                                       : node.config_.seed_period_);
     std::vector<endpoint> chosen;
@@ -101,9 +102,11 @@
 void compare_tables(step& s)
 {
     node_state& node = s.node_;
+    try_seeds(s);
+    if (s.now_ < node.due_.sync_)
+        return;
     const auto partner = random_members(s, 1, node.self_.id_);
-    try_seeds(s, partner.empty());
-    if (partner.empty() || s.now_ < node.due_.sync_)
+    if (partner.empty())
         return;
     schedule_next(s, 0);
     send_sync(s, partner[0]->record_.peer_);
@@ -128,13 +131,14 @@
 
 void ask_for_record(step& s, const base::daemon_id& id, const endpoint& at)
 {
-    const auto found = s.node_.members_.find(id);
-    if (found != s.node_.members_.end()) {
-        member& known = found->second;
-        if (s.now_ - known.asked_ < s.node_.config_.catch_up_period_)
-            return;
-        known.asked_ = s.now_;
-    }
+    node_state& node = s.node_;
+    const auto found = node.members_.find(id);
+    const bool known = found != node.members_.end();
+    base::time_point& asked =
+        known ? found->second.asked_ : node.asked_unknown_;
+    if (s.now_ - asked < node.config_.catch_up_period_)
+        return;
+    asked = s.now_;
     send_sync(s, at);
 }
 
--- a/src/libmembership/compare.hpp
+++ b/src/libmembership/compare.hpp
@@ -13,8 +13,8 @@
 void handle_sync(step& s, const sync& received, const endpoint& from);
 
 
-/// Asks the daemon at an address for its record, at most once in each
-/// catch-up period.
+/// Asks the daemon at an address for its record: each known one, and all
+/// unknown ones together, at most once in each catch-up period.
 void ask_for_record(step& s, const base::daemon_id& id, const endpoint& at);
 
 } // namespace monsoondock::membership::pvt
--- a/src/libmembership/merge.cpp
+++ b/src/libmembership/merge.cpp
@@ -65,7 +65,7 @@
     node.members_.emplace(heard.id_, member{heard, s.now_, {}});
     node.names_[name_hash(heard.id_)] = heard.id_;
     insert_into_probe_order(node, heard.id_);
-    node.updates_.restart(heard.id_);
+    spread(s, heard.id_);
     s.out_.events_.push_back(member_changed{heard, std::nullopt});
     note_revision(s, heard.status_.settings_revision_, heard.peer_);
 }
@@ -97,7 +97,7 @@
     held.status_ = status;
     note_status(s, held);
     if (mode_changed) {
-        s.node_.updates_.restart(held.id_);
+        spread(s, held.id_);
         s.node_.urgent_ = true;
     }
     s.out_.events_.push_back(status_changed{held.id_, status});
@@ -116,7 +116,7 @@
         other.changed_ = s.now_;
     if (other.record_.status_ != before.status_)
         note_status(s, other.record_);
-    s.node_.updates_.restart(heard.id_);
+    spread(s, heard.id_);
     if (next == member_state::leaving)
         s.node_.urgent_ = true;
     s.out_.events_.push_back(member_changed{other.record_, before.state_});
--- a/src/libmembership/node.cpp
+++ b/src/libmembership/node.cpp
@@ -31,6 +31,7 @@
     node.due_.seed_ = s.now_;
     node.due_.urgent_ = s.now_;
     node.due_.load_ = s.now_;
+    node.due_.expiry_ = s.now_;
 }
 
 
@@ -56,8 +57,12 @@
 
 void take(step& s, const pvt::message& m, const endpoint& from)
 {
-    for (const member_record& record : m.records_)
+    const bool compares = std::holds_alternative<pvt::sync>(m.body_);
+    for (const member_record& record : m.records_) {
+        s.spreads_ = !compares || record.id_ == m.sender_.id_;
         merge_record(s, record);
+    }
+    s.spreads_ = true;
     const bool ask = merge_sender(s, m.sender_, from);
     for (const pvt::status_row& row : m.rows_)
         merge_row(s, row);
--- a/src/libmembership/node_state.hpp
+++ b/src/libmembership/node_state.hpp
@@ -43,6 +43,7 @@
     base::time_point seed_;
     base::time_point urgent_;
     base::time_point load_;
+    base::time_point expiry_;
 };
 
 
@@ -56,6 +57,8 @@
     member_table members_;
     std::optional<base::time_point> last_step_;
     schedule due_;
+    /// When a daemon that is not in the table was last asked for its record.
+    base::time_point asked_unknown_;
 
     std::optional<open_probe> probe_;
     std::vector<relayed_probe> relays_;
--- a/src/libmembership/send.cpp
+++ b/src/libmembership/send.cpp
@@ -11,6 +11,9 @@
 /// Largest number of records or rows that the counts in a message can hold.
 constexpr std::size_t MAX_LIST_ITEMS = 255;
 
+/// More waiting updates than fit into one datagram.
+constexpr std::size_t MAX_UPDATES = 32;
+
 
 sender_header make_header(const node_state& node)
 {
@@ -75,7 +78,7 @@
     if (node.updates_.empty())
         return;
     const std::size_t limit = transmit_limit(node);
-    for (const base::daemon_id& id : node.updates_.order()) {
+    for (const base::daemon_id& id : node.updates_.first(MAX_UPDATES)) {
         const member_record* const record = find_record(node, id);
         if (record == nullptr || holds(d, id))
             continue;
--- a/src/libmembership/step.cpp
+++ b/src/libmembership/step.cpp
@@ -41,6 +41,13 @@
 }
 
 
+void spread(step& s, const base::daemon_id& id)
+{
+    if (s.spreads_)
+        s.node_.updates_.restart(id);
+}
+
+
 std::size_t transmit_limit(const node_state& node)
 {
     const double members = static_cast<double>(node.members_.size()) + 2;
--- a/src/libmembership/step.hpp
+++ b/src/libmembership/step.hpp
@@ -15,6 +15,9 @@
     node_state& node_;
     base::time_point now_;
     node_output& out_;
+    /// Whether what is learned goes on to others. Records from a comparison
+    /// of tables do not: the daemon that sent them knew them already.
+    bool spreads_ = true;
 };
 
 
@@ -32,6 +35,11 @@
 base::duration random_duration(node_state& node, base::duration limit);
 
 
+/// Puts a member's record into the updates that go out, when this step
+/// spreads what it learns.
+void spread(step& s, const base::daemon_id& id);
+
+
 /// Returns how often one update is sent.
 std::size_t transmit_limit(const node_state& node);
 
--- a/src/libmembership/suspicion.cpp
+++ b/src/libmembership/suspicion.cpp
@@ -46,6 +46,9 @@
 
 void expire_members(step& s)
 {
+    if (s.now_ < s.node_.due_.expiry_)
+        return;
+    s.node_.due_.expiry_ = s.now_ + s.node_.config_.expiry_period_;
     const base::duration timeout = suspicion_timeout(s.node_);
     for (auto it = s.node_.members_.begin(); it != s.node_.members_.end();) {
         member& other = it->second;
--- a/src/libmembership/update_queue.cpp
+++ b/src/libmembership/update_queue.cpp
@@ -1,6 +1,8 @@
 #include "update_queue.hpp"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace monsoondock::membership::pvt {
 
@@ -17,20 +19,23 @@
 }
 
 
-std::vector<base::daemon_id> update_queue::order() const
+std::vector<base::daemon_id> update_queue::first(std::size_t count) const
 {
-    std::vector<const entry*> sorted;
-    sorted.reserve(entries_.size());
-    for (const entry& e : entries_)
-        sorted.push_back(&e);
-    std::stable_sort(
-        sorted.begin(), sorted.end(), [](const entry* a, const entry* b) {
-            return a->sent_ < b->sent_;
+    std::vector<std::size_t> order(entries_.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    const std::size_t kept = std::min(count, order.size());
+    std::partial_sort(
+        order.begin(),
+        order.begin() + static_cast<std::ptrdiff_t>(kept),
+        order.end(),
+        [&](std::size_t a, std::size_t b) {
+            return std::pair(entries_[a].sent_, a) <
+                   std::pair(entries_[b].sent_, b);
         });
     std::vector<base::daemon_id> names;
-    names.reserve(sorted.size());
-    for (const entry* e : sorted)
-        names.push_back(e->id_);
+    names.reserve(kept);
+    for (std::size_t i = 0; i < kept; ++i)
+        names.push_back(entries_[order[i]].id_);
     return names;
 }
 
--- a/src/libmembership/update_queue.hpp
+++ b/src/libmembership/update_queue.hpp
@@ -20,9 +20,9 @@
     void erase(const base::daemon_id& id);
 
 
-    /// Returns the names in the order in which they should go out: those
-    /// that were sent least come first.
-    std::vector<base::daemon_id> order() const;
+    /// Returns up to count names in the order in which they should go out:
+    /// those that were sent least come first.
+    std::vector<base::daemon_id> first(std::size_t count) const;
 
 
     /// Counts one transmission of id and drops it after limit of them.
