--- a/src/include/monsoondock/settings/place.hpp
+++ b/src/include/monsoondock/settings/place.hpp
@@ -10,11 +10,11 @@
 /// A part that is absent leaves its branch of the tree out.
 struct place
 {
-    std::optional<base::data_centre_id> data_centre_;
-    std::optional<base::deployment_id> deployment_;
-    std::optional<base::workspace_id> workspace_;
+    std::optional<base::data_centre_id> data_centre_{};
+    std::optional<base::deployment_id> deployment_{};
+    std::optional<base::workspace_id> workspace_{};
     /// Only needed without a data centre, which names its region.
-    std::optional<base::region_id> region_;
+    std::optional<base::region_id> region_{};
 };
 
 } // namespace monsoondock::settings
--- a/src/libdaemon/control_state.hpp
+++ b/src/libdaemon/control_state.hpp
@@ -6,7 +6,9 @@
 
 #include <monsoondock/metrics/registry.hpp>
 #include <monsoondock/platform/http_client.hpp>
+#include <monsoondock/settings/cold_start.hpp>
 #include <monsoondock/settings/daemon_config.hpp>
+#include <monsoondock/settings/revision_keeper.hpp>
 #include <monsoondock/settings/settings_tree.hpp>
 #include <monsoondock/traffic/snapshot_holder.hpp>
 
@@ -33,6 +35,10 @@
     platform::http_client store_;
     std::mt19937_64 random_;
 
+    /// What is known of the settings, in force or on its way.
+    settings::revision_keeper settings_keeper_{};
+    /// What the daemon waits for after its start before it serves.
+    settings::cold_start cold_start_{};
     /// Settings in force; null before the first ones.
     std::shared_ptr<const settings::settings_tree> settings_{};
     /// The platform's lagging list of hosts.
--- a/src/monsoondockctl/options.cpp
+++ b/src/monsoondockctl/options.cpp
@@ -63,6 +63,14 @@
 }
 
 
+/// A negative number is a value.
+bool is_flag(std::string_view word)
+{
+    return word.size() > 1 && word[0] == '-' &&
+           (word[1] < '0' || word[1] > '9');
+}
+
+
 bool is_own(const std::string& name)
 {
     return std::find(std::begin(OWN_FLAGS), std::end(OWN_FLAGS), name) !=
@@ -110,6 +118,13 @@
 }
 
 
+std::string login_name()
+{
+    const char* name = std::getenv("USER");
+    return name != nullptr ? name : "unknown";
+}
+
+
 maybe_error read_flags(options& o)
 {
     if (auto error = read_addresses(o))
@@ -126,8 +141,7 @@
     set_place(o.place_.data_centre_, FLAGS_data_centre);
     set_place(o.place_.deployment_, FLAGS_deployment);
     set_place(o.place_.workspace_, FLAGS_workspace);
-    const char* login = std::getenv("USER");
-    o.author_ = FLAGS_author.empty() && login != nullptr ? login : FLAGS_author;
+    o.author_ = FLAGS_author.empty() ? login_name() : FLAGS_author;
     o.note_ = FLAGS_note;
     if (FLAGS_if_revision != 0)
         o.if_revision_ = settings::revision{FLAGS_if_revision};
@@ -143,7 +157,7 @@
     command_line line;
     for (int i = 1; i < argc; ++i) {
         const std::string_view word = argv[i];
-        if (word.size() < 2 || word[0] != '-') {
+        if (!is_flag(word)) {
             line.words_.emplace_back(word);
             continue;
         }
--- a/src/monsoondockctl/settings_status.cpp
+++ b/src/monsoondockctl/settings_status.cpp
@@ -103,8 +103,9 @@
         return exit_code::ok;
     return fail(
         exit_code::failed,
-        std::to_string(missing_count) +
-            " daemons do not have the revision in force",
+        "the accepted revision is not in force on " +
+            std::to_string(missing_count) + " of " +
+            std::to_string(base::value(daemons).size()) + " daemons",
         "look at the daemons named above");
 }
 
