--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -52,14 +52,31 @@
 }
 
 
+settings::place
+deployment_place(const control_state& state, const base::deployment_id& id)
+{
+    settings::place where;
+    where.data_centre_ = state.config_.data_centre_;
+    where.deployment_ = id;
+    return where;
+}
+
+
+settings::place workspace_place(const base::workspace_id& id)
+{
+    settings::place where;
+    where.workspace_ = id;
+    return where;
+}
+
+
 void add_deployment(
     control_state& state,
     traffic::routing_snapshot& snapshot,
     const base::deployment_id& deployment)
 {
     const auto found = settings::effective(
-        *state.settings_,
-        {state.config_.data_centre_, deployment, std::nullopt});
+        *state.settings_, deployment_place(state, deployment));
     if (!base::ok(found))
         return;
     const auto& values = base::value(found).deployment_;
@@ -77,8 +94,7 @@
     traffic::routing_snapshot& snapshot,
     const base::workspace_id& workspace)
 {
-    const auto found =
-        settings::effective(tree, {std::nullopt, std::nullopt, workspace});
+    const auto found = settings::effective(tree, workspace_place(workspace));
     if (!base::ok(found))
         return;
     snapshot.workspaces_.push_back(
--- a/src/libtraffic/chat_relay.cpp
+++ b/src/libtraffic/chat_relay.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace monsoondock::traffic::pvt {
 
@@ -53,11 +54,12 @@
 }
 
 
-asio::awaitable<reply> run_attempts(
+asio::awaitable<void> run_attempts(
     traffic_thread& thread,
     caller_connection& caller,
     request_context& context,
-    chat_progress& progress)
+    chat_progress& progress,
+    std::optional<reply>& answer)
 {
     std::vector<base::group_id> tried;
     while (context.report_.attempts_ < max_attempts) {
@@ -76,10 +78,12 @@
                 metrics::counter::resumed_streams, context.label_);
         auto result =
             co_await attempt_chat(thread, caller, context, progress, *group);
-        if (auto* finished = std::get_if<reply>(&result))
-            co_return std::move(*finished);
+        if (auto* finished = std::get_if<reply>(&result)) {
+            answer = std::move(*finished);
+            co_return;
+        }
     }
-    co_return co_await give_up(thread, caller, context, progress);
+    answer = co_await give_up(thread, caller, context, progress);
 }
 
 } // namespace
@@ -103,11 +107,13 @@
             "unknown_model",
             "no deployment has the name `" + progress.chat_.model_.value_ +
                 "`; GET /v1/models lists them");
-    auto ended = co_await (
-        run_attempts(thread, caller, context, progress) ||
+    // The operator flattens variants, so the reply comes back on the side.
+    std::optional<reply> answer;
+    co_await (
+        run_attempts(thread, caller, context, progress, answer) ||
         wait_for_disconnect(caller));
-    if (ended.index() == 0)
-        co_return std::get<0>(std::move(ended));
+    if (answer)
+        co_return std::move(*answer);
     co_return caller_gone{};
 }
 
