traffic: calls that are not idempotent go through claims

Cause: a payout repeated by its caller, or sent again after a failure, ran twice.

Change: serve_service_call hands such calls to claimed_call, which drives the claims machine with a store client of the traffic thread. Refusals get key_run. A server error of the store other than 503 counts as a lost answer, since the write may have taken effect.

--- a/src/include/monsoondock/claims/call.hpp
+++ b/src/include/monsoondock/claims/call.hpp
@@ -18,6 +18,8 @@
     base::time_point deadline_;
     /// Longest time that the upstream is given to answer.
     std::chrono::milliseconds exchange_timeout_{0};
+    /// Largest answer body that is kept for repeats, in bytes.
+    std::size_t kept_body_bytes_ = MAX_KEPT_BODY_BYTES;
 };
 
 
--- a/src/include/monsoondock/traffic/refusal.hpp
+++ b/src/include/monsoondock/traffic/refusal.hpp
@@ -23,6 +23,8 @@
     run_state run_ = run_state::unsent;
     /// When the caller may try again; nothing when it never helps.
     std::optional<std::chrono::milliseconds> retry_after_;
+    /// The same as run_, of all attempts with the caller's Idempotency-Key.
+    std::optional<run_state> key_run_ = std::nullopt;
 };
 
 /// Response with a body held in memory.
--- a/src/include/monsoondock/traffic/server.hpp
+++ b/src/include/monsoondock/traffic/server.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/traffic/claim_parts.hpp>
 #include <monsoondock/traffic/limits.hpp>
 #include <monsoondock/traffic/snapshot_holder.hpp>
 
@@ -29,6 +30,7 @@
     metrics::registry& metrics_;
     limits limits_;
     admin_handler admin_;
+    claim_parts claims_;
 };
 
 
--- a/src/include/monsoondock/traffic/service_row.hpp
+++ b/src/include/monsoondock/traffic/service_row.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -26,6 +27,8 @@
     base::deployment_id deployment_;
     /// False: a call may run at most once and needs an Idempotency-Key.
     bool idempotent_ = true;
+    /// Largest answer body of such a call that is kept for repeats, in bytes.
+    std::uint64_t max_kept_body_bytes_ = 0;
     std::vector<service_host> hosts_;
 };
 
--- a/src/libclaims/call_machine.cpp
+++ b/src/libclaims/call_machine.cpp
@@ -375,7 +375,8 @@
         void operator()(const exchange_ended& e, Fsm& fsm, From&, To&) const
         {
             fsm.record_.phase_ = claim_phase::finished;
-            fsm.record_.outcome_ = keep(e.response_);
+            fsm.record_.outcome_ =
+                keep(e.response_, fsm.call_.kept_body_bytes_);
             fsm.withheld_ = fresh_answer{e.response_, false};
             fsm.send_closing_write();
             fsm.set_wake(fsm.timing_.outcome_wait_);
--- a/src/libclaims/caller_answer.cpp
+++ b/src/libclaims/caller_answer.cpp
@@ -24,17 +24,17 @@
 {
     switch (reason) {
     case refusal_reason::store_unavailable:
-        return "store-unavailable";
+        return "store_unavailable";
     case refusal_reason::in_progress:
-        return "call-in-progress";
+        return "call_in_progress";
     case refusal_reason::outcome_unknown:
-        return "outcome-unknown";
+        return "outcome_unknown";
     case refusal_reason::different_request:
-        return "key-used-for-another-request";
+        return "key_used_for_another_request";
     case refusal_reason::not_dispatched:
-        return "not-dispatched";
+        return "not_dispatched";
     case refusal_reason::record_unreadable:
-        return "claim-unreadable";
+        return "claim_unreadable";
     }
     return "internal";
 }
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -61,6 +61,25 @@
 }
 
 
+// The time of the start tells the lives of a daemon apart.
+std::uint64_t make_incarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+
+traffic::claim_parts to_claim_parts(const settings::daemon_config& config)
+{
+    traffic::claim_parts parts;
+    parts.self_ = {config.daemon_, make_incarnation()};
+    parts.platform_addresses_ = to_endpoints(config.platform_addresses_);
+    parts.platform_timeout_ = config.timeouts_.platform_;
+    return parts;
+}
+
+
 // Waits until all requests in progress have ended or the bound is over.
 asio::awaitable<void>
 finish_requests(control_state& state, const traffic::server& server)
@@ -142,9 +161,11 @@
             config.timeouts_.platform_),
         std::mt19937_64(std::random_device()())};
     traffic::server server(
-        {snapshots, metrics, to_limits(config), [&admin](const auto& target) {
-             return admin.read(target);
-         }});
+        {snapshots,
+         metrics,
+         to_limits(config),
+         [&admin](const auto& target) { return admin.read(target); },
+         to_claim_parts(config)});
     auto started = server.start(
         to_endpoint(config.caller_address_), config.traffic_threads_);
     if (!base::ok(started))
--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -85,7 +85,10 @@
         return;
     }
     snapshot.services_.push_back(
-        {deployment, values.idempotent_.value_, hosts_of(state, deployment)});
+        {deployment,
+         values.idempotent_.value_,
+         base::value(found).claims_.max_outcome_bytes_.value_,
+         hosts_of(state, deployment)});
 }
 
 
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -81,6 +81,9 @@
         return condition_failed{};
     if (response.result() == http::status::service_unavailable)
         return not_reached{"the store is down"};
+    // Any other server error may come after the write took effect.
+    if (response.result_int() >= 500)
+        return answer_lost{"status " + std::to_string(response.result_int())};
     if (response.result() != http::status::ok)
         return not_reached{"status " + std::to_string(response.result_int())};
     const auto v = pvt::parse_version(response.body());
--- a/src/libquarantine/quarantine_command.cpp
+++ b/src/libquarantine/quarantine_command.cpp
@@ -12,15 +12,15 @@
 {
     switch (reason) {
     case quarantine_refusal::quarantined:
-        return "request-quarantined";
+        return "request_quarantined";
     case quarantine_refusal::on_trial_elsewhere:
-        return "suspect-on-trial";
+        return "suspect_on_trial";
     case quarantine_refusal::no_trial_group:
-        return "no-group-for-suspect";
+        return "no_group_for_suspect";
     case quarantine_refusal::store_unavailable:
-        return "store-unavailable";
+        return "store_unavailable";
     case quarantine_refusal::confined_groups_lost:
-        return "groups-lost";
+        return "groups_lost";
     }
     return "internal";
 }
--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.hpp"
 
 #include "await_tuple.hpp"
+#include "count_guard.hpp"
 #include "front.hpp"
 #include "refusals.hpp"
 
@@ -37,28 +38,6 @@
 using read_result = std::variant<caller_request, refusal, closed>;
 
 
-// Keeps a shared count right on every way out.
-class count_guard
-{
-public:
-    explicit count_guard(std::atomic<std::uint64_t>& count) : count_(count)
-    {
-        ++count_;
-    }
-
-    count_guard(const count_guard&) = delete;
-    count_guard& operator=(const count_guard&) = delete;
-
-    ~count_guard()
-    {
-        --count_;
-    }
-
-private:
-    std::atomic<std::uint64_t>& count_;
-};
-
-
 read_result to_read_result(const boost::system::error_code& failure)
 {
     if (failure == http::error::header_limit)
--- a/src/libtraffic/refusal.cpp
+++ b/src/libtraffic/refusal.cpp
@@ -30,6 +30,8 @@
     body["status"] = static_cast<unsigned>(r.status_);
     body["detail"] = r.detail_;
     body["run"] = to_caller_text(r.run_);
+    if (r.key_run_)
+        body["key_run"] = to_caller_text(*r.key_run_);
     buffered_response response(r.status_, http_version_1_1);
     if (r.retry_after_) {
         body["retry_after_ms"] = r.retry_after_->count();
--- a/src/libtraffic/service_relay.cpp
+++ b/src/libtraffic/service_relay.cpp
@@ -1,6 +1,8 @@
 #include "service_relay.hpp"
 
+#include "claimed_call.hpp"
 #include "refusals.hpp"
+#include "service_choice.hpp"
 #include "service_exchange.hpp"
 
 #include <algorithm>
@@ -27,17 +29,6 @@
 }
 
 
-const service_host* least_loaded(const service_row& service)
-{
-    const auto best = std::min_element(
-        service.hosts_.begin(),
-        service.hosts_.end(),
-        [](const service_host& a, const service_host& b) {
-            return a.load_->in_flight_ < b.load_->in_flight_;
-        });
-    return best == service.hosts_.end() ? nullptr : &*best;
-}
-
 } // namespace
 
 asio::awaitable<reply>
@@ -59,15 +50,18 @@
             http::status::bad_request,
             "missing_idempotency_key",
             "calls of this service need an Idempotency-Key header");
-    const service_host* host = least_loaded(*service);
+    std::string path(rest.substr(slash));
+    if (path.empty())
+        path = "/";
+    if (!service->idempotent_)
+        co_return co_await serve_claimed_call(
+            thread, context, *service, std::move(path));
+    const service_host* host = choose_host(*service, {});
     if (host == nullptr)
         co_return no_upstream(
             run_state::unsent, "no host of the service can take the call");
     context.report_.upstream_ = host->host_.value_;
     ++context.report_.attempts_;
-    std::string path(rest.substr(slash));
-    if (path.empty())
-        path = "/";
     auto result = co_await call_service(thread, context, *host, path);
     if (auto* response = std::get_if<buffered_response>(&result))
         co_return std::move(*response);
--- a/src/libtraffic/traffic_thread.hpp
+++ b/src/libtraffic/traffic_thread.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "live_attempts.hpp"
 #include "upstream_pool.hpp"
 
+#include <monsoondock/platform/http_client.hpp>
 #include <monsoondock/traffic/server.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +20,7 @@
     std::atomic<std::uint64_t> connections_{0};
     std::atomic<std::uint64_t> requests_{0};
     std::atomic<bool> closing_{false};
+    live_attempts attempts_;
 };
 
 
@@ -26,7 +29,11 @@
 struct traffic_thread
 {
     traffic_thread(server_parts& parts, server_counts& counts, unsigned seed)
-        : parts_(parts), counts_(counts), random_(seed)
+        : parts_(parts), counts_(counts), random_(seed),
+          store_(
+              context_.get_executor(),
+              parts.claims_.platform_addresses_,
+              parts.claims_.platform_timeout_)
     {}
 
     server_parts& parts_;
@@ -34,6 +41,8 @@
     boost::asio::io_context context_{1};
     upstream_pool pool_;
     std::mt19937_64 random_;
+    /// Store of the claims.
+    platform::http_client store_;
 };
 
 } // namespace monsoondock::traffic::pvt
