peer: membership, verdicts and requests between daemons over sockets

Change: libpeer runs a membership node on a UDP socket and a timer, carries bodies of the channel for verdicts, and answers settings_request over TCP in frames of the same envelope. The answer to a request is bound to it by its audience.

Ruled out: verdict messages in this library, because libgroups has them; the channel carries an opaque body.

--- a/src/include/monsoondock/wire/sealer.hpp
+++ b/src/include/monsoondock/wire/sealer.hpp
@@ -11,6 +11,14 @@
 
 namespace monsoondock::wire {
 
+/// A sealed body and the number that its envelope got.
+struct sealed_message
+{
+    std::string bytes_;
+    std::uint64_t sequence_ = 0;
+};
+
+
 /// Wraps bodies into authenticated envelopes of one daemon.
 class sealer
 {
@@ -25,6 +33,11 @@
     seal(channel to, std::string_view audience, std::string_view body);
 
 
+    /// Does the same and tells the number of the envelope.
+    sealed_message
+    seal_numbered(channel to, std::string_view audience, std::string_view body);
+
+
     /// Seals with other keys from now on.
     void set_keys(key_ring keys);
 
--- a/src/libmembership/injected_network.hpp
+++ b/src/libmembership/injected_network.hpp
@@ -220,12 +220,12 @@
 
     void deliver(std::size_t index, const datagram& d)
     {
-        constexpr std::size_t SOCKET_BUFFER_DATAGRAMS = 200;
+        constexpr std::size_t socket_buffer_datagrams = 200;
         host& h = hosts_[index];
         if (!h.node_)
             return;
         if (h.paused_) {
-            if (h.buffered_.size() < SOCKET_BUFFER_DATAGRAMS)
+            if (h.buffered_.size() < socket_buffer_datagrams)
                 h.buffered_.push_back(d);
             return;
         }
--- /dev/null
+++ b/src/libpeer/request_codec.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <monsoondock/peer/settings_reply.hpp>
+#include <monsoondock/peer/settings_request.hpp>
+#include <monsoondock/wire/body_codec.hpp>
+
+namespace monsoondock::peer {
+
+/// Bodies of the TCP channels, in the form that wire::encode_body and
+/// wire::decode_body expect.
+void write(wire::body_writer& out, const settings_request& request);
+void read(wire::body_reader& in, settings_request& request);
+void write(wire::body_writer& out, const settings_reply& reply);
+void read(wire::body_reader& in, settings_reply& reply);
+
+} // namespace monsoondock::peer
--- a/src/libwire/sealer.cpp
+++ b/src/libwire/sealer.cpp
@@ -30,6 +30,14 @@
 }
 
 
+sealed_message sealer::seal_numbered(
+    channel to, std::string_view audience, std::string_view body)
+{
+    std::string bytes = seal(to, audience, body);
+    return {std::move(bytes), sequences_[static_cast<std::size_t>(to)]};
+}
+
+
 void sealer::set_keys(key_ring keys)
 {
     keys_ = std::move(keys);
