load: times to the first token are those of streamed answers only

A trial with long reports showed the whole time of an answer that is not streamed among the times to the first token, which hid those that a person waits for. docs/load-tool.md describes the tool.

--- a/src/include/monsoondock/load/summary.hpp
+++ b/src/include/monsoondock/load/summary.hpp
@@ -29,8 +29,9 @@
     std::size_t wrong_ = 0;
     /// Completed before their deadline.
     std::size_t in_time_ = 0;
-    percentiles first_token_;
     percentiles total_;
+    /// Of streamed answers only.
+    percentiles first_token_;
     percentiles longest_gap_;
 };
 
--- a/src/libload/summary.cpp
+++ b/src/libload/summary.cpp
@@ -30,13 +30,15 @@
 
 
 void add_completed(
-    tally& t, const completed& c, request_class kind, const deadlines& bounds)
+    tally& t, const completed& c, const arrival& a, const deadlines& bounds)
 {
     ++t.group_.completed_;
     t.totals_.push_back(c.total_);
-    t.first_tokens_.push_back(c.first_token_);
-    t.gaps_.push_back(c.longest_gap_);
-    if (is_in_time(c, kind, bounds))
+    if (a.stream_) {
+        t.first_tokens_.push_back(c.first_token_);
+        t.gaps_.push_back(c.longest_gap_);
+    }
+    if (is_in_time(c, a.class_, bounds))
         ++t.group_.in_time_;
 }
 
@@ -45,7 +47,7 @@
 {
     ++t.group_.sent_;
     if (const auto* c = std::get_if<completed>(&r.outcome_))
-        add_completed(t, *c, r.arrival_->class_, bounds);
+        add_completed(t, *c, *r.arrival_, bounds);
     else if (std::holds_alternative<refused>(r.outcome_))
         ++t.group_.refused_;
     else if (std::holds_alternative<broken>(r.outcome_))
--- a/src/libload/summary_test.cpp
+++ b/src/libload/summary_test.cpp
@@ -34,7 +34,8 @@
 
 Test(summary, counts_goodput_and_fairness)
 {
-    const arrival first = arrival_of(0, request_class::interactive);
+    arrival first = arrival_of(0, request_class::interactive);
+    first.stream_ = true;
     const arrival second = arrival_of(1, request_class::interactive);
     const completed quick{1ms, 2ms, 0ms, 4};
     const completed late{1ms, 20ms, 0ms, 4};
@@ -48,6 +49,8 @@
     cr_assert(s.all_.sent_ == 4 && s.all_.completed_ == 2);
     cr_assert(s.all_.in_time_ == 1 && s.goodput_ == 0.5);
     cr_assert(s.tokens_ == 8);
+    cr_assert(s.workspaces_[0].first_token_.count_ == 2);
+    cr_assert(s.workspaces_[1].first_token_.count_ == 0);
     cr_assert(s.refusals_[0].reason_ == "429 limit not_run");
     cr_assert(s.lowest_share_ == 0.0 && s.fairness_ == 0.5);
 }
