settings: an index object beside the head, which lists changes only

Each daemon reads each head.

An edit whose object key is taken by another text looks at the head before it raises its revision.

--- a/src/include/monsoondock/settings/revision_keeper.hpp
+++ b/src/include/monsoondock/settings/revision_keeper.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/settings/finding.hpp>
 #include <monsoondock/settings/settings_bundle.hpp>
+#include <monsoondock/settings/settings_index.hpp>
 #include <monsoondock/settings/settings_tree.hpp>
 
 #include <cstdint>
@@ -36,17 +37,18 @@
 
 
 /// Reader's side of the settings in one daemon. It learns heads from the
-/// store's watch and from peers in any order, names the node objects to fetch
-/// and puts a revision into force when all its nodes are there and the whole
-/// is valid. The revision in force only grows. Not safe for concurrent use;
-/// the tree it gives out is immutable.
+/// store's watch and from peers in any order, names the objects to fetch (the
+/// index where the head does not list all changes, then nodes) and puts a
+/// revision into force when all its nodes are there and the whole is valid. The
+/// revision in force only grows. Not safe for concurrent use; the tree it gives
+/// out is immutable.
 class revision_keeper
 {
 public:
     explicit revision_keeper(keeper_rules rules = {});
 
 
-    /// Takes a head. Returns the keys of the node objects to fetch.
+    /// Takes a head. Returns the keys of the objects to fetch.
     std::vector<std::string> on_head(const settings_head& head);
 
 
@@ -54,12 +56,11 @@
     void on_bundle(const settings_bundle& bundle);
 
 
-    /// Takes the JSON text of a node object that was fetched.
-    void on_node(std::string_view text);
+    /// Takes the JSON text of an object that was fetched.
+    void on_object(std::string_view key, std::string_view text);
 
 
-    /// Returns the keys of the node objects that are still missing, to fetch
-    /// again after a failure.
+    /// Returns the keys of the objects that are still missing.
     std::vector<std::string> wanted() const;
 
 
@@ -97,8 +98,19 @@
     }
 
 private:
+    struct pending_revision
+    {
+        settings_head head_;
+        /// Absent until the index object has been fetched.
+        std::optional<settings_index> index_;
+    };
+
     bool is_new(const settings_head& head) const;
 
+    void on_index(std::string_view text);
+
+    void on_node(std::string_view text);
+
     void keep_node(settings_node node);
 
     void reject(findings faults);
@@ -109,7 +121,9 @@
     keeper_counts counts_;
     findings faults_;
     settings_head head_;
-    std::optional<settings_head> pending_;
+    std::optional<pending_revision> pending_;
+    /// Index of the tree in force.
+    settings_index index_;
     std::map<node_path, settings_node> fetched_;
     std::shared_ptr<const settings_tree> in_force_;
 };
--- /dev/null
+++ b/src/include/monsoondock/settings/settings_index.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <monsoondock/settings/finding.hpp>
+#include <monsoondock/settings/node_path.hpp>
+#include <monsoondock/settings/revision.hpp>
+#include <monsoondock/settings/settings_head.hpp>
+#include <monsoondock/settings/settings_tree.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace monsoondock::settings {
+
+/// The object `settings/index@<revision>`: the revision of each node of an
+/// accepted tree. Written once and never changed.
+struct settings_index
+{
+    revision revision_;
+    std::map<node_path, revision> nodes_;
+
+    friend bool
+    operator==(const settings_index&, const settings_index&) = default;
+};
+
+
+/// Returns the index of a tree.
+settings_index index_of(const settings_tree& tree);
+
+
+/// Returns the index that a head leads to from an older one, by the changes
+/// that the head lists, or nothing when the head does not list them all.
+std::optional<settings_index>
+follow(const settings_index& from, const settings_head& head);
+
+
+/// Returns the JSON text of an index.
+std::string to_json(const settings_index& index);
+
+
+/// Reads the JSON text of an index.
+checked<settings_index> parse_index_json(std::string_view text);
+
+
+/// Returns the store's key of an index object.
+std::string index_object_key(revision at);
+
+
+/// Returns true when key is the key of an index object.
+bool is_index_key(std::string_view key);
+
+} // namespace monsoondock::settings
--- a/src/libdaemon/settings_feed.cpp
+++ b/src/libdaemon/settings_feed.cpp
@@ -43,14 +43,14 @@
 }
 
 
-/// Fetches one node object. Returns false when the store gave no answer.
+/// Fetches one object. Returns false when the store gave no answer.
 asio::awaitable<bool> fetch(control_state& state, std::string key)
 {
-    const auto read = co_await state.store_.get(std::move(key));
+    const auto read = co_await state.store_.get(key);
     if (!base::ok(read))
         co_return false;
     const auto& object = base::value(read);
-    state.settings_keeper_.on_node(object ? object->value_ : "");
+    state.settings_keeper_.on_object(key, object ? object->value_ : "");
     apply_settings(state);
     co_return true;
 }
@@ -64,7 +64,7 @@
 }
 
 
-/// Fetches the nodes of the head on its way, one after the other, so that 470
+/// Fetches the objects of the head on its way, one after the other, so that 470
 /// daemons that learn a head at once ask for little at a time.
 asio::awaitable<void>
 fetch_wanted(control_state& state, std::shared_ptr<asio::steady_timer> wake)
--- a/src/libsettings/acceptance.cpp
+++ b/src/libsettings/acceptance.cpp
@@ -28,7 +28,6 @@
 void end_with_faults(pvt::acceptance_machine& m, findings faults)
 {
     m.run().outcome_ = invalid_edit{std::move(faults)};
-    m.process_event(pvt::ended{});
 }
 
 
@@ -44,7 +43,6 @@
             run.outcome_ = acceptance_unknown{reason};
         else
             run.outcome_ = not_accepted{reason};
-        m.process_event(pvt::ended{});
         return;
     }
     store_call again = call;
@@ -67,16 +65,19 @@
 }
 
 
-void on_node_read(
-    pvt::acceptance_machine& m,
-    const std::string& key,
-    const std::optional<platform::object>& object)
+void on_index_read(pvt::acceptance_machine& m, const std::string& text)
+{
+    checked<settings_index> index = parse_index_json(text);
+    if (auto* faults = std::get_if<findings>(&index))
+        end_with_faults(m, std::move(*faults));
+    else
+        m.process_event(
+            pvt::index_read{std::get<settings_index>(std::move(index))});
+}
+
+
+void on_node_read(pvt::acceptance_machine& m, const std::string& text)
 {
-    const std::string text = object ? object->value_ : std::string();
-    if (m.run().unwritten_.contains(key)) {
-        m.process_event(pvt::node_read_back{key, text});
-        return;
-    }
     checked<settings_node> node = parse_node_json(text);
     if (auto* faults = std::get_if<findings>(&node))
         end_with_faults(m, std::move(*faults));
@@ -86,13 +87,28 @@
 }
 
 
+void on_object_read(
+    pvt::acceptance_machine& m,
+    const std::string& key,
+    const std::optional<platform::object>& object)
+{
+    const std::string text = object ? object->value_ : std::string();
+    if (m.run().unwritten_.contains(key))
+        m.process_event(pvt::object_read_back{key, text});
+    else if (is_index_key(key))
+        on_index_read(m, text);
+    else
+        on_node_read(m, text);
+}
+
+
 void on_read(pvt::acceptance_machine& m, const object_read& answer)
 {
     m.run().failures_ = 0;
     if (answer.key_ == HEAD_KEY)
         on_head_read(m, answer.object_);
     else
-        on_node_read(m, answer.key_, answer.object_);
+        on_object_read(m, answer.key_, answer.object_);
 }
 
 
@@ -116,7 +132,7 @@
 }
 
 
-void on_node_write(
+void on_object_write(
     pvt::acceptance_machine& m,
     const store_call& call,
     const platform::write_outcome& outcome)
@@ -124,9 +140,9 @@
     // A create may be repeated: when its first try took effect, the repeat
     // finds the same text.
     if (std::holds_alternative<platform::written>(outcome))
-        m.process_event(pvt::node_written{key_of(call)});
+        m.process_event(pvt::object_written{key_of(call)});
     else if (std::holds_alternative<platform::condition_failed>(outcome))
-        m.process_event(pvt::node_taken{key_of(call)});
+        m.process_event(pvt::object_taken{key_of(call)});
     else
         repeat(m, call);
 }
@@ -145,7 +161,7 @@
     if (key_of(call) == HEAD_KEY)
         on_head_write(m, call, outcome);
     else
-        on_node_write(m, call, outcome);
+        on_object_write(m, call, outcome);
 }
 
 
--- a/src/libsettings/acceptance_machine.cpp
+++ b/src/libsettings/acceptance_machine.cpp
@@ -21,10 +21,10 @@
 }
 
 
-/// Returns true when the known nodes cover the head.
-bool covers(const acceptance_run& run, const settings_head& head)
+/// Returns true when the known nodes cover the index.
+bool covers(const acceptance_run& run, const settings_index& index)
 {
-    for (const auto& [path, at] : head.nodes_) {
+    for (const auto& [path, at] : index.nodes_) {
         const auto known = run.nodes_.find(path);
         if (known == run.nodes_.end() || known->second.revision_ != at)
             return false;
@@ -44,7 +44,19 @@
 };
 
 
-/// Asks for the nodes of the head that are not known.
+/// Asks for the index of the head.
+struct reading_index : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        const revision at = machine.run_->current_.head_.revision_;
+        ask(*machine.run_, {read_object{index_object_key(at)}, {}});
+    }
+};
+
+
+/// Asks for the nodes of the index that are not known.
 struct reading_nodes : msm::front::state<>
 {
     template <class Event, class Machine>
@@ -67,8 +79,8 @@
 };
 
 
-/// Creates the node objects of the candidate.
-struct writing_nodes : msm::front::state<>
+/// Creates the node objects and the index object of the candidate.
+struct writing_objects : msm::front::state<>
 {
     template <class Event, class Machine>
     void on_entry(const Event& /*event*/, Machine& machine)
@@ -80,6 +92,18 @@
 };
 
 
+/// Asks for the head after an object of the candidate turned out to be that of
+/// another edit, which may have been accepted.
+struct checking_head : msm::front::state<>
+{
+    template <class Event, class Machine>
+    void on_entry(const Event& /*event*/, Machine& machine)
+    {
+        ask_head(*machine.run_);
+    }
+};
+
+
 /// Writes the head on the condition that nobody else did.
 struct writing_head : msm::front::state<>
 {
@@ -115,24 +139,24 @@
 
     // Guards.
 
-    struct lacks_nodes
+    /// Nothing was ever accepted.
+    struct is_empty
     {
         template <class Machine, class From, class To>
-        bool
-        operator()(const head_read& event, Machine& machine, From&, To&) const
+        bool operator()(const head_read& event, Machine&, From&, To&) const
         {
-            return !covers(*machine.run_, event.state_.head_);
+            return event.state_.head_.revision_ == revision{};
         }
     };
 
 
-    struct has_nodes
+    struct lacks_nodes
     {
         template <class Machine, class From, class To>
         bool
-        operator()(const head_read& event, Machine& machine, From&, To&) const
+        operator()(const index_read& event, Machine& machine, From&, To&) const
         {
-            return covers(*machine.run_, event.state_.head_);
+            return !covers(*machine.run_, event.index_);
         }
     };
 
@@ -157,25 +181,12 @@
     };
 
 
-    struct has_objects_to_write
+    struct has_candidate
     {
         template <class Event, class Machine, class From, class To>
         bool operator()(const Event&, Machine& machine, From&, To&) const
         {
-            const acceptance_run& run = *machine.run_;
-            return !run.outcome_ && !run.unwritten_.empty();
-        }
-    };
-
-
-    /// An edit that only removes nodes changes nothing but the head.
-    struct has_only_head
-    {
-        template <class Event, class Machine, class From, class To>
-        bool operator()(const Event&, Machine& machine, From&, To&) const
-        {
-            const acceptance_run& run = *machine.run_;
-            return !run.outcome_ && run.unwritten_.empty();
+            return !machine.run_->outcome_.has_value();
         }
     };
 
@@ -184,7 +195,7 @@
     {
         template <class Machine, class From, class To>
         bool operator()(
-            const node_written& event, Machine& machine, From&, To&) const
+            const object_written& event, Machine& machine, From&, To&) const
         {
             return is_last(*machine.run_, event.key_);
         }
@@ -192,14 +203,14 @@
 
         template <class Machine, class From, class To>
         bool operator()(
-            const node_read_back& event, Machine& machine, From&, To&) const
+            const object_read_back& event, Machine& machine, From&, To&) const
         {
             return is_ours(*machine.run_, event) &&
                    is_last(*machine.run_, event.key_);
         }
 
 
-        static bool is_ours(acceptance_run& run, const node_read_back& event)
+        static bool is_ours(acceptance_run& run, const object_read_back& event)
         {
             return run.unwritten_.at(event.key_) == event.text_;
         }
@@ -216,7 +227,7 @@
     {
         template <class Machine, class From, class To>
         bool operator()(
-            const node_read_back& event, Machine& machine, From&, To&) const
+            const object_read_back& event, Machine& machine, From&, To&) const
         {
             return !is_last_write::is_ours(*machine.run_, event);
         }
@@ -302,9 +313,22 @@
         void
         operator()(const head_read& event, Machine& machine, From&, To&) const
         {
-            ++machine.run_->rebases_;
-            machine.run_->head_in_doubt_ = false;
-            machine.run_->current_ = event.state_;
+            acceptance_run& run = *machine.run_;
+            ++run.rebases_;
+            run.head_in_doubt_ = false;
+            run.current_ = event.state_;
+            run.unwritten_.clear();
+        }
+    };
+
+
+    struct keep_index
+    {
+        template <class Machine, class From, class To>
+        void
+        operator()(const index_read& event, Machine& machine, From&, To&) const
+        {
+            machine.run_->index_ = event.index_;
         }
     };
 
@@ -321,7 +345,7 @@
     };
 
 
-    struct strike_node
+    struct strike_object
     {
         template <class Event, class Machine, class From, class To>
         void operator()(const Event& event, Machine& machine, From&, To&) const
@@ -331,17 +355,27 @@
     };
 
 
-    struct read_node_back
+    struct read_object_back
     {
         template <class Machine, class From, class To>
-        void
-        operator()(const node_taken& event, Machine& machine, From&, To&) const
+        void operator()(
+            const object_taken& event, Machine& machine, From&, To&) const
         {
             ask(*machine.run_, {read_object{event.key_}, {}});
         }
     };
 
 
+    struct drop_calls
+    {
+        template <class Event, class Machine, class From, class To>
+        void operator()(const Event&, Machine& machine, From&, To&) const
+        {
+            machine.run_->open_.clear();
+        }
+    };
+
+
     struct raise_revision
     {
         template <class Event, class Machine, class From, class To>
@@ -388,33 +422,31 @@
     // clang-format off
     // Later rows are tried first when several guards of one event hold.
     struct transition_table : boost::mpl::vector<
-        Row<reading_head,  head_read,          reading_nodes, keep_head,        lacks_nodes>,
-        Row<reading_head,  head_read,          deciding,      keep_head,        has_nodes>,
-        Row<reading_nodes, node_read,          none,          keep_node,        none>,
-        Row<reading_nodes, node_read,          deciding,      keep_node,        is_last_read>,
-        Row<deciding,      none,               finished,      none,             is_decided>,
-        Row<deciding,      none,               writing_nodes, none,             has_objects_to_write>,
-        Row<deciding,      none,               writing_head,  none,             has_only_head>,
-        Row<writing_nodes, node_written,       none,          strike_node,      none>,
-        Row<writing_nodes, node_written,       writing_head,  strike_node,      is_last_write>,
-        Row<writing_nodes, node_taken,         none,          read_node_back,   none>,
-        Row<writing_nodes, node_read_back,     none,          strike_node,      none>,
-        Row<writing_nodes, node_read_back,     writing_head,  strike_node,      is_last_write>,
-        Row<writing_nodes, node_read_back,     writing_nodes, raise_revision,   is_other_text>,
-        Row<writing_head,  head_written,       finished,      accept,           none>,
-        Row<writing_head,  head_not_confirmed, reading_back,  none,             none>,
-        Row<writing_head,  head_not_confirmed, finished,      accept,           assumes_written>,
-        Row<reading_back,  head_read,          reading_nodes, rebase,           lacks_nodes>,
-        Row<reading_back,  head_read,          deciding,      rebase,           has_nodes>,
-        Row<reading_back,  head_read,          finished,      give_up,          has_rebased_too_often>,
-        Row<reading_back,  head_read,          finished,      give_up_in_doubt, is_forgotten>,
-        Row<reading_back,  head_read,          writing_head,  none,             is_unmoved>,
-        Row<reading_back,  head_read,          finished,      accept,           holds_token>,
-        Row<reading_head,  ended,              finished,      none,             none>,
-        Row<reading_nodes, ended,              finished,      none,             none>,
-        Row<writing_nodes, ended,              finished,      none,             none>,
-        Row<writing_head,  ended,              finished,      none,             none>,
-        Row<reading_back,  ended,              finished,      none,             none>>
+        Row<reading_head,    head_read,          reading_index,   keep_head,        none>,
+        Row<reading_head,    head_read,          deciding,        keep_head,        is_empty>,
+        Row<reading_index,   index_read,         deciding,        keep_index,       none>,
+        Row<reading_index,   index_read,         reading_nodes,   keep_index,       lacks_nodes>,
+        Row<reading_nodes,   node_read,          none,            keep_node,        none>,
+        Row<reading_nodes,   node_read,          deciding,        keep_node,        is_last_read>,
+        Row<deciding,        none,               finished,        none,             is_decided>,
+        Row<deciding,        none,               writing_objects, none,             has_candidate>,
+        Row<writing_objects, object_written,     none,            strike_object,    none>,
+        Row<writing_objects, object_written,     writing_head,    strike_object,    is_last_write>,
+        Row<writing_objects, object_taken,       none,            read_object_back, none>,
+        Row<writing_objects, object_read_back,   none,            strike_object,    none>,
+        Row<writing_objects, object_read_back,   writing_head,    strike_object,    is_last_write>,
+        Row<writing_objects, object_read_back,   checking_head,   drop_calls,       is_other_text>,
+        Row<checking_head,   head_read,          reading_index,   rebase,           none>,
+        Row<checking_head,   head_read,          finished,        give_up,          has_rebased_too_often>,
+        Row<checking_head,   head_read,          writing_objects, raise_revision,   is_unmoved>,
+        Row<writing_head,    head_written,       finished,        accept,           none>,
+        Row<writing_head,    head_not_confirmed, reading_back,    none,             none>,
+        Row<writing_head,    head_not_confirmed, finished,        accept,           assumes_written>,
+        Row<reading_back,    head_read,          reading_index,   rebase,           none>,
+        Row<reading_back,    head_read,          finished,        give_up,          has_rebased_too_often>,
+        Row<reading_back,    head_read,          finished,        give_up_in_doubt, is_forgotten>,
+        Row<reading_back,    head_read,          writing_head,    none,             is_unmoved>,
+        Row<reading_back,    head_read,          finished,        accept,           holds_token>>
     {};
     // clang-format on
 
@@ -455,43 +487,43 @@
 }
 
 
-void acceptance_machine::process_event(const node_read& event)
+void acceptance_machine::process_event(const index_read& event)
 {
     impl_->machine_.process_event(event);
 }
 
 
-void acceptance_machine::process_event(const node_written& event)
+void acceptance_machine::process_event(const node_read& event)
 {
     impl_->machine_.process_event(event);
 }
 
 
-void acceptance_machine::process_event(const node_taken& event)
+void acceptance_machine::process_event(const object_written& event)
 {
     impl_->machine_.process_event(event);
 }
 
 
-void acceptance_machine::process_event(const node_read_back& event)
+void acceptance_machine::process_event(const object_taken& event)
 {
     impl_->machine_.process_event(event);
 }
 
 
-void acceptance_machine::process_event(const head_written& event)
+void acceptance_machine::process_event(const object_read_back& event)
 {
     impl_->machine_.process_event(event);
 }
 
 
-void acceptance_machine::process_event(const head_not_confirmed& event)
+void acceptance_machine::process_event(const head_written& event)
 {
     impl_->machine_.process_event(event);
 }
 
 
-void acceptance_machine::process_event(const ended& event)
+void acceptance_machine::process_event(const head_not_confirmed& event)
 {
     impl_->machine_.process_event(event);
 }
--- a/src/libsettings/acceptance_machine.hpp
+++ b/src/libsettings/acceptance_machine.hpp
@@ -14,29 +14,36 @@
 };
 
 
-/// A node of the current head was read.
+/// The index of the current head was read.
+struct index_read
+{
+    settings_index index_;
+};
+
+
+/// A node of the current index was read.
 struct node_read
 {
     settings_node node_;
 };
 
 
-/// A node object of the candidate exists with our text.
-struct node_written
+/// An object of the candidate exists with our text.
+struct object_written
 {
     std::string key_;
 };
 
 
-/// A node object of the candidate exists already.
-struct node_taken
+/// An object with a key of the candidate exists already.
+struct object_taken
 {
     std::string key_;
 };
 
 
-/// A node object that exists already was read.
-struct node_read_back
+/// An object that exists already was read.
+struct object_read_back
 {
     std::string key_;
     std::string text_;
@@ -55,11 +62,6 @@
 };
 
 
-/// The outcome is set.
-struct ended
-{};
-
-
 /// Flow of an acceptance, see acceptance_machine.cpp for its states.
 class acceptance_machine
 {
@@ -75,13 +77,13 @@
 
     /// Each overload lets the machine react to an event.
     void process_event(const head_read& event);
+    void process_event(const index_read& event);
     void process_event(const node_read& event);
-    void process_event(const node_written& event);
-    void process_event(const node_taken& event);
-    void process_event(const node_read_back& event);
+    void process_event(const object_written& event);
+    void process_event(const object_taken& event);
+    void process_event(const object_read_back& event);
     void process_event(const head_written& event);
     void process_event(const head_not_confirmed& event);
-    void process_event(const ended& event);
 
 
     /// Returns what the acceptance knows.
--- a/src/libsettings/acceptance_run.cpp
+++ b/src/libsettings/acceptance_run.cpp
@@ -13,36 +13,80 @@
 {
     settings_tree tree;
     tree.revision_ = run.current_.head_.revision_;
-    for (const auto& [path, at] : run.current_.head_.nodes_)
+    for (const auto& [path, at] : run.index_.nodes_)
         tree.nodes_.emplace(path, run.nodes_.at(path));
     return tree;
 }
 
 
+/// Gives the candidate its revision and the texts of its objects.
+void set_revision(acceptance_run& run, revision next)
+{
+    settings_tree& tree = run.candidate_tree_;
+    const revision old = tree.revision_;
+    tree.revision_ = next;
+    run.unwritten_.clear();
+    for (auto& [path, node] : tree.nodes_) {
+        if (node.revision_ != old)
+            continue;
+        node.revision_ = next;
+        run.unwritten_[node_object_key(path, next)] = to_json(node);
+    }
+    run.unwritten_[index_object_key(next)] = to_json(index_of(tree));
+}
+
+
+std::vector<node_change>
+changed_nodes(const settings_index& before, const settings_index& after)
+{
+    std::vector<node_change> changes;
+    for (const auto& [path, at] : after.nodes_) {
+        if (at == after.revision_)
+            changes.push_back({path, at});
+    }
+    for (const auto& [path, at] : before.nodes_) {
+        if (!after.nodes_.contains(path))
+            changes.push_back({path, std::nullopt});
+    }
+    return changes;
+}
+
+
+void make_head(acceptance_run& run)
+{
+    const settings_edit& edit = run.edit_;
+    run.candidate_ = run.current_.head_;
+    run.candidate_.revision_ = run.candidate_tree_.revision_;
+    head_entry entry{
+        run.candidate_.revision_,
+        edit.token_,
+        edit.author_,
+        edit.note_,
+        changed_nodes(run.index_, index_of(run.candidate_tree_))};
+    if (entry.changes_->size() > MAX_ENTRY_CHANGES)
+        entry.changes_.reset();
+    auto& history = run.candidate_.history_;
+    history.push_back(std::move(entry));
+    if (history.size() > HEAD_HISTORY_LIMIT)
+        history.erase(history.begin());
+}
+
+
 void make_candidate(
     acceptance_run& run,
     settings_tree tree,
     const std::vector<tree_change>& changes)
 {
-    const revision next{run.current_.head_.revision_.value_ + 1};
+    // No node has revision 0, which marks the changed ones here.
+    tree.revision_ = {};
     for (const tree_change& change : changes) {
         const auto node = tree.nodes_.find(change.path_);
         if (node != tree.nodes_.end())
-            node->second.revision_ = next;
+            node->second.revision_ = {};
     }
-    run.candidate_ = {};
-    run.candidate_.revision_ = next;
-    run.unwritten_.clear();
-    for (const auto& [path, node] : tree.nodes_) {
-        run.candidate_.nodes_[path] = node.revision_;
-        if (node.revision_ == next)
-            run.unwritten_[node_object_key(path, next)] = to_json(node);
-    }
-    run.candidate_.history_ = run.current_.head_.history_;
-    run.candidate_.history_.push_back(
-        {next, run.edit_.token_, run.edit_.author_, run.edit_.note_});
-    if (run.candidate_.history_.size() > HEAD_HISTORY_LIMIT)
-        run.candidate_.history_.erase(run.candidate_.history_.begin());
+    run.candidate_tree_ = std::move(tree);
+    set_revision(run, {run.current_.head_.revision_.value_ + 1});
+    make_head(run);
 }
 
 
@@ -58,6 +102,15 @@
                  "takes " + std::to_string(text.size()) + " bytes",
                  "at most " + std::to_string(MAX_OBJECT_BYTES) + " bytes"});
     };
+    if (run.edit_.author_.size() + run.edit_.note_.size() >
+        MAX_ENTRY_TEXT_BYTES)
+        faults.push_back(
+            {{},
+             0,
+             "note",
+             "is too long",
+             "author and note of " + std::to_string(MAX_ENTRY_TEXT_BYTES) +
+                 " bytes together"});
     check(std::string(HEAD_KEY), to_json(run.candidate_));
     for (const auto& [key, text] : run.unwritten_)
         check(key, text);
@@ -88,7 +141,7 @@
 std::vector<std::string> missing_nodes(const acceptance_run& run)
 {
     std::vector<std::string> keys;
-    for (const auto& [path, at] : run.current_.head_.nodes_) {
+    for (const auto& [path, at] : run.index_.nodes_) {
         const auto known = run.nodes_.find(path);
         if (known == run.nodes_.end() || known->second.revision_ != at)
             keys.push_back(node_object_key(path, at));
@@ -125,26 +178,8 @@
 
 void raise_candidate(acceptance_run& run)
 {
-    const revision old = run.candidate_.revision_;
-    const revision next{old.value_ + 1};
-    std::map<std::string, std::string> objects;
-    for (auto& [path, at] : run.candidate_.nodes_) {
-        if (at == old)
-            at = next;
-    }
-    settings_tree tree = std::get<settings_tree>(
-        apply_changes(current_tree(run), run.edit_.changes_));
-    for (const auto& [path, at] : run.candidate_.nodes_) {
-        if (at != next)
-            continue;
-        settings_node& node = tree.nodes_.at(path);
-        node.revision_ = next;
-        objects[node_object_key(path, next)] = to_json(node);
-    }
-    run.candidate_.revision_ = next;
-    run.candidate_.history_.back().revision_ = next;
-    run.unwritten_ = std::move(objects);
-    run.open_.clear();
+    set_revision(run, {run.candidate_tree_.revision_.value_ + 1});
+    make_head(run);
 }
 
 
--- a/src/libsettings/acceptance_run.hpp
+++ b/src/libsettings/acceptance_run.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/settings/acceptance.hpp>
 #include <monsoondock/settings/settings_head.hpp>
+#include <monsoondock/settings/settings_index.hpp>
 #include <monsoondock/settings/settings_tree.hpp>
 
 #include <map>
@@ -32,11 +33,16 @@
     std::uint32_t failures_ = 0;
     std::uint32_t rebases_ = 0;
     head_state current_;
-    /// Nodes of the current head that were read.
+    /// Index of the current head.
+    settings_index index_;
+    /// Nodes of the current index that were read.
     std::map<node_path, settings_node> nodes_;
     /// Revision and head that the edit is to become.
     settings_head candidate_;
-    /// Text of each node object of the candidate that is not written yet.
+    /// Tree that the edit makes of the current one.
+    settings_tree candidate_tree_;
+    /// Text of each node object and of the index object of the candidate that
+    /// is not written yet.
     std::map<std::string, std::string> unwritten_;
     /// True once a head write got no answer and was not resolved.
     bool head_in_doubt_ = false;
@@ -51,7 +57,7 @@
 checked<head_state> read_head(const std::optional<platform::object>& object);
 
 
-/// Returns the nodes of the current head that are not known.
+/// Returns the keys of the nodes of the current index that are not known.
 std::vector<std::string> missing_nodes(const acceptance_run& run);
 
 
--- a/src/libsettings/acceptance_test.cpp
+++ b/src/libsettings/acceptance_test.cpp
@@ -69,6 +69,13 @@
 }
 
 
+settings_index index_in(const platform::memory_store& store)
+{
+    const std::string key = index_object_key(head_of(store).revision_);
+    return std::get<settings_index>(parse_index_json(store.get(key)->value_));
+}
+
+
 const settings_tree BASE =
     tree_with("[\"org/west\"]\n[\"org/deployments/d\"]\n"
               "deployment.kind = \"service\"\ndeployment.idempotent = false\n");
@@ -89,6 +96,26 @@
     return tree;
 }
 
+
+/// Gives the keeper the head and what it asks for.
+void learn(revision_keeper& keeper, const platform::memory_store& store)
+{
+    keeper.on_head(head_of(store));
+    while (!keeper.wanted().empty()) {
+        const std::string key = keeper.wanted().front();
+        keeper.on_object(key, store.get(key)->value_);
+    }
+}
+
+
+/// Adds an acceptance that changes one node.
+void add_change(settings_head& head, const node_path& path)
+{
+    ++head.revision_.value_;
+    const std::vector<node_change> changes{{path, head.revision_}};
+    head.history_.push_back({head.revision_, "x", "", "", changes});
+}
+
 } // namespace
 
 
@@ -97,7 +124,7 @@
     const auto store = store_with_base();
     const settings_head head = head_of(store);
     cr_assert(head.revision_.value_ == 1);
-    cr_assert(head.nodes_.size() == 3);
+    cr_assert(index_in(store).nodes_.size() == 3);
     cr_assert(store.get("settings/nodes/org/west@1").has_value());
     cr_assert(
         store.get(HEAD_KEY)->version_ >
@@ -117,7 +144,7 @@
         edit_of(BASE, changed("org/west", "deployment.spares", "6"), "fast"));
     const auto outcome = finish(store, slow, next);
     cr_assert(std::get<accepted>(outcome).revision_.value_ == 3);
-    cr_assert(head_of(store).nodes_.at({"org/west"}).value_ == 2);
+    cr_assert(index_in(store).nodes_.at({"org/west"}).value_ == 2);
 }
 
 
@@ -146,7 +173,7 @@
     less.nodes_.erase(node_path{"org/west"});
     cr_assert(std::holds_alternative<accepted>(
         accept(store, edit_of(BASE, less, "less"))));
-    cr_assert(head_of(store).nodes_.size() == 2);
+    cr_assert(index_in(store).nodes_.size() == 2);
 }
 
 
@@ -202,15 +229,15 @@
     auto store = store_with_base();
     revision_keeper keeper;
     settings_head head = head_of(store);
-    for (const std::string& key : keeper.on_head(head))
-        keeper.on_node(store.get(key)->value_);
+    learn(keeper, store);
     cr_assert(keeper.in_force_revision().value_ == 1);
-    head.revision_.value_ = 2;
-    head.nodes_[{"org"}].value_ = 2;
+    add_change(head, {"org"});
     cr_assert(
         keeper.on_head(head) ==
         std::vector<std::string>{"settings/nodes/org@2"});
-    keeper.on_node(R"({"path":"org","revision":2,"values":{"new":{"x":1}}})");
+    keeper.on_object(
+        "settings/nodes/org@2",
+        R"({"path":"org","revision":2,"values":{"new":{"x":1}}})");
     cr_assert(keeper.in_force_revision().value_ == 1);
     cr_assert(keeper.faults().size() == 1);
     cr_assert(keeper.on_head(head_of(store)).empty());
@@ -218,13 +245,57 @@
 }
 
 
+Test(revision_keeper, a_listed_change_needs_one_read_and_no_index)
+{
+    auto store = store_with_base();
+    revision_keeper keeper;
+    cr_assert(
+        keeper.on_head(head_of(store)) ==
+        std::vector<std::string>{"settings/index@1"});
+    learn(keeper, store);
+    accept(store, edit_of(BASE, changed("org", "deployment.spares", "5"), "a"));
+    cr_assert(
+        keeper.on_head(head_of(store)) ==
+        std::vector<std::string>{"settings/nodes/org@2"});
+}
+
+
+Test(revision_keeper, a_head_that_does_not_list_all_changes_needs_the_index)
+{
+    auto store = store_with_base();
+    revision_keeper keeper;
+    learn(keeper, store);
+    settings_tree before = BASE;
+    for (std::size_t i = 0; i < HEAD_HISTORY_LIMIT + 1; ++i) {
+        settings_tree after = before;
+        const std::string value = std::to_string(i + 2);
+        cr_assert(!set_value(after, {"org"}, "deployment.spares", value));
+        accept(store, edit_of(before, after, value.c_str()));
+        before = after;
+    }
+    const auto last = head_of(store);
+    cr_assert(last.history_.size() == HEAD_HISTORY_LIMIT);
+    cr_assert(keeper.on_head(last)[0] == index_object_key(last.revision_));
+    learn(keeper, store);
+    cr_assert(diff(*keeper.in_force(), before).empty());
+    settings_tree many = before;
+    for (std::size_t i = 0; i <= MAX_ENTRY_CHANGES; ++i) {
+        const node_path path{"org/r" + std::to_string(i)};
+        many.nodes_[path] = {path, level::region, {}, {}};
+    }
+    accept(store, edit_of(before, many, "many"));
+    cr_assert(is_index_key(keeper.on_head(head_of(store))[0]));
+    learn(keeper, store);
+    cr_assert(diff(*keeper.in_force(), many).empty());
+}
+
+
 Test(revision_keeper, a_bundle_survives_json)
 {
     auto store = store_with_base();
     revision_keeper keeper;
     cr_assert(!keeper.bundle().has_value());
-    for (const std::string& key : keeper.on_head(head_of(store)))
-        keeper.on_node(store.get(key)->value_);
+    learn(keeper, store);
     auto bundle = parse_bundle_json(to_json(*keeper.bundle()));
     revision_keeper other;
     other.on_bundle(std::get<settings_bundle>(bundle));
@@ -243,8 +314,7 @@
     start.deadline_ = base::time_point(5s);
     const base::time_point now(1s);
     cr_assert(!may_serve(start, keeper, base::time_point(9s)));
-    for (const std::string& key : keeper.on_head(head_of(store)))
-        keeper.on_node(store.get(key)->value_);
+    learn(keeper, store);
     cr_assert(!may_serve(start, keeper, base::time_point(9s)));
     on_peer_answer(start, {"a"});
     cr_assert(!may_serve(start, keeper, now));
@@ -252,8 +322,7 @@
     on_peer_answer(start, {"b"});
     cr_assert(may_serve(start, keeper, now));
     settings_head newer = head_of(store);
-    newer.revision_.value_ = 2;
-    newer.nodes_[{"org"}].value_ = 2;
+    add_change(newer, {"org"});
     keeper.on_head(newer);
     cr_assert(!may_serve(start, keeper, now));
 }
--- a/src/libsettings/exploration_test.cpp
+++ b/src/libsettings/exploration_test.cpp
@@ -30,10 +30,11 @@
 }
 
 
-void expect_caught(exploration::rules rules)
+void expect_caught(exploration::rules rules, const std::string& what)
 {
     const auto found = explore(rules);
     cr_assert(found.has_value());
+    cr_assert(found->what_ == what, "%s", found->what_.c_str());
     // Criterion counts a logged warning as a failure.
     std::printf(
         "caught by seed %lu: %s\n",
@@ -59,7 +60,7 @@
 {
     exploration::rules rules;
     rules.keeper_.refuse_older_ = false;
-    expect_caught(rules);
+    expect_caught(rules, "an older revision came into force");
 }
 
 
@@ -67,5 +68,5 @@
 {
     exploration::rules rules;
     rules.acceptance_.read_back_ = false;
-    expect_caught(rules);
+    expect_caught(rules, "an edit reported as accepted was lost");
 }
--- a/src/libsettings/exploration_world_test.cpp
+++ b/src/libsettings/exploration_world_test.cpp
@@ -199,10 +199,17 @@
     const auto head = std::get<settings_head>(parse_head_json(object.value_));
     settings_tree tree;
     tree.revision_ = head.revision_;
-    for (const auto& [path, at] : head.nodes_) {
+    const auto index = store_.get(index_object_key(head.revision_));
+    if (!index) {
+        fail("a head has no index object");
+        return;
+    }
+    const auto named =
+        std::get<settings_index>(parse_index_json(index->value_));
+    for (const auto& [path, at] : named.nodes_) {
         const auto node = store_.get(node_object_key(path, at));
         if (!node) {
-            fail("a head names a node object that is not there");
+            fail("an index names a node object that is not there");
             return;
         }
         tree.nodes_[path] =
@@ -285,10 +292,11 @@
     }
     while (!d.fetches_.empty() && !down_ && chance(80)) {
         const std::size_t i = pick(d.fetches_.size());
-        const auto object = store_.get(d.fetches_[i]);
+        const std::string key = d.fetches_[i];
         d.fetches_.erase(d.fetches_.begin() + static_cast<long>(i));
+        const auto object = store_.get(key);
         if (object && !(faults_ && chance(10)))
-            d.keeper_.on_node(object->value_);
+            d.keeper_.on_object(key, object->value_);
         check(d);
     }
 }
@@ -356,8 +364,10 @@
     const auto head = std::get<settings_head>(parse_head_json(object->value_));
     for (daemon_state& d : daemons_) {
         d.keeper_.on_head(head);
-        for (const std::string& key : d.keeper_.wanted())
-            d.keeper_.on_node(store_.get(key)->value_);
+        while (!d.keeper_.wanted().empty()) {
+            const std::string key = d.keeper_.wanted().front();
+            d.keeper_.on_object(key, store_.get(key)->value_);
+        }
         check(d);
         if (d.keeper_.in_force_revision() != head.revision_)
             fail("a daemon does not have the last revision in force");
--- a/src/libsettings/revision_keeper.cpp
+++ b/src/libsettings/revision_keeper.cpp
@@ -15,7 +15,7 @@
         ++counts_.refused_;
         return {};
     }
-    pending_ = head;
+    pending_ = pending_revision{head, follow(index_, head)};
     try_apply();
     return wanted();
 }
@@ -27,13 +27,43 @@
         ++counts_.refused_;
         return;
     }
-    pending_ = bundle.head_;
+    pending_ = pending_revision{bundle.head_, settings_index{}};
+    pending_->index_->revision_ = bundle.head_.revision_;
+    for (const settings_node& node : bundle.nodes_)
+        pending_->index_->nodes_[node.path_] = node.revision_;
     for (const settings_node& node : bundle.nodes_)
         keep_node(node);
     try_apply();
 }
 
 
+void revision_keeper::on_object(std::string_view key, std::string_view text)
+{
+    if (is_index_key(key))
+        on_index(text);
+    else
+        on_node(text);
+}
+
+
+void revision_keeper::on_index(std::string_view text)
+{
+    if (!pending_ || pending_->index_)
+        return;
+    checked<settings_index> parsed = parse_index_json(text);
+    if (auto* faults = std::get_if<findings>(&parsed)) {
+        reject(std::move(*faults));
+        return;
+    }
+    auto& index = std::get<settings_index>(parsed);
+    // The index of a head that a newer one has replaced comes too late.
+    if (index.revision_ != pending_->head_.revision_)
+        return;
+    pending_->index_ = std::move(index);
+    try_apply();
+}
+
+
 void revision_keeper::on_node(std::string_view text)
 {
     checked<settings_node> parsed = parse_node_json(text);
@@ -52,7 +82,9 @@
     std::vector<std::string> keys;
     if (!pending_)
         return keys;
-    for (const auto& [path, at] : pending_->nodes_) {
+    if (!pending_->index_)
+        return {index_object_key(pending_->head_.revision_)};
+    for (const auto& [path, at] : pending_->index_->nodes_) {
         const auto found = fetched_.find(path);
         if (found == fetched_.end() || found->second.revision_ != at)
             keys.push_back(node_object_key(path, at));
@@ -69,7 +101,7 @@
 
 revision revision_keeper::latest() const
 {
-    return pending_ ? pending_->revision_ : in_force_revision();
+    return pending_ ? pending_->head_.revision_ : in_force_revision();
 }
 
 
@@ -96,10 +128,11 @@
 /// A node that the pending head does not name would only take up room.
 void revision_keeper::keep_node(settings_node node)
 {
-    if (!pending_)
+    if (!pending_ || !pending_->index_)
         return;
-    const auto named = pending_->nodes_.find(node.path_);
-    if (named == pending_->nodes_.end() || named->second != node.revision_)
+    const auto named = pending_->index_->nodes_.find(node.path_);
+    if (named == pending_->index_->nodes_.end() ||
+        named->second != node.revision_)
         return;
     fetched_.insert_or_assign(node.path_, std::move(node));
 }
@@ -118,15 +151,16 @@
     if (!pending_ || !wanted().empty())
         return;
     auto tree = std::make_shared<settings_tree>();
-    tree->revision_ = pending_->revision_;
-    for (const auto& [path, at] : pending_->nodes_)
+    tree->revision_ = pending_->head_.revision_;
+    for (const auto& [path, at] : pending_->index_->nodes_)
         tree->nodes_.emplace(path, fetched_.at(path));
     findings faults = validate(*tree);
     if (!faults.empty()) {
         reject(std::move(faults));
         return;
     }
-    head_ = std::move(*pending_);
+    head_ = std::move(pending_->head_);
+    index_ = std::move(*pending_->index_);
     pending_.reset();
     fetched_ = tree->nodes_;
     in_force_ = std::move(tree);
--- a/src/libsettings/settings_head.cpp
+++ b/src/libsettings/settings_head.cpp
@@ -11,6 +11,20 @@
 namespace json = boost::json;
 
 
+/// Path to revision, null for a removed node; null as a whole when the entry
+/// does not list its changes.
+json::value changes_json(const head_entry& entry)
+{
+    if (!entry.changes_)
+        return nullptr;
+    json::object changes;
+    for (const node_change& change : *entry.changes_)
+        changes[change.path_.value_] =
+            change.at_ ? json::value(change.at_->value_) : json::value(nullptr);
+    return changes;
+}
+
+
 json::array history_json(const std::vector<head_entry>& history)
 {
     json::array list;
@@ -19,7 +33,8 @@
             {"revision", entry.revision_.value_},
             {"token", entry.token_},
             {"author", entry.author_},
-            {"note", entry.note_}});
+            {"note", entry.note_},
+            {"changes", changes_json(entry)}});
     return list;
 }
 
@@ -39,6 +54,21 @@
 }
 
 
+std::optional<std::vector<node_change>> read_changes(const json::value& value)
+{
+    if (value.is_null())
+        return std::nullopt;
+    std::vector<node_change> changes;
+    for (const auto& item : value.as_object()) {
+        node_change change{{std::string(item.key())}, {}};
+        if (!item.value().is_null())
+            change.at_ = read_revision(item.value());
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+
 head_entry read_entry(const json::value& value)
 {
     const json::object& object = value.as_object();
@@ -46,7 +76,8 @@
         read_revision(object.at("revision")),
         read_text(object, "token"),
         read_text(object, "author"),
-        read_text(object, "note")};
+        read_text(object, "note"),
+        read_changes(object.at("changes"))};
 }
 
 
@@ -55,9 +86,6 @@
     const json::object& object = value.as_object();
     settings_head head;
     head.revision_ = read_revision(object.at("revision"));
-    for (const auto& item : object.at("nodes").as_object())
-        head.nodes_.emplace(
-            node_path{std::string(item.key())}, read_revision(item.value()));
     for (const json::value& entry : object.at("history").as_array())
         head.history_.push_back(read_entry(entry));
     return head;
@@ -67,12 +95,8 @@
 
 std::string to_json(const settings_head& head)
 {
-    json::object nodes;
-    for (const auto& [path, at] : head.nodes_)
-        nodes[path.value_] = at.value_;
     json::object object;
     object["revision"] = head.revision_.value_;
-    object["nodes"] = std::move(nodes);
     object["history"] = history_json(head.history_);
     return json::serialize(object);
 }
--- a/src/monsoondockctl/current_tree.cpp
+++ b/src/monsoondockctl/current_tree.cpp
@@ -1,6 +1,7 @@
 #include "current_tree.hpp"
 
 #include <monsoondock/settings/node_codec.hpp>
+#include <monsoondock/settings/settings_index.hpp>
 
 namespace monsoondockctl {
 
@@ -48,16 +49,35 @@
 }
 
 
-base::result<settings::settings_tree> read_tree(platform_session& session)
+base::result<settings::settings_index> read_index(platform_session& session)
 {
     const auto head = read_head(session);
     if (!base::ok(head))
         return base::error(head);
+    const settings::revision at = base::value(head).revision_;
+    if (at == settings::revision{})
+        return settings::settings_index{};
+    const auto read = session.get(settings::index_object_key(at));
+    if (!base::ok(read))
+        return base::error(read);
+    const auto& object = base::value(read);
+    auto index = settings::parse_index_json(object ? object->value_ : "");
+    if (auto* faults = std::get_if<settings::findings>(&index))
+        return corrupt(*faults);
+    return std::get<settings::settings_index>(std::move(index));
+}
+
+
+base::result<settings::settings_tree> read_tree(platform_session& session)
+{
+    const auto index = read_index(session);
+    if (!base::ok(index))
+        return base::error(index);
     std::vector<std::string> keys;
-    for (const auto& [path, at] : base::value(head).nodes_)
+    for (const auto& [path, at] : base::value(index).nodes_)
         keys.push_back(settings::node_object_key(path, at));
     settings::settings_tree tree;
-    tree.revision_ = base::value(head).revision_;
+    tree.revision_ = base::value(index).revision_;
     for (const auto& read : session.get_all(keys)) {
         auto node = to_node(read);
         if (!base::ok(node))
--- a/src/monsoondockctl/current_tree.hpp
+++ b/src/monsoondockctl/current_tree.hpp
@@ -4,6 +4,7 @@
 
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/settings/settings_head.hpp>
+#include <monsoondock/settings/settings_index.hpp>
 #include <monsoondock/settings/settings_tree.hpp>
 
 namespace monsoondockctl {
@@ -13,6 +14,11 @@
 read_head(platform_session& session);
 
 
+/// Reads the index of the accepted tree; revision 0 when there is none.
+monsoondock::base::result<monsoondock::settings::settings_index>
+read_index(platform_session& session);
+
+
 /// Reads the accepted tree; empty when there is none.
 monsoondock::base::result<monsoondock::settings::settings_tree>
 read_tree(platform_session& session);
