--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -7,6 +7,10 @@
 
 #include <monsoondock/base/event_line.hpp>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -14,9 +18,11 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <iomanip>
 #include <sstream>
+#include <tuple>
 #include <variant>
 
 namespace monsoondock::traffic::pvt {
@@ -29,6 +35,8 @@
 
 constexpr std::size_t max_request_id_bytes = 64;
 constexpr std::size_t first_read_bytes = 1024;
+constexpr std::size_t discard_bytes = 4096;
+constexpr std::chrono::milliseconds closing_time{500};
 
 
 // The connection ended or can't be used further, without an answer.
@@ -82,6 +90,30 @@
 }
 
 
+using read_outcome = std::tuple<boost::system::error_code, std::size_t>;
+
+
+asio::awaitable<void> wait_for(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(await_tuple);
+}
+
+
+// Bounds a read by a timer of its own: the stream's would close the socket,
+// and the caller could not be told why.
+asio::awaitable<boost::system::error_code>
+within(asio::awaitable<read_outcome> reading, std::chrono::milliseconds bound)
+{
+    using namespace asio::experimental::awaitable_operators;
+
+    const auto ended = co_await (std::move(reading) || wait_for(bound));
+    if (ended.index() == 0)
+        co_return std::get<0>(std::get<0>(ended));
+    co_return beast::error::timeout;
+}
+
+
 asio::awaitable<read_result>
 read_request(caller_connection& caller, const limits& bounds)
 {
@@ -90,18 +122,20 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(bounds.max_header_bytes_);
     parser.body_limit(bounds.max_body_bytes_);
-    caller.stream_.expires_after(bounds.header_);
-    const auto [head_failure, head_bytes] = co_await http::async_read_header(
-        caller.stream_, caller.buffer_, parser, await_tuple);
+    caller.stream_.expires_never();
+    const auto head_failure = co_await within(
+        http::async_read_header(
+            caller.stream_, caller.buffer_, parser, await_tuple),
+        bounds.header_);
     if (head_failure)
         co_return to_read_result(head_failure);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> go_on(http::status::continue_, 11);
         co_await http::async_write(caller.stream_, go_on, await_tuple);
     }
-    caller.stream_.expires_after(bounds.body_);
-    const auto [body_failure, body_bytes] = co_await http::async_read(
-        caller.stream_, caller.buffer_, parser, await_tuple);
+    const auto body_failure = co_await within(
+        http::async_read(caller.stream_, caller.buffer_, parser, await_tuple),
+        bounds.body_);
     if (body_failure)
         co_return to_read_result(body_failure);
     co_return parser.release();
@@ -239,6 +273,23 @@
     co_return co_await finish(thread, caller, context, std::move(outcome));
 }
 
+// Closing a socket with unread input resets the connection, and the caller
+// could lose the answer; so what still comes is read for a moment.
+asio::awaitable<void> close_gently(caller_connection& caller)
+{
+    boost::system::error_code ignored;
+    caller.stream_.socket().shutdown(
+        asio::ip::tcp::socket::shutdown_send, ignored);
+    caller.stream_.expires_after(closing_time);
+    std::array<char, discard_bytes> bytes{};
+    for (;;) {
+        const auto [failure, size] = co_await caller.stream_.async_read_some(
+            asio::buffer(bytes), await_tuple);
+        if (failure)
+            co_return;
+    }
+}
+
 } // namespace
 
 asio::awaitable<void>
@@ -250,8 +301,7 @@
     caller.stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     while (co_await serve_next(thread, caller)) {
     }
-    caller.stream_.socket().shutdown(
-        asio::ip::tcp::socket::shutdown_send, ignored);
+    co_await close_gently(caller);
 }
 
 } // namespace monsoondock::traffic::pvt
