--- a/src/include/monsoondock/claims/sweep.hpp
+++ b/src/include/monsoondock/claims/sweep.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,11 +20,15 @@
 struct claim_retention
 {
     /// For a claim with an outcome.
-    std::chrono::hours finished_{24};
+    std::chrono::milliseconds finished_ = std::chrono::hours(168);
     /// For a claim whose outcome is not known.
-    std::chrono::hours unresolved_{24 * 30};
+    std::chrono::milliseconds unresolved_ = std::chrono::hours(720);
 };
 
+/// Returns how long the claims of a service are kept.
+using retention_lookup =
+    std::function<claim_retention(const base::deployment_id&)>;
+
 
 /// A claim to delete if it still has this version.
 struct expired_claim
@@ -40,18 +45,20 @@
 std::string sweep_prefix(unsigned range);
 
 
-/// Returns the ranges that self sweeps among all live daemons. Two daemons
-/// that disagree about the members sweep a range twice or leave it for later;
-/// both are harmless.
-std::vector<unsigned>
-sweep_ranges(const base::daemon_id& self, std::vector<base::daemon_id> members);
+/// Returns true when self sweeps the range among members, all live daemons in
+/// any order. Two daemons that disagree about the members sweep a range twice
+/// or leave it for later; both are harmless.
+bool is_sweeper(
+    unsigned range,
+    const base::daemon_id& self,
+    const std::vector<base::daemon_id>& members);
 
 
 /// Picks the oldest claims of one listed range that are past retention, at
 /// most limit of them. One step so costs one read and at most limit writes.
 std::vector<expired_claim> plan_sweep(
     const platform::listing& range,
-    const claim_retention& retention,
+    const retention_lookup& retention,
     wall_time now,
     std::size_t limit);
 
--- a/src/libclaims/sweep.cpp
+++ b/src/libclaims/sweep.cpp
@@ -19,18 +19,19 @@
 };
 
 
-std::chrono::hours
-retention_of(const claim_record& record, const claim_retention& retention)
+std::chrono::milliseconds
+retention_of(const claim_record& record, const retention_lookup& retention)
 {
+    const claim_retention kept = retention(record.call_.service_);
     if (record.phase_ == claim_phase::finished)
-        return retention.finished_;
-    return retention.unresolved_;
+        return kept.finished_;
+    return kept.unresolved_;
 }
 
 
 std::optional<candidate> find_expired(
     const platform::object& object,
-    const claim_retention& retention,
+    const retention_lookup& retention,
     wall_time now)
 {
     const auto decoded = decode_claim(object.value_);
@@ -54,28 +55,24 @@
 }
 
 
-std::vector<unsigned>
-sweep_ranges(const base::daemon_id& self, std::vector<base::daemon_id> members)
+bool is_sweeper(
+    unsigned range,
+    const base::daemon_id& self,
+    const std::vector<base::daemon_id>& members)
 {
-    std::sort(members.begin(), members.end());
     std::vector<std::string> names;
     names.reserve(members.size());
     for (const base::daemon_id& member : members)
         names.push_back(member.value_);
-    std::vector<unsigned> ranges;
-    for (unsigned range = 0; range < SWEEP_RANGE_COUNT; ++range) {
-        const auto first =
-            base::rendezvous_order(sweep_prefix(range), names, 1);
-        if (!first.empty() && names[first.front()] == self.value_)
-            ranges.push_back(range);
-    }
-    return ranges;
+    std::sort(names.begin(), names.end());
+    const auto first = base::rendezvous_order(sweep_prefix(range), names, 1);
+    return !first.empty() && names[first.front()] == self.value_;
 }
 
 
 std::vector<expired_claim> plan_sweep(
     const platform::listing& range,
-    const claim_retention& retention,
+    const retention_lookup& retention,
     wall_time now,
     std::size_t limit)
 {
--- a/src/libclaims/sweep_test.cpp
+++ b/src/libclaims/sweep_test.cpp
@@ -5,13 +5,22 @@
 
 #include <criterion/criterion.h>
 
-#include <set>
 
 using namespace monsoondock;
 using namespace monsoondock::claims;
 using namespace std::chrono_literals;
 
 
+namespace {
+
+claim_retention keep_a_day(const base::deployment_id& /*service*/)
+{
+    return {24h, 720h};
+}
+
+} // namespace
+
+
 Test(sweep, deletes_the_oldest_expired_claims_and_no_more_than_the_limit)
 {
     platform::memory_store store;
@@ -25,12 +34,12 @@
             sweep_prefix(7) + std::to_string(100 - i) + "rest";
         store.put(key, encode(r), platform::if_absent{});
     }
-    const auto plan =
-        plan_sweep(store.list(sweep_prefix(7)), {}, wall_time(34h + 1ms), 4);
+    const auto plan = plan_sweep(
+        store.list(sweep_prefix(7)), keep_a_day, wall_time(34h + 1ms), 4);
     cr_assert(plan.size() == 4);
     cr_assert(plan.front().key_ == "claims/007100rest");
-    const auto all =
-        plan_sweep(store.list(sweep_prefix(7)), {}, wall_time(34h + 1ms), 1000);
+    const auto all = plan_sweep(
+        store.list(sweep_prefix(7)), keep_a_day, wall_time(34h + 1ms), 1000);
     cr_assert(all.size() == 6, "finished ones of the hours 0 to 10");
 }
 
@@ -40,14 +49,12 @@
     std::vector<base::daemon_id> members;
     for (int i = 0; i < 8; ++i)
         members.push_back({std::string("d").append(std::to_string(i))});
-    std::multiset<unsigned> ranges;
-    for (const auto& self : members)
-        for (const unsigned range : sweep_ranges(self, members))
-            ranges.insert(range);
-    cr_assert(ranges.size() == SWEEP_RANGE_COUNT);
-    cr_assert(
-        std::set<unsigned>(ranges.begin(), ranges.end()).size() ==
-        SWEEP_RANGE_COUNT);
+    for (unsigned range = 0; range < SWEEP_RANGE_COUNT; ++range) {
+        int sweepers = 0;
+        for (const auto& self : members)
+            sweepers += is_sweeper(range, self, members);
+        cr_assert(sweepers == 1);
+    }
     const call_key key{{"w"}, {"s"}, {"k"}};
     unsigned holders = 0;
     for (unsigned range = 0; range < SWEEP_RANGE_COUNT; ++range)
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -1,3 +1,4 @@
+#include "claim_sweep.hpp"
 #include "control_state.hpp"
 #include "drain_feed.hpp"
 #include "group_control.hpp"
@@ -135,6 +136,7 @@
     asio::co_spawn(context, run_settings_feed(state), asio::detached);
     asio::co_spawn(context, run_host_feed(state), asio::detached);
     asio::co_spawn(context, run_drain_feed(state), asio::detached);
+    asio::co_spawn(context, run_claim_sweep(state), asio::detached);
     asio::co_spawn(context, run_peer_control(state), asio::detached);
     asio::co_spawn(context, run_group_control(state), asio::detached);
     asio::co_spawn(context, wait_for_signals(state, server), asio::detached);
