traffic: groups are chosen by prefix, corrected load and speed

Cause: the placeholder took the group with the fewest own requests, which knows neither the load of others, cached prefixes nor stragglers.

Change: choose_group uses routing::router. The load of a group is its report corrected by what all threads of this daemon sent and got back since. live_daemons_ names daemons only, since a claim of a restarted one is overdue soon.

--- a/src/include/monsoondock/traffic/routing_snapshot.hpp
+++ b/src/include/monsoondock/traffic/routing_snapshot.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <monsoondock/claims/claim_record.hpp>
+#include <monsoondock/base/identifier.hpp>
 #include <monsoondock/traffic/group_row.hpp>
 #include <monsoondock/traffic/service_row.hpp>
 #include <monsoondock/traffic/workspace_row.hpp>
@@ -28,8 +28,8 @@
     std::vector<service_row> services_;
     /// Caller addresses of the entry hosts that take new callers.
     std::vector<std::string> entry_hosts_;
-    /// Other daemons that are known to live, in their present incarnation.
-    std::vector<claims::claim_owner> live_daemons_;
+    /// Other daemons that are known to live.
+    std::vector<base::daemon_id> live_daemons_;
 };
 
 } // namespace monsoondock::traffic
--- a/src/include/monsoondock/traffic/server.hpp
+++ b/src/include/monsoondock/traffic/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <monsoondock/base/identifier.hpp>
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/metrics/registry.hpp>
 #include <monsoondock/traffic/claim_parts.hpp>
@@ -31,6 +32,8 @@
     limits limits_;
     admin_handler admin_;
     claim_parts claims_;
+    /// Where this daemon is; groups here come first.
+    base::data_centre_id data_centre_;
 };
 
 
--- a/src/include/monsoondock/traffic/upstream_load.hpp
+++ b/src/include/monsoondock/traffic/upstream_load.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 
@@ -15,9 +16,34 @@
     std::atomic<std::uint32_t> reported_running_{0};
     /// Requests that the upstream reported as queued, with a lag.
     std::atomic<std::uint32_t> reported_queued_{0};
+    /// Value of in_flight_ when the report came.
+    std::atomic<std::uint32_t> in_flight_at_report_{0};
     /// Set by a traffic thread when the upstream failed; the control thread
     /// clears it once it has new evidence.
     std::atomic<bool> suspect_{false};
 };
 
+
+/// Takes in what an upstream reports of its load.
+inline void
+take_report(upstream_load& load, std::uint32_t running, std::uint32_t queued)
+{
+    load.reported_running_ = running;
+    load.reported_queued_ = queued;
+    load.in_flight_at_report_ = load.in_flight_.load();
+}
+
+
+/// Returns the number of requests that the upstream is likely to hold: its
+/// report, corrected by what this daemon sent and got back since, and never
+/// less than what this daemon has in progress there.
+inline std::uint32_t estimate_load(const upstream_load& load)
+{
+    const std::int64_t own = load.in_flight_;
+    const std::int64_t reported =
+        std::int64_t{load.reported_running_} + load.reported_queued_;
+    const std::int64_t changed = own - load.in_flight_at_report_;
+    return static_cast<std::uint32_t>(std::max(own, reported + changed));
+}
+
 } // namespace monsoondock::traffic
--- a/src/libdaemon/claim_sweep.cpp
+++ b/src/libdaemon/claim_sweep.cpp
@@ -49,10 +49,9 @@
 
 std::vector<base::daemon_id> sweepers(const control_state& state)
 {
-    std::vector<base::daemon_id> daemons{state.config_.daemon_};
-    const auto snapshot = state.snapshots_.get();
-    for (const claims::claim_owner& owner : snapshot->live_daemons_)
-        daemons.push_back(owner.daemon_);
+    std::vector<base::daemon_id> daemons =
+        state.snapshots_.get()->live_daemons_;
+    daemons.push_back(state.config_.daemon_);
     return daemons;
 }
 
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -167,7 +167,8 @@
          metrics,
          to_limits(config),
          [&admin](const auto& target) { return admin.read(target); },
-         to_claim_parts(config)});
+         to_claim_parts(config),
+         config.data_centre_});
     auto started = server.start(
         to_endpoint(config.caller_address_), config.traffic_threads_);
     if (!base::ok(started))
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -193,6 +193,21 @@
 }
 
 
+// Only a stream of one attempt tells the speed of one group.
+void observe_speed(attempt& a)
+{
+    const auto& report = a.context_.report_;
+    if (report.attempts_ != 1 || !report.first_token_ || report.tokens_ < 2)
+        return;
+    const auto first = a.context_.arrived_ + *report.first_token_;
+    const auto gaps = static_cast<std::int64_t>(report.tokens_ - 1);
+    a.thread_.router_.observe(
+        a.group_.group_,
+        (a.progress_.last_write_ - first) / gaps,
+        a.progress_.last_write_);
+}
+
+
 void keep_connection(attempt& a, const answer_parser& parser)
 {
     if (parser.keep_alive() && a.upstream_->buffer_.size() == 0)
@@ -217,6 +232,7 @@
     }
     if (!splitter.progress_.done_)
         co_return broken(a, "the stream ended without its last event");
+    observe_speed(a);
     keep_connection(a, parser);
     if (!co_await write_last_chunk(a.caller_, bounds_of(a)))
         co_return reply(caller_gone{});
--- a/src/libtraffic/chat_relay.cpp
+++ b/src/libtraffic/chat_relay.cpp
@@ -61,15 +61,15 @@
     chat_progress& progress,
     std::optional<reply>& answer)
 {
-    std::vector<base::group_id> tried;
+    group_question question{progress.chat_.model_, progress.chat_.prefix_, {}};
     while (context.report_.attempts_ < max_attempts) {
         context.snapshot_ = thread.parts_.snapshots_.get();
         const auto snapshot = context.snapshot_;
         const group_row* group = choose_group(
-            *snapshot, progress.chat_.model_, tried, base::boot_clock::now());
+            thread.router_, *snapshot, question, base::boot_clock::now());
         if (group == nullptr)
             break;
-        tried.push_back(group->group_);
+        question.tried_.push_back(group->group_);
         if (context.report_.attempts_ > 0)
             thread.parts_.metrics_.add(
                 metrics::counter::retries, context.label_);
--- a/src/libtraffic/chat_request.cpp
+++ b/src/libtraffic/chat_request.cpp
@@ -8,6 +8,21 @@
 
 namespace {
 
+constexpr std::size_t MAX_PREFIX_BYTES = 1024;
+
+
+std::string read_prefix(const json::value& message)
+{
+    const json::object* fields = message.if_object();
+    const json::value* content =
+        fields == nullptr ? nullptr : fields->if_contains("content");
+    if (content == nullptr || !content->is_string())
+        return {};
+    return std::string(
+        std::string_view(content->get_string()).substr(0, MAX_PREFIX_BYTES));
+}
+
+
 base::problem invalid(const char* message)
 {
     return {base::problem_code::invalid_argument, message, {}};
@@ -30,7 +45,9 @@
         messages->get_array().empty())
         return invalid("`messages` is missing or not a list with a message");
     chat_request request{
-        base::deployment_id{std::string(model->get_string())}, false};
+        base::deployment_id{std::string(model->get_string())},
+        false,
+        read_prefix(messages->get_array().front())};
     if (const json::value* stream = object.if_contains("stream")) {
         if (!stream->is_bool())
             return invalid("`stream` is not true or false");
--- a/src/libtraffic/chat_request.hpp
+++ b/src/libtraffic/chat_request.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/base/result.hpp>
 
+#include <string>
 #include <string_view>
 
 namespace monsoondock::traffic::pvt {
@@ -12,6 +13,9 @@
 {
     base::deployment_id model_;
     bool stream_ = false;
+    /// Start of the first message, by which groups with a cached prefix are
+    /// found; empty when its content is not a text.
+    std::string prefix_;
 };
 
 
--- a/src/libtraffic/claimed_call.cpp
+++ b/src/libtraffic/claimed_call.cpp
@@ -218,20 +218,22 @@
             return claims::owner_status::unknown;
         const auto& owner = base::value(record).owner_;
         bool working = false;
-        if (owner == call_.owner_)
+        if (owner.daemon_ == call_.owner_.daemon_)
             working =
                 thread_.counts_.attempts_.contains(base::value(record).token_);
         else
-            working = is_live(owner);
+            working = is_live(owner.daemon_);
         return working ? claims::owner_status::working
                        : claims::owner_status::unknown;
     }
 
-    bool is_live(const claims::claim_owner& owner) const
+    // Whether it is still in the same incarnation doesn't matter: a claim that
+    // a restarted daemon left is overdue soon.
+    bool is_live(const base::daemon_id& daemon) const
     {
         const auto snapshot = thread_.parts_.snapshots_.get();
         const auto& live = snapshot->live_daemons_;
-        return std::find(live.begin(), live.end(), owner) != live.end();
+        return std::find(live.begin(), live.end(), daemon) != live.end();
     }
 
     asio::awaitable<void> wake(base::time_point time)
--- a/src/libtraffic/group_choice.cpp
+++ b/src/libtraffic/group_choice.cpp
@@ -4,22 +4,50 @@
 
 namespace monsoondock::traffic::pvt {
 
+namespace {
+
+// Load is compared per so many requests; all groups count as equally large.
+constexpr unsigned SLOTS_PER_GROUP = 16;
+
+
+bool may_take(
+    const group_row& row, const group_question& question, base::time_point now)
+{
+    const auto& tried = question.tried_;
+    return row.deployment_ == question.deployment_ && may_dispatch(row, now) &&
+           std::find(tried.begin(), tried.end(), row.group_) == tried.end();
+}
+
+
+// The load is corrected for all threads, so it counts as reported now.
+routing::group_view to_view(const group_row& row, base::time_point now)
+{
+    routing::group_view view;
+    view.group_ = row.group_;
+    view.data_centre_ = row.data_centre_;
+    view.slots_ = SLOTS_PER_GROUP;
+    view.report_ = {estimate_load(*row.load_), 0, now};
+    return view;
+}
+
+} // namespace
+
 const group_row* choose_group(
+    routing::router& router,
     const routing_snapshot& snapshot,
-    const base::deployment_id& deployment,
-    const std::vector<base::group_id>& tried,
+    const group_question& question,
     base::time_point now)
 {
-    const group_row* best = nullptr;
+    std::vector<const group_row*> rows;
+    std::vector<routing::group_view> views;
     for (const group_row& row : snapshot.groups_) {
-        if (row.deployment_ != deployment || !may_dispatch(row, now))
-            continue;
-        if (std::find(tried.begin(), tried.end(), row.group_) != tried.end())
+        if (!may_take(row, question, now))
             continue;
-        if (best == nullptr || row.load_->in_flight_ < best->load_->in_flight_)
-            best = &row;
+        rows.push_back(&row);
+        views.push_back(to_view(row, now));
     }
-    return best;
+    const auto choice = router.choose(question.prefix_, views, now);
+    return choice ? rows[choice->index_] : nullptr;
 }
 
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/group_choice.hpp
+++ b/src/libtraffic/group_choice.hpp
@@ -2,18 +2,31 @@
 
 #include "request_context.hpp"
 
-#include <monsoondock/base/generation.hpp>
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/routing/router.hpp>
 
+#include <string>
 #include <vector>
 
 namespace monsoondock::traffic::pvt {
 
-/// Returns the group of deployment that the request should go to, leaving out
-/// those that were tried before, or null when none may take it at now.
+/// What decides where a completion goes.
+struct group_question
+{
+    base::deployment_id deployment_;
+    /// Start of the prompt, which a group may have cached; may be empty.
+    std::string prefix_;
+    /// Groups that were tried before and are left out.
+    std::vector<base::group_id> tried_;
+};
+
+
+/// Returns the group that the request should go to, or null when none may take
+/// it at now.
 const group_row* choose_group(
+    routing::router& router,
     const routing_snapshot& snapshot,
-    const base::deployment_id& deployment,
-    const std::vector<base::group_id>& tried,
+    const group_question& question,
     base::time_point now);
 
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/traffic_thread.hpp
+++ b/src/libtraffic/traffic_thread.hpp
@@ -4,6 +4,7 @@
 #include "upstream_pool.hpp"
 
 #include <monsoondock/platform/http_client.hpp>
+#include <monsoondock/routing/router.hpp>
 #include <monsoondock/traffic/server.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,10 @@
 {
     traffic_thread(server_parts& parts, server_counts& counts, unsigned seed)
         : parts_(parts), counts_(counts), random_(seed),
+          router_(
+              routing::routing_policy::prefix_affinity,
+              parts.data_centre_,
+              seed),
           store_(
               context_.get_executor(),
               parts.claims_.platform_addresses_,
@@ -41,6 +46,8 @@
     boost::asio::io_context context_{1};
     upstream_pool pool_;
     std::mt19937_64 random_;
+    /// Chooses groups for completions.
+    routing::router router_;
     /// Store of the claims.
     platform::http_client store_;
 };
