daemon: groups led, probed and published by the control thread

Cause: the group protocol was a library that no process ran, so no group was ever formed.

Change: the control thread follows domains/, takes part in the leadership of the domains of its data centre, sends load and unload orders, probes engines, and publishes a row for each group that may take requests with the time until which the evidence holds. A read follows each write whatever its answer. An order asks for the lease again right before it leaves. /admin/groups shows what the daemon sees and why a group takes no requests. The golden session 'groups' brings about a dead host and its repair, a drain, a daemon stopped past its lease and an outage of the platform with a dead host in it, on engines that ignore generations.

Ruled out: proving the lease by the watch (it is not known when the store made what it tells); a lease of the settings longer than 8 s (a release waits for 8 s, so it is capped).

Each daemon still probes all groups itself, because there is no transport between daemons yet; see the limits in docs/design/groups.md.

--- /dev/null
+++ b/src/libdaemon/engine_messages_test.cpp
@@ -0,0 +1,54 @@
+#include "engine_messages.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace monsoondock;
+using namespace monsoondock::daemon;
+
+
+Test(engine_messages, status_is_read)
+{
+    const auto status = parse_engine_status(
+        R"({"host":"h0","group":"a-1","generation":7,"phase":"ready",)"
+        R"("role":"head","deployment":"d","running":3,"queued":2,)"
+        R"("cached_prefixes":0,"checks_generation":true})");
+    cr_assert(base::ok(status));
+    const engine_status& read = base::value(status);
+    cr_assert(read.report_.group_.value_ == "a-1");
+    cr_assert(read.report_.generation_.value_ == 7);
+    cr_assert(read.report_.phase_ == groups::engine_phase::ready);
+    cr_assert(read.report_.running_ == 3 && read.queued_ == 2);
+}
+
+
+Test(engine_messages, malformed_status_is_refused)
+{
+    for (const char* text :
+         {"",
+          "[]",
+          "{}",
+          R"({"group":"a","generation":-1,"phase":"idle","running":0,)"
+          R"("queued":0})",
+          R"({"group":"a","generation":1,"phase":"busy","running":0,)"
+          R"("queued":0})"})
+        cr_assert(!base::ok(parse_engine_status(text)), "%s", text);
+}
+
+
+Test(engine_messages, orders_are_written)
+{
+    groups::host_order order;
+    order.host_.value_ = "h1";
+    order.group_.value_ = "a-1";
+    order.generation_.value_ = 7;
+    order.deployment_.value_ = "d";
+    order.rank_ = 1;
+    cr_assert(
+        encode_order(order, {"x:1", "x:2"}) ==
+        R"({"group":"a-1","generation":7,"order":"load","deployment":"d",)"
+        R"("rank":1,"hosts":["x:1","x:2"]})");
+    order.kind_ = groups::order_kind::unload;
+    cr_assert(
+        encode_order(order, {}) ==
+        R"({"group":"a-1","generation":7,"order":"unload"})");
+}
--- /dev/null
+++ b/src/libdaemon/group_probes.cpp
@@ -0,0 +1,120 @@
+#include "group_probes.hpp"
+
+#include "engine_messages.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/groups/pacing.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace monsoondock::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds PROBE_TIMEOUT{1000};
+
+
+void note_load(group_state& state, const engine_status& status)
+{
+    const auto found = state.loads_.find(status.report_.group_);
+    if (found == state.loads_.end())
+        return;
+    if (status.report_.running_ == 0 && status.queued_ == 0 &&
+        found->second->reported_running_ == 0)
+        return;
+    found->second->reported_running_ = status.report_.running_;
+    found->second->reported_queued_ = status.queued_;
+}
+
+
+void note_answer(
+    group_state& state,
+    const base::host_id& host,
+    base::time_point asked,
+    const std::string& text)
+{
+    auto parsed = parse_engine_status(text);
+    const base::time_point now = base::boot_clock::now();
+    if (!base::ok(parsed)) {
+        base::event_line("engine_status_invalid", base::severity::warning)
+            .field("host", host)
+            .field("reason", base::error(parsed).message_);
+        state.contacts_.note_failure(host, asked);
+        state.evidence_.note_broken(host, now);
+        return;
+    }
+    engine_status& status = base::value(parsed);
+    status.report_.asked_ = asked;
+    status.report_.answered_ = now;
+    state.contacts_.note_report(host, status.report_);
+    state.evidence_.note_report(host, status.report_);
+    note_load(state, status);
+}
+
+
+asio::awaitable<void>
+probe(group_state& state, base::host_id host, asio::ip::tcp::endpoint address)
+{
+    const base::time_point asked = base::boot_clock::now();
+    const auto answer =
+        co_await state.engines_.get_status(address, PROBE_TIMEOUT);
+    state.probing_.erase(host);
+    if (base::ok(answer)) {
+        note_answer(state, host, asked, base::value(answer));
+        co_return;
+    }
+    state.contacts_.note_failure(host, asked);
+    state.evidence_.note_broken(host, base::boot_clock::now());
+}
+
+
+std::size_t observed_hosts(const group_state& state)
+{
+    std::size_t hosts = 0;
+    for (const auto& [domain, known] : state.domains_) {
+        for (const groups::group_record& group : known.record_.groups_)
+            hosts += group.hosts_.size();
+    }
+    return hosts;
+}
+
+} // namespace
+
+void probe_host(
+    group_state& state,
+    const base::host_id& host,
+    std::chrono::milliseconds interval)
+{
+    const auto address = address_of(state.control_, host);
+    const base::time_point now = base::boot_clock::now();
+    base::time_point& last = state.probed_at_[host];
+    if (!address || now - last < interval)
+        return;
+    if (!state.probing_.insert(host).second)
+        return;
+    last = now;
+    asio::co_spawn(
+        state.control_.context_, probe(state, host, *address), asio::detached);
+}
+
+
+void probe_groups(group_state& state)
+{
+    const auto interval = groups::paced_interval(
+        observed_hosts(state),
+        groups::PROBE_BYTES,
+        groups::PROBE_BYTES_PER_SECOND,
+        state.timing_.probe_interval_,
+        state.timing_.longest_probe_interval_);
+    for (const auto& [domain, known] : state.domains_) {
+        for (const groups::group_record& group : known.record_.groups_) {
+            for (const base::host_id& host : group.hosts_)
+                probe_host(state, host, interval);
+        }
+    }
+}
+
+} // namespace monsoondock::daemon
--- /dev/null
+++ b/testsuite/groups/run.py
@@ -0,0 +1,231 @@
+"""Replica groups: forming, loss and repair, drain, a daemon paused past its
+lease, an outage of the platform. Two daemons, one domain of eight hosts whose
+engines ignore generations, groups of two."""
+
+import hashlib
+import socket
+import subprocess
+import time
+
+from session import Dropped, Session, chat, request, wait_until
+
+KEY = "shed-key"
+DAEMONS = ["entry-1", "entry-2"]
+COMPLETIONS = "/v1/chat/completions"
+SLOW_SECONDS = 60
+
+DAEMON_FILE = """
+daemon = "{name}"
+region = "cr-central"
+data_centre = "heredia"
+caller_address = "{caller}"
+peer_address = "{peer}"
+platform_addresses = ["{platform}"]
+peer_secret_file = "{secret}"
+traffic_threads = 1
+"""
+
+TREE_FILE = """
+["resinas"]
+["resinas/cr-central"]
+["resinas/cr-central/heredia"]
+["resinas/deployments/copal-llm"]
+deployment.kind = "model"
+deployment.idempotent = true
+deployment.hosts_per_group = 2
+deployment.min_groups = 2
+deployment.max_groups = 2
+deployment.evidence_lease = "5s"
+["resinas/workspaces/sheds"]
+workspace.api_key_hashes = ["{key_hash}"]
+workspace.request_rate = 1000.0
+workspace.request_burst = 1000
+"""
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def apply_settings(s, platform):
+    key_hash = hashlib.sha256(KEY.encode()).hexdigest()
+    path = s.write_file("tree.toml", TREE_FILE.format(key_hash=key_hash))
+    done = subprocess.run(
+        [s.bin / "monsoondockctl", "settings", "apply", path,
+         "--platform", platform.address],
+        capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stderr
+
+
+def start_daemon(s, name, platform):
+    caller = free_address()
+    secret = s.write_file("peer.secret", "a-secret-of-the-peers-32-bytes-long")
+    config = s.write_file(f"{name}.toml", DAEMON_FILE.format(
+        name=name, caller=caller, peer=free_address(),
+        platform=platform.address, secret=secret))
+    process = s.start(name, "monsoondockd", "--config", config, listeners=0)
+    process.addresses.append(caller)
+    return process
+
+
+def ask(daemon, prompt="a"):
+    """Returns the status of a completion; 0 when the connection dropped."""
+    body = chat(prompt, 2, model="copal-llm")
+    try:
+        return request(daemon.address, "POST", COMPLETIONS, body,
+                       {"Authorization": f"Bearer {KEY}"}).status
+    except Dropped:
+        return 0
+
+
+def groups(daemon):
+    """Returns the groups that are not retired, as the daemon sees them."""
+    answer = request(daemon.address, "GET", "/admin/groups")
+    if answer.status != 200:
+        return []
+    found = [g for d in answer.json()["domains"] for g in d["groups"]]
+    return [g for g in found if g["phase"] != "retired"]
+
+
+def ready(daemon, names=None):
+    """Returns the groups that may take requests."""
+    found = [g for g in groups(daemon) if g["dispatch"] == "allowed"]
+    return [g for g in found if names is None or g["id"] in names]
+
+
+def members(group):
+    return [h["host"] for h in group["hosts"]]
+
+
+def show_groups(s, label, daemon):
+    for g in sorted(ready(daemon), key=lambda g: g["generation"]):
+        s.say(f"{label}: {g['id']} {members(g)} {g['phase']}")
+
+
+def wait_for_groups(daemons, count, what):
+    wait_until(lambda: all(len(ready(d)) == count for d in daemons), what,
+               SLOW_SECONDS)
+
+
+def counts(engine, host):
+    return request(engine.hosts[host], "GET", "/standin/counts").json()
+
+
+def started(engine):
+    return sum(counts(engine, host)["started"] for host in engine.hosts)
+
+
+def dispatched(daemon, group):
+    """Counts the requests that a daemon sent to a group, by its log."""
+    return daemon.log.read_text().count(f"upstream={group} ")
+
+
+def show_host_lost(s, engine, daemons):
+    """A group stops, is retired and repaired with a spare host."""
+    lost = sorted(ready(daemons[0]), key=lambda g: g["generation"])[0]
+    victim = members(lost)[1]
+    begin = time.monotonic()
+    s.fault(engine.hosts[victim], dead=True)
+    wait_until(lambda: not any(ready(d, [lost["id"]]) for d in daemons),
+               "stop of the group")
+    s.say(f"{victim} died: its group stopped within the lease: "
+          f"{time.monotonic() - begin < 5}")
+    s.say(f"other group answers: {ask(daemons[0])} {ask(daemons[1])}")
+    wait_for_groups(daemons, 2, "repaired group")
+    show_groups(s, "after the repair", daemons[1])
+    return victim
+
+
+def show_host_back(s, engine, daemons, victim):
+    s.fault(engine.hosts[victim], dead=False)
+    busy = [h for g in ready(daemons[0]) for h in members(g)]
+    s.say(f"{victim} is back and in no group: {victim not in busy}")
+
+
+def show_drain(s, platform, daemons):
+    """A drained host's group gets no new work within two seconds."""
+    group = sorted(ready(daemons[0]), key=lambda g: g["generation"])[0]
+    host = members(group)[0]
+    begin = time.monotonic()
+    answer = request(platform.address, "PUT", f"/v1/objects/drains/host/{host}",
+                     "{}", {"If-None-Match": "*"})
+    assert answer.status == 200, answer.text()
+    wait_until(lambda: not any(ready(d, [group["id"]]) for d in daemons),
+               "stop of the drained group")
+    s.say(f"{host} drained: its group stopped within 2 s: "
+          f"{time.monotonic() - begin < 2}")
+    wait_for_groups(daemons, 2, "group in place of the drained one")
+    show_groups(s, "after the drain", daemons[1])
+
+
+def show_paused_daemon(s, engine, daemons):
+    """A daemon stopped past its lease sends nothing to a retired group. Its
+    engines would run what it sent, so the counts would tell."""
+    awake, paused = daemons
+    old = sorted(ready(awake), key=lambda g: g["generation"])[0]
+    victim = members(old)[1]
+    s.pause(paused)
+    s.fault(engine.hosts[victim], dead=True)
+    wait_for_groups([awake], 1, "stop of the group")
+    wait_for_groups([awake], 2, "repaired group")
+    before = started(engine)
+    sent = dispatched(paused, old["id"])
+    s.resume(paused)
+    answers = [ask(paused) for _ in range(5)]
+    ran = started(engine) - before
+    s.say(f"resumed daemon: every answer was run once or refused: "
+          f"{answers.count(200) == ran and set(answers) <= {200, 503}}")
+    s.say(f"resumed daemon sent to the retired group: "
+          f"{dispatched(paused, old['id']) - sent}")
+    s.say(f"resumed daemon may use the retired group: "
+          f"{bool(ready(paused, [old['id']]))}")
+    wait_for_groups([paused], 2, "fresh view")
+    s.say(f"resumed daemon answers: {ask(paused)}")
+    s.fault(engine.hosts[victim], dead=False)
+
+
+def show_outage(s, engine, platform, daemons):
+    """Groups serve on without the platform; a lost host is not replaced."""
+    s.fault(platform.address, down=True)
+    time.sleep(1)
+    s.say(f"outage: {[ask(d) for d in daemons]}")
+    kept = sorted(ready(daemons[0]), key=lambda g: g["generation"])
+    victim = members(kept[0])[0]
+    s.fault(engine.hosts[victim], dead=True)
+    wait_for_groups(daemons, 1, "stop of the group in the outage")
+    time.sleep(12)
+    s.say(f"outage with a dead host: groups left "
+          f"{[len(ready(d)) for d in daemons]}, answers "
+          f"{[ask(d) for d in daemons]}")
+    s.fault(platform.address, down=False)
+    wait_for_groups(daemons, 2, "repair after the outage")
+    s.say(f"after the outage: {[ask(d) for d in daemons]}")
+
+
+def main():
+    with Session() as s:
+        platform = s.start(
+            "platform", "monsoondock-platform-standin")
+        apply_settings(s, platform)
+        engine = s.start(
+            "engine", "monsoondock-engine-standin", "--count", 8,
+            "--ignore_generation", "--platform", platform.address,
+            "--token_ms", 1, "--first_token_ms", 1, listeners=8)
+        daemons = [start_daemon(s, name, platform) for name in DAEMONS]
+        for daemon in daemons:
+            wait_until(lambda: ask(daemon) == 200, "first answer",
+                       SLOW_SECONDS)
+        wait_for_groups(daemons, 2, "groups")
+        show_groups(s, "formed", daemons[0])
+        victim = show_host_lost(s, engine, daemons)
+        show_host_back(s, engine, daemons, victim)
+        show_drain(s, platform, daemons)
+        show_paused_daemon(s, engine, daemons)
+        show_outage(s, engine, platform, daemons)
+        for daemon in daemons:
+            s.say(f"exit status: {s.stop(daemon)}")
+
+
+main()
