--- a/src/include/monsoondock/settings/acceptance.hpp
+++ b/src/include/monsoondock/settings/acceptance.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/settings/acceptance_outcome.hpp>
 #include <monsoondock/settings/settings_edit.hpp>
+#include <monsoondock/settings/settings_head.hpp>
 #include <monsoondock/settings/store_answer.hpp>
 #include <monsoondock/settings/store_call.hpp>
 
@@ -22,6 +23,8 @@
     std::uint32_t max_rebases_ = 16;
     /// Wait before the first repeated call; it doubles with each failure.
     std::chrono::milliseconds first_delay_{50};
+    /// Acceptances that the head is to remember.
+    std::size_t max_history_ = HEAD_HISTORY_LIMIT;
     /// False leaves out the read after a lost answer, for tests of the tests.
     bool read_back_ = true;
 };
--- a/src/include/monsoondock/settings/revision_keeper.hpp
+++ b/src/include/monsoondock/settings/revision_keeper.hpp
@@ -60,6 +60,11 @@
     void on_object(std::string_view key, std::string_view text);
 
 
+    /// Notes that the store has no such object. A newer head has replaced the
+    /// one on its way then, so this one is given up.
+    void on_missing(std::string_view key);
+
+
     /// Returns the keys of the objects that are still missing.
     std::vector<std::string> wanted() const;
 
--- a/src/include/monsoondock/settings/settings_head.hpp
+++ b/src/include/monsoondock/settings/settings_head.hpp
@@ -43,6 +43,8 @@
 struct settings_head
 {
     revision revision_;
+    /// Revision before the oldest of the history; 0 when there is none.
+    revision before_history_;
     /// Latest acceptances, the newest last, at most HEAD_HISTORY_LIMIT.
     std::vector<head_entry> history_;
 
--- a/src/include/monsoondock/settings/settings_index.hpp
+++ b/src/include/monsoondock/settings/settings_index.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace monsoondock::settings {
 
@@ -35,6 +36,13 @@
 follow(const settings_index& from, const settings_head& head);
 
 
+/// Returns the keys of the node objects that older names and newer does not,
+/// and at the end the key of the index object of older. Once the head has
+/// moved past both, nothing names them any more and nothing ever will.
+std::vector<std::string>
+superseded_keys(const settings_index& older, const settings_index& newer);
+
+
 /// Returns the JSON text of an index.
 std::string to_json(const settings_index& index);
 
--- a/src/libdaemon/settings_feed.cpp
+++ b/src/libdaemon/settings_feed.cpp
@@ -50,7 +50,10 @@
     if (!base::ok(read))
         co_return false;
     const auto& object = base::value(read);
-    state.settings_keeper_.on_object(key, object ? object->value_ : "");
+    if (object)
+        state.settings_keeper_.on_object(key, object->value_);
+    else
+        state.settings_keeper_.on_missing(key);
     apply_settings(state);
     co_return true;
 }
--- a/src/libsettings/acceptance_run.cpp
+++ b/src/libsettings/acceptance_run.cpp
@@ -67,8 +67,10 @@
         entry.changes_.reset();
     auto& history = run.candidate_.history_;
     history.push_back(std::move(entry));
-    if (history.size() > HEAD_HISTORY_LIMIT)
-        history.erase(history.begin());
+    if (history.size() <= run.rules_.max_history_)
+        return;
+    run.candidate_.before_history_ = history.front().revision_;
+    history.erase(history.begin());
 }
 
 
--- a/src/libsettings/exploration_world_test.cpp
+++ b/src/libsettings/exploration_world_test.cpp
@@ -199,14 +199,12 @@
     const auto head = std::get<settings_head>(parse_head_json(object.value_));
     settings_tree tree;
     tree.revision_ = head.revision_;
-    const auto index = store_.get(index_object_key(head.revision_));
+    const auto index = read_index(head.revision_);
     if (!index) {
         fail("a head has no index object");
         return;
     }
-    const auto named =
-        std::get<settings_index>(parse_index_json(index->value_));
-    for (const auto& [path, at] : named.nodes_) {
+    for (const auto& [path, at] : index->nodes_) {
         const auto node = store_.get(node_object_key(path, at));
         if (!node) {
             fail("an index names a node object that is not there");
@@ -240,13 +238,47 @@
 void world::note_outcome(const operator_state& op)
 {
     const acceptance_outcome& outcome = *op.acceptance_->outcome();
-    if (const auto* yes = std::get_if<accepted>(&outcome))
+    if (const auto* yes = std::get_if<accepted>(&outcome)) {
         reported_.push_back({yes->revision_, op.edit_.token_});
-    else if (!std::holds_alternative<acceptance_unknown>(outcome))
+        sweep();
+    } else if (!std::holds_alternative<acceptance_unknown>(outcome))
         denied_.push_back(op.edit_.token_);
 }
 
 
+/// Deletes what the oldest acceptances of the head have superseded; now and
+/// then the operator's process ends in the middle.
+void world::sweep()
+{
+    const auto head_object = store_.get(HEAD_KEY);
+    if (!head_object)
+        return;
+    const auto head =
+        std::get<settings_head>(parse_head_json(head_object->value_));
+    if (head.before_history_ == revision{})
+        return;
+    const auto older = read_index(head.before_history_);
+    const auto newer = read_index(head.history_.front().revision_);
+    if (!older || !newer)
+        return;
+    for (const std::string& key : superseded_keys(*older, *newer)) {
+        if (chance(5))
+            return;
+        if (const auto object = store_.get(key))
+            store_.erase(key, object->version_);
+    }
+}
+
+
+std::optional<settings_index> world::read_index(revision at) const
+{
+    const auto object = store_.get(index_object_key(at));
+    if (!object)
+        return std::nullopt;
+    return std::get<settings_index>(parse_index_json(object->value_));
+}
+
+
 /// The watch sees heads in order; peers' bundles come late and in any order.
 void world::poll(daemon_state& d)
 {
@@ -295,8 +327,12 @@
         const std::string key = d.fetches_[i];
         d.fetches_.erase(d.fetches_.begin() + static_cast<long>(i));
         const auto object = store_.get(key);
-        if (object && !(faults_ && chance(10)))
+        if (faults_ && chance(10))
+            continue;
+        if (object)
             d.keeper_.on_object(key, object->value_);
+        else
+            d.keeper_.on_missing(key);
         check(d);
     }
 }
@@ -362,11 +398,18 @@
     if (!object)
         return;
     const auto head = std::get<settings_head>(parse_head_json(object->value_));
+    // A daemon that starts now must find all objects that it needs.
+    daemons_.push_back({revision_keeper(rules_.keeper_), {}, {}, {}, {}, {}});
     for (daemon_state& d : daemons_) {
         d.keeper_.on_head(head);
         while (!d.keeper_.wanted().empty()) {
             const std::string key = d.keeper_.wanted().front();
-            d.keeper_.on_object(key, store_.get(key)->value_);
+            const auto wanted = store_.get(key);
+            if (!wanted) {
+                fail("an object in use is not there: " + key);
+                return;
+            }
+            d.keeper_.on_object(key, wanted->value_);
         }
         check(d);
         if (d.keeper_.in_force_revision() != head.revision_)
--- a/src/libsettings/exploration_world_test.hpp
+++ b/src/libsettings/exploration_world_test.hpp
@@ -79,6 +79,10 @@
 
     void note_outcome(const operator_state& op);
 
+    void sweep();
+
+    std::optional<settings_index> read_index(revision at) const;
+
     void poll(daemon_state& d);
 
     void learn(daemon_state& d);
--- a/src/libsettings/revision_keeper.cpp
+++ b/src/libsettings/revision_keeper.cpp
@@ -2,6 +2,7 @@
 #include <monsoondock/settings/revision_keeper.hpp>
 #include <monsoondock/settings/validate.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace monsoondock::settings {
@@ -46,6 +47,14 @@
 }
 
 
+void revision_keeper::on_missing(std::string_view key)
+{
+    const auto keys = wanted();
+    if (std::find(keys.begin(), keys.end(), key) != keys.end())
+        pending_.reset();
+}
+
+
 void revision_keeper::on_index(std::string_view text)
 {
     if (!pending_ || pending_->index_)
--- a/src/libsettings/settings_head.cpp
+++ b/src/libsettings/settings_head.cpp
@@ -86,6 +86,7 @@
     const json::object& object = value.as_object();
     settings_head head;
     head.revision_ = read_revision(object.at("revision"));
+    head.before_history_ = read_revision(object.at("before_history"));
     for (const json::value& entry : object.at("history").as_array())
         head.history_.push_back(read_entry(entry));
     return head;
@@ -97,6 +98,7 @@
 {
     json::object object;
     object["revision"] = head.revision_.value_;
+    object["before_history"] = head.before_history_.value_;
     object["history"] = history_json(head.history_);
     return json::serialize(object);
 }
--- a/src/libsettings/settings_index.cpp
+++ b/src/libsettings/settings_index.cpp
@@ -1,3 +1,4 @@
+#include <monsoondock/settings/node_codec.hpp>
 #include <monsoondock/settings/settings_index.hpp>
 
 #include <boost/json.hpp>
@@ -70,6 +71,20 @@
 }
 
 
+std::vector<std::string>
+superseded_keys(const settings_index& older, const settings_index& newer)
+{
+    std::vector<std::string> keys;
+    for (const auto& [path, at] : older.nodes_) {
+        const auto now = newer.nodes_.find(path);
+        if (now == newer.nodes_.end() || now->second != at)
+            keys.push_back(node_object_key(path, at));
+    }
+    keys.push_back(index_object_key(older.revision_));
+    return keys;
+}
+
+
 std::string to_json(const settings_index& index)
 {
     json::object nodes;
--- a/src/monsoondockctl/accept_edit.cpp
+++ b/src/monsoondockctl/accept_edit.cpp
@@ -2,6 +2,7 @@
 
 #include "failure.hpp"
 #include "print.hpp"
+#include "sweep_settings.hpp"
 
 #include <monsoondock/settings/acceptance.hpp>
 
@@ -132,7 +133,10 @@
     const std::vector<settings::tree_change>& changes)
 {
     settings::settings_edit edit{changes, o.author_, o.note_, random_token()};
-    return std::visit(reporter{o}, run(session, std::move(edit)));
+    const settings::acceptance_outcome outcome = run(session, std::move(edit));
+    if (std::holds_alternative<settings::accepted>(outcome))
+        sweep_settings(session);
+    return std::visit(reporter{o}, outcome);
 }
 
 } // namespace monsoondockctl
--- a/testsuite/settings/run.py
+++ b/testsuite/settings/run.py
@@ -136,6 +136,25 @@
     operator.run("settings", "status")
 
 
+def count_objects(store):
+    path = "/v1/objects?prefix=settings/"
+    return len(request(store, "GET", path).json()["objects"])
+
+
+def show_sweep(s, operator, store):
+    s.say("## many changes leave no old objects behind")
+    heredia = "resinas/cr-central/heredia"
+    for i in range(40):
+        subprocess.run(
+            [str(s.bin / "monsoondockctl"), "settings", "set", heredia,
+             "deployment.spares", str(10 + i), "--platform", store],
+            check=True, capture_output=True)
+    # The head, its 32 acceptances and the one before each with an index and
+    # the node that it changed, and the nodes that did not change.
+    s.say(f"at most 32 + 1 of each kind: {count_objects(store) <= 2 * 33 + 20}")
+    operator.run("settings", "get", heredia)
+
+
 def show_drains(s, operator):
     s.say("## drains")
     operator.run("drain", "host", "h-1", "--note", "fan broken")
@@ -155,6 +174,7 @@
         show_changes(s, operator)
         show_faults(s, operator, store)
         show_daemons(s, operator, store)
+        show_sweep(s, operator, store)
         show_drains(s, operator)
 
 
