--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -39,6 +39,8 @@
     chat_progress& progress_;
     const group_row& group_;
     std::unique_ptr<upstream_connection> upstream_;
+    /// What holds when this attempt did not run.
+    run_state run_before_ = run_state::unsent;
 };
 
 
@@ -114,6 +116,7 @@
 attempt_result not_run(attempt& a, std::string_view reason)
 {
     a.group_.load_->suspect_ = true;
+    a.progress_.run_ = a.run_before_;
     base::event_line("dispatch_refused", base::severity::warning)
         .field("request", a.context_.id_)
         .field("group", a.group_.group_)
@@ -311,7 +314,7 @@
     chat_progress& progress,
     const group_row& group)
 {
-    attempt a{thread, caller, context, progress, group, nullptr};
+    attempt a{thread, caller, context, progress, group, nullptr, progress.run_};
     const dispatch_ticket ticket(group.load_);
     ++context.report_.attempts_;
     context.report_.upstream_ = group.group_.value_;
--- a/src/libtraffic/upstream_connection.cpp
+++ b/src/libtraffic/upstream_connection.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/asio/this_coro.hpp>
 
+#include <cerrno>
+#include <sys/socket.h>
+
 namespace monsoondock::traffic::pvt {
 
 namespace asio = boost::asio;
@@ -23,4 +26,18 @@
     co_return c;
 }
 
+
+bool is_quiet(upstream_connection& c)
+{
+    if (c.buffer_.size() > 0)
+        return false;
+    char byte = 0;
+    const auto received = ::recv(
+        c.stream_.socket().native_handle(),
+        &byte,
+        sizeof(byte),
+        MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/upstream_connection.hpp
+++ b/src/libtraffic/upstream_connection.hpp
@@ -30,4 +30,9 @@
 boost::asio::awaitable<std::unique_ptr<upstream_connection>> connect_upstream(
     boost::asio::ip::tcp::endpoint address, std::chrono::milliseconds timeout);
 
+
+/// Returns true when nothing came on an idle connection and the upstream has
+/// not closed it: what comes unasked belongs to no request of ours.
+bool is_quiet(upstream_connection& c);
+
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/upstream_pool.cpp
+++ b/src/libtraffic/upstream_pool.cpp
@@ -5,12 +5,14 @@
 std::unique_ptr<upstream_connection> upstream_pool::take(const pool_key& key)
 {
     drop_older(key);
-    const auto found = idle_.find(key);
-    if (found == idle_.end() || found->second.empty())
-        return nullptr;
-    auto c = std::move(found->second.back());
-    found->second.pop_back();
-    return c;
+    auto& kept = idle_[key];
+    while (!kept.empty()) {
+        auto c = std::move(kept.back());
+        kept.pop_back();
+        if (is_quiet(*c))
+            return c;
+    }
+    return nullptr;
 }
 
 
