monsoondockctl: settings status asks all daemons at once; daemon: cold start ends by itself

Asked one after the other, a data centre of daemons that do not answer would hold the answer up for a timeout each. The end of the wait after a start may come without an event (its deadline, or a peer that fails to answer), so the daemon looks every 100 ms until it has settings.

--- a/src/libdaemon/settings_feed.cpp
+++ b/src/libdaemon/settings_feed.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds MIN_INTERVAL{200};
 constexpr std::chrono::milliseconds FETCH_PAUSE{200};
 constexpr std::chrono::milliseconds COLD_START_LIMIT{3000};
+constexpr std::chrono::milliseconds COLD_START_POLL{100};
 
 
 asio::awaitable<void>
@@ -84,6 +85,16 @@
     }
 }
 
+
+/// The end of the wait after a start may come without any event.
+asio::awaitable<void> finish_cold_start(control_state& state)
+{
+    while (state.settings_ == nullptr) {
+        co_await sleep_for(state, COLD_START_POLL);
+        apply_settings(state);
+    }
+}
+
 } // namespace
 
 asio::awaitable<void> run_settings_feed(control_state& state)
@@ -92,6 +103,7 @@
     apply_settings(state);
     const auto wake = std::make_shared<asio::steady_timer>(state.context_);
     asio::co_spawn(state.context_, fetch_wanted(state, wake), asio::detached);
+    asio::co_spawn(state.context_, finish_cold_start(state), asio::detached);
     feed_handlers handlers;
     handlers.reset_ = [&state](const platform::listing& all) {
         state.cold_start_.store_answered_ = true;
--- a/src/monsoondockctl/daemon_call.cpp
+++ b/src/monsoondockctl/daemon_call.cpp
@@ -84,6 +84,24 @@
     return parsed;
 }
 
+
+/// Makes one call; an answer replaces result.
+void start_call(
+    asio::io_context& context,
+    const settings::socket_address& daemon,
+    http::request<http::empty_body> request,
+    std::chrono::milliseconds timeout,
+    json_result& result)
+{
+    asio::co_spawn(
+        context,
+        exchange(daemon, std::move(request), timeout),
+        [&result](const std::exception_ptr& error, const response& answer) {
+            if (!error)
+                result = to_json(answer);
+        });
+}
+
 } // namespace
 
 json_result get_from_daemon(
@@ -93,18 +111,33 @@
     const std::string& bearer)
 {
     asio::io_context context;
-    std::optional<response> answer;
-    asio::co_spawn(
-        context,
-        exchange(daemon, make_request(daemon, target, bearer), timeout),
-        [&](const std::exception_ptr& error, response r) {
-            if (!error)
-                answer = std::move(r);
-        });
+    json_result result = no_answer(daemon);
+    start_call(
+        context, daemon, make_request(daemon, target, bearer), timeout, result);
+    context.run();
+    return result;
+}
+
+
+std::vector<json_result> get_from_daemons(
+    const std::vector<settings::socket_address>& daemons,
+    const std::string& target,
+    std::chrono::milliseconds timeout)
+{
+    asio::io_context context;
+    std::vector<json_result> results;
+    results.reserve(daemons.size());
+    for (const settings::socket_address& daemon : daemons) {
+        results.emplace_back(no_answer(daemon));
+        start_call(
+            context,
+            daemon,
+            make_request(daemon, target, {}),
+            timeout,
+            results.back());
+    }
     context.run();
-    if (!answer)
-        return no_answer(daemon);
-    return to_json(*answer);
+    return results;
 }
 
 
--- a/src/monsoondockctl/daemon_call.hpp
+++ b/src/monsoondockctl/daemon_call.hpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace monsoondockctl {
 
@@ -21,7 +22,15 @@
     const std::string& bearer = {});
 
 
-/// Like the function above, for the daemon of --daemon.
+/// Sends GET target to several daemons at the same time; answers in their
+/// order.
+std::vector<monsoondock::base::result<boost::json::value>> get_from_daemons(
+    const std::vector<monsoondock::settings::socket_address>& daemons,
+    const std::string& target,
+    std::chrono::milliseconds timeout);
+
+
+/// Like the first function above, for the daemon of --daemon.
 monsoondock::base::result<boost::json::value> get_from_daemon(
     const options& o,
     const std::string& target,
--- a/src/monsoondockctl/settings_status.cpp
+++ b/src/monsoondockctl/settings_status.cpp
@@ -43,14 +43,10 @@
 }
 
 
-/// Returns the revision that a daemon has in force, or nothing.
+/// Returns the revision in force that a daemon's answer names, or nothing.
 std::optional<std::uint64_t>
-ask(const daemon_entry& entry, std::chrono::milliseconds timeout)
+in_force_of(const base::result<json::value>& answer)
 {
-    const auto address = settings::parse_socket_address(entry.address_);
-    if (!address)
-        return std::nullopt;
-    const auto answer = get_from_daemon(*address, "/admin/settings", timeout);
     if (!base::ok(answer) || !base::value(answer).is_object())
         return std::nullopt;
     const json::value* revision =
@@ -61,10 +57,34 @@
 }
 
 
-json::object
-row_of(const daemon_entry& entry, std::uint64_t accepted, const options& o)
+/// Asks all daemons at once; one without a valid address has not answered.
+std::vector<std::optional<std::uint64_t>>
+ask(const std::vector<daemon_entry>& entries, std::chrono::milliseconds timeout)
+{
+    std::vector<settings::socket_address> addresses;
+    std::vector<std::size_t> positions;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const auto address =
+            settings::parse_socket_address(entries[i].address_);
+        if (!address)
+            continue;
+        addresses.push_back(*address);
+        positions.push_back(i);
+    }
+    const auto answers =
+        get_from_daemons(addresses, "/admin/settings", timeout);
+    std::vector<std::optional<std::uint64_t>> revisions(entries.size());
+    for (std::size_t i = 0; i < answers.size(); ++i)
+        revisions[positions[i]] = in_force_of(answers[i]);
+    return revisions;
+}
+
+
+json::object row_of(
+    const daemon_entry& entry,
+    std::uint64_t accepted,
+    std::optional<std::uint64_t> in_force)
 {
-    const auto in_force = ask(entry, o.timeout_);
     const char* state = "not answering";
     if (in_force)
         state = *in_force >= accepted ? "in force" : "behind";
@@ -91,8 +111,10 @@
     const std::uint64_t accepted = base::value(head).revision_.value_;
     json::array rows;
     std::size_t missing_count = 0;
-    for (const daemon_entry& entry : base::value(daemons)) {
-        rows.push_back(row_of(entry, accepted, r.options_));
+    const auto& entries = base::value(daemons);
+    const auto revisions = ask(entries, r.options_.timeout_);
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        rows.push_back(row_of(entries[i], accepted, revisions[i]));
         if (rows.back().at("state") != "in force")
             ++missing_count;
     }
@@ -105,7 +127,7 @@
         exit_code::failed,
         "the accepted revision is not in force on " +
             std::to_string(missing_count) + " of " +
-            std::to_string(base::value(daemons).size()) + " daemons",
+            std::to_string(entries.size()) + " daemons",
         "look at the daemons named above");
 }
 
