daemon: membership, ranked entry hosts, settings from peers in an outage

Cause: the peer control was empty; callers got no entry hosts, and a daemon that started during an outage of the platform had no settings.

Change: each daemon registers under daemons/ with an incarnation above that of its life before, joins through the others or peer_seeds (new key), tells its status, and posts /admin/members. GET /v1/entry-hosts ranks up to 8 hosts that are alive and open: own data centre first, then own region, by rendezvous on the workspace. A daemon is open once it has settings and the list of hosts and neither drains nor stops; it tells leave at a planned stop and its exit at the end. A daemon without settings, or one that misses a revision for 500 ms, asks peers. A peer address that can't be used ends the daemon with a problem. A drain that settles during a planned stop no longer takes the stop back.

Left: a daemon that starts in an outage has settings but no list of hosts, so it stays closed until the platform answers.

Shown by: golden-peers (four daemons over loopback), daemon_test, traffic_test.

--- a/src/include/monsoondock/settings/daemon_config.hpp
+++ b/src/include/monsoondock/settings/daemon_config.hpp
@@ -27,6 +27,9 @@
     socket_address peer_address_;
     /// Addresses of the platform, tried in turn.
     std::vector<socket_address> platform_addresses_;
+    /// Peer addresses of daemons to join through when the platform can't be
+    /// asked; may be empty.
+    std::vector<socket_address> peer_seeds_;
     /// File with the secret that authenticates messages between daemons. A
     /// relative path starts at the folder of the configuration file.
     std::filesystem::path peer_secret_file_;
--- a/src/include/monsoondock/traffic/routing_snapshot.hpp
+++ b/src/include/monsoondock/traffic/routing_snapshot.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/traffic/entry_host_row.hpp>
 #include <monsoondock/traffic/group_row.hpp>
 #include <monsoondock/traffic/service_row.hpp>
 #include <monsoondock/traffic/workspace_row.hpp>
@@ -26,8 +27,8 @@
     std::vector<base::deployment_id> models_;
     std::vector<group_row> groups_;
     std::vector<service_row> services_;
-    /// Caller addresses of the entry hosts that take new callers.
-    std::vector<std::string> entry_hosts_;
+    /// Entry hosts that take new callers.
+    std::vector<entry_host_row> entry_hosts_;
     /// Other daemons that are known to live.
     std::vector<base::daemon_id> live_daemons_;
 };
--- a/src/libdaemon/control_state.hpp
+++ b/src/libdaemon/control_state.hpp
@@ -4,7 +4,9 @@
 #include "drain_table.hpp"
 #include "host_record.hpp"
 
+#include <monsoondock/base/problem.hpp>
 #include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/peer/service.hpp>
 #include <monsoondock/platform/http_client.hpp>
 #include <monsoondock/settings/cold_start.hpp>
 #include <monsoondock/settings/daemon_config.hpp>
@@ -15,8 +17,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -47,13 +51,24 @@
     drain_table drains_{};
     /// Groups that may take requests, kept by the group control.
     std::vector<traffic::group_row> groups_{};
-    /// Caller addresses of open entry hosts, kept by the peer control.
-    std::vector<std::string> entry_hosts_{};
+    /// Open entry hosts, kept by the peer control.
+    std::vector<traffic::entry_host_row> entry_hosts_{};
+    /// The daemon among its peers; null until the peer control has started.
+    std::unique_ptr<peer::service> peers_{};
+    /// Takes a body on the channel for verdicts, set by the group control.
+    std::function<void(const base::daemon_id& sender, const std::string& body)>
+        on_verdict_{};
+    /// Returns the load in thousandths of what the daemon may take.
+    std::function<std::uint16_t()> load_permille_{};
     /// Loads of plain services' hosts; they outlive single snapshots.
     std::map<base::host_id, std::shared_ptr<traffic::upstream_load>>
         service_loads_{};
     /// True from the start of a planned stop or an operator's drain.
     bool draining_ = false;
+    /// Why the control thread gave up; the daemon ends with it.
+    std::optional<base::problem> failure_{};
+    /// True from the start of a planned stop.
+    bool stopping_ = false;
 };
 
 
--- a/src/libdaemon/drain_feed.cpp
+++ b/src/libdaemon/drain_feed.cpp
@@ -46,8 +46,8 @@
             add(state.drains_, c.object_.key_);
     };
     handlers.settled_ = [&state] {
-        state.draining_ =
-            state.drains_.daemons_.contains(state.config_.daemon_);
+        state.draining_ = state.stopping_ || state.drains_.daemons_.contains(
+                                                 state.config_.daemon_);
         publish_snapshot(state);
     };
     co_await follow_prefix(
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <csignal>
 
 namespace monsoondock::daemon {
@@ -101,6 +102,7 @@
     base::event_line("stopping")
         .field("daemon", state.config_.daemon_)
         .field("active_requests", server.active_requests());
+    state.stopping_ = true;
     state.draining_ = true;
     publish_snapshot(state);
     asio::steady_timer timer(
@@ -130,6 +132,15 @@
 }
 
 
+std::uint16_t
+load_permille(const traffic::server& server, const settings::daemon_config& c)
+{
+    const std::uint64_t share =
+        server.active_requests() * 1000 / c.admission_.max_connections_;
+    return static_cast<std::uint16_t>(std::min<std::uint64_t>(share, 1000));
+}
+
+
 void spawn_all(control_state& state, traffic::server& server)
 {
     auto& context = state.context_;
@@ -177,9 +188,16 @@
         .field("daemon", config.daemon_)
         .field("data_centre", config.data_centre_)
         .field("caller_address", settings::to_string(config.caller_address_));
+    state.load_permille_ = [&] {
+        return load_permille(server, config);
+    };
     spawn_all(state, server);
     context.run();
+    if (state.peers_ != nullptr)
+        state.peers_->stop();
     server.stop();
+    if (state.failure_)
+        return *state.failure_;
     return base::done{};
 }
 
--- a/src/libsettings/daemon_config.cpp
+++ b/src/libsettings/daemon_config.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t MIN_SECRET_BYTES = 16;
 constexpr std::size_t MAX_SECRET_BYTES = 4096;
 constexpr std::size_t MAX_PLATFORM_ADDRESSES = 16;
+constexpr std::size_t MAX_PEER_SEEDS = 16;
 
 
 milliseconds read_time(
@@ -109,6 +110,8 @@
     c.peer_address_ = read_required<socket_address>(r, "peer_address");
     c.platform_addresses_ = r.require(pvt::field<std::vector<socket_address>>{
         "platform_addresses", {}, {1, MAX_PLATFORM_ADDRESSES}, {}});
+    c.peer_seeds_ = r.require(pvt::field<std::vector<socket_address>>{
+        "peer_seeds", std::vector<socket_address>{}, {0, MAX_PEER_SEEDS}, {}});
     c.peer_secret_file_ =
         read_required<std::filesystem::path>(r, "peer_secret_file");
     c.traffic_threads_ = read_count(r, "traffic_threads", 2, 1, 256);
--- a/src/libtraffic/front.cpp
+++ b/src/libtraffic/front.cpp
@@ -1,6 +1,7 @@
 #include "front.hpp"
 
 #include "chat_relay.hpp"
+#include "entry_host_ranking.hpp"
 #include "refusals.hpp"
 #include "service_relay.hpp"
 
@@ -26,6 +27,7 @@
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::chrono::milliseconds max_deadline = std::chrono::hours(1);
 constexpr std::chrono::milliseconds not_ready_retry_after{1000};
+constexpr std::size_t MAX_ENTRY_HOSTS = 8;
 
 
 buffered_response json_response(const json::value& body)
@@ -55,10 +57,13 @@
 }
 
 
-reply list_entry_hosts(const traffic_thread& thread, const routing_snapshot& s)
+reply list_entry_hosts(
+    const traffic_thread& thread, const request_context& context)
 {
     json::array hosts;
-    for (const std::string& address : s.entry_hosts_)
+    const auto ranked = rank_entry_hosts(
+        context.workspace_, context.snapshot_->entry_hosts_, MAX_ENTRY_HOSTS);
+    for (const std::string& address : ranked)
         hosts.emplace_back(address);
     return json_response(
         {{"hosts", std::move(hosts)},
@@ -216,7 +221,7 @@
     if (target == "/v1/models" && get)
         co_return list_models(*context.snapshot_);
     if (target == "/v1/entry-hosts" && get)
-        co_return list_entry_hosts(thread, *context.snapshot_);
+        co_return list_entry_hosts(thread, context);
     co_return bad_request(
         http::status::not_found, "unknown_path", "no such path");
 }
