daemon: the page of members shows socket totals and drops by reason

Cause: envelopes that are dropped were counted, but an operator could not see the counts.

Shown by: daemon_test, member_views/the_page_names_every_reason_for_a_drop.

--- a/src/libdaemon/daemon_record_test.cpp
+++ b/src/libdaemon/daemon_record_test.cpp
@@ -38,6 +38,23 @@
 }
 
 
+Test(member_views, the_page_names_every_reason_for_a_drop)
+{
+    membership::member_record self;
+    self.id_ = {"entry-1"};
+    const membership::node node({}, self, {}, 1);
+    peer::peer_counters sockets;
+    sockets.drops_.add(wire::drop_reason::replayed);
+    const std::string page = daemon::members_page(node, sockets);
+    for (const char* part :
+         {R"("daemon":"entry-1")",
+          R"("replayed":1)",
+          R"("forged":0)",
+          R"("state":"alive")"})
+        cr_assert(page.find(part) != std::string::npos, "%s", part);
+}
+
+
 Test(member_views, a_draining_daemon_leaves_the_entry_hosts)
 {
     membership::member_record self;
--- a/src/libdaemon/member_views.cpp
+++ b/src/libdaemon/member_views.cpp
@@ -56,6 +56,30 @@
         {"datagrams_malformed", counters.datagrams_malformed_}};
 }
 
+
+json::object to_totals(const peer::peer_counters& counters)
+{
+    return {
+        {"datagrams_sent", counters.datagrams_sent_},
+        {"datagrams_received", counters.datagrams_received_},
+        {"bytes_sent", counters.bytes_sent_},
+        {"bytes_received", counters.bytes_received_},
+        {"send_failures", counters.send_failures_},
+        {"requests_answered", counters.requests_answered_},
+        {"requests_refused", counters.requests_refused_}};
+}
+
+
+json::object to_drops(const wire::drop_counters& drops)
+{
+    json::object all;
+    for (std::size_t i = 0; i < wire::DROP_REASON_COUNT; ++i) {
+        const auto reason = static_cast<wire::drop_reason>(i);
+        all[to_string(reason)] = drops.of(reason);
+    }
+    return all;
+}
+
 } // namespace
 
 std::vector<traffic::entry_host_row>
@@ -76,7 +100,8 @@
 }
 
 
-std::string members_page(const membership::node& node)
+std::string
+members_page(const membership::node& node, const peer::peer_counters& sockets)
 {
     json::array rows;
     rows.push_back(to_row(node.self()));
@@ -86,7 +111,9 @@
         {"self", node.self().id_.value_},
         {"highest_settings_revision", node.highest_revision()},
         {"members", std::move(rows)},
-        {"totals", to_totals(node.counters())}};
+        {"totals", to_totals(node.counters())},
+        {"sockets", to_totals(sockets)},
+        {"dropped", to_drops(sockets.drops_)}};
     return json::serialize(page);
 }
 
--- a/src/libdaemon/peer_control.cpp
+++ b/src/libdaemon/peer_control.cpp
@@ -159,7 +159,9 @@
         return;
     control.next_page_ = now + PAGE_PERIOD;
     control_state& state = control.state_;
-    state.admin_.post("members", members_page(state.peers_->node()));
+    state.admin_.post(
+        "members",
+        members_page(state.peers_->node(), state.peers_->counters()));
 }
 
 
