daemon: verdicts on groups asked of observers and relays

Cause: every daemon probed the members of all groups itself, and followers took every leader for silent because nobody told them of its lease.

Change: only the two observers of a group probe it. The others ask them over the channel for verdicts, taking turns; one relay in each other data centre of the region answers for all its groups; leaders are asked for their claims. Rounds are stretched to stay within the budget. Candidates for a domain are ranked over the live daemons of the data centre. The golden session runs three daemons, so that each group has a daemon that only hears of it.

Ruled out: probing the groups of a data centre whose daemons are all dead by its observers only (there are none, so those that need it probe directly).

--- a/src/libdaemon/group_control.cpp
+++ b/src/libdaemon/group_control.cpp
@@ -3,6 +3,7 @@
 #include "group_leader.hpp"
 #include "group_probes.hpp"
 #include "group_rows.hpp"
+#include "group_verdicts.hpp"
 #include "prefix_feed.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -47,11 +48,15 @@
     group_state state(control);
     state.incarnation_ = control.random_();
     asio::co_spawn(control.context_, follow_domains(state), asio::detached);
+    control.on_verdict_ = [&state](const auto& sender, const auto& body) {
+        take_verdict_body(state, sender, body);
+    };
     asio::steady_timer timer(control.context_);
     for (;;) {
         if (state.listed_)
             step_domains(state);
         probe_groups(state);
+        ask_for_verdicts(state);
         update_groups(state);
         timer.expires_after(step_interval);
         co_await timer.async_wait(asio::use_awaitable);
--- a/src/libdaemon/group_leader.cpp
+++ b/src/libdaemon/group_leader.cpp
@@ -2,6 +2,7 @@
 
 #include "engine_messages.hpp"
 #include "group_demand.hpp"
+#include "group_peers.hpp"
 #include "group_probes.hpp"
 
 #include <monsoondock/base/event_line.hpp>
@@ -23,10 +24,14 @@
 constexpr std::chrono::milliseconds LEASE_READ_INTERVAL{1000};
 
 
-groups::control_identity self_of(const group_state& state)
+groups::control_identity
+self_of(const group_state& state, const base::fabric_domain_id& domain)
 {
     const base::daemon_id& self = state.control_.config_.daemon_;
-    return {self, state.incarnation_, 0};
+    const auto rivals =
+        daemons_of(state.control_, state.control_.config_.data_centre_);
+    return {
+        self, state.incarnation_, groups::candidate_rank(domain, rivals, self)};
 }
 
 
@@ -52,7 +57,7 @@
     const groups::leader_term before = led.control_.seen_;
     groups::note_read(
         led.control_,
-        self_of(state),
+        self_of(state, record.domain_),
         record,
         asked,
         base::boot_clock::now(),
@@ -231,7 +236,7 @@
         state.contacts_,
         now};
     groups::leader_step step = groups::control_step(
-        led.control_, self_of(state), input, state.timing_);
+        led.control_, self_of(state, domain), input, state.timing_);
     for (const base::host_id& host : step.probes_)
         probe_host(state, host, LEADER_PROBE_INTERVAL);
     for (const groups::host_order& order : step.orders_)
--- a/src/libdaemon/group_probes.cpp
+++ b/src/libdaemon/group_probes.cpp
@@ -1,6 +1,7 @@
 #include "group_probes.hpp"
 
 #include "engine_messages.hpp"
+#include "group_peers.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/groups/pacing.hpp>
@@ -71,12 +72,15 @@
 }
 
 
-std::size_t observed_hosts(const group_state& state)
+std::vector<base::host_id> observed_hosts(const group_state& state)
 {
-    std::size_t hosts = 0;
+    std::vector<base::host_id> hosts;
     for (const auto& [domain, known] : state.domains_) {
-        for (const groups::group_record& group : known.record_.groups_)
-            hosts += group.hosts_.size();
+        for (const groups::group_record& group : known.record_.groups_) {
+            if (observes(state.control_, group))
+                hosts.insert(
+                    hosts.end(), group.hosts_.begin(), group.hosts_.end());
+        }
     }
     return hosts;
 }
@@ -103,18 +107,15 @@
 
 void probe_groups(group_state& state)
 {
+    const auto hosts = observed_hosts(state);
     const auto interval = groups::paced_interval(
-        observed_hosts(state),
+        hosts.size(),
         groups::PROBE_BYTES,
         groups::PROBE_BYTES_PER_SECOND,
         state.timing_.probe_interval_,
         state.timing_.longest_probe_interval_);
-    for (const auto& [domain, known] : state.domains_) {
-        for (const groups::group_record& group : known.record_.groups_) {
-            for (const base::host_id& host : group.hosts_)
-                probe_host(state, host, interval);
-        }
-    }
+    for (const base::host_id& host : hosts)
+        probe_host(state, host, interval);
 }
 
 } // namespace monsoondock::daemon
--- a/src/libdaemon/group_state.hpp
+++ b/src/libdaemon/group_state.hpp
@@ -5,6 +5,7 @@
 
 #include <monsoondock/groups/domain_control.hpp>
 #include <monsoondock/groups/group_view.hpp>
+#include <monsoondock/groups/verdict_exchange.hpp>
 #include <monsoondock/platform/object.hpp>
 
 #include <map>
@@ -49,6 +50,10 @@
     std::map<base::fabric_domain_id, led_domain> led_;
     groups::evidence_table evidence_;
     groups::contact_table contacts_;
+    groups::verdict_exchange exchange_;
+    std::size_t verdict_round_ = 0;
+    base::time_point next_verdicts_;
+    std::map<base::data_centre_id, std::size_t> relay_attempts_;
     std::set<base::host_id> probing_;
     std::map<base::host_id, base::time_point> probed_at_;
     std::set<base::host_id> ordering_;
--- a/testsuite/groups/run.py
+++ b/testsuite/groups/run.py
@@ -1,6 +1,7 @@
 """Replica groups: forming, loss and repair, drain, a daemon paused past its
-lease, an outage of the platform. Two daemons, one domain of eight hosts whose
-engines ignore generations, groups of two."""
+lease, an outage of the platform. Three daemons, of which two observe each
+group, one domain of eight hosts whose engines ignore generations, groups of
+two."""
 
 import hashlib
 import socket
@@ -10,7 +11,7 @@
 from session import Dropped, Session, chat, request, wait_until
 
 KEY = "shed-key"
-DAEMONS = ["entry-1", "entry-2"]
+DAEMONS = ["entry-1", "entry-2", "entry-3"]
 COMPLETIONS = "/v1/chat/completions"
 SLOW_SECONDS = 60
 
@@ -132,7 +133,7 @@
                "stop of the group")
     s.say(f"{victim} died: its group stopped within the lease: "
           f"{time.monotonic() - begin < 5}")
-    s.say(f"other group answers: {ask(daemons[0])} {ask(daemons[1])}")
+    s.say(f"other group answers: {[ask(d) for d in daemons]}")
     wait_for_groups(daemons, 2, "repaired group")
     show_groups(s, "after the repair", daemons[1])
     return victim
@@ -163,7 +164,7 @@
 def show_paused_daemon(s, engine, daemons):
     """A daemon stopped past its lease sends nothing to a retired group. Its
     engines would run what it sent, so the counts would tell."""
-    awake, paused = daemons
+    awake, paused = daemons[:2]
     old = sorted(ready(awake), key=lambda g: g["generation"])[0]
     victim = members(old)[1]
     s.pause(paused)
