--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -43,6 +43,7 @@
 deployment.min_groups = {groups}
 deployment.max_groups = {groups}
 deployment.spares = 0
+deployment.evidence_lease = "{evidence_lease}"
 
 ["resinas/deployments/ledger-app"]
 deployment.kind = "service"
@@ -72,12 +73,13 @@
     """Starts the processes of one cluster in a session."""
 
     def __init__(self, session, hosts=16, hosts_per_group=16, groups=1,
-                 entry_host_ttl="200ms"):
+                 entry_host_ttl="200ms", evidence_lease="8s"):
         self.session = session
         self.hosts = hosts
         self.hosts_per_group = hosts_per_group
         self.groups = groups
         self.entry_host_ttl = entry_host_ttl
+        self.evidence_lease = evidence_lease
         self.daemons = {}
         self.processes = {}
         session.write_file("peer.secret", SECRET)
@@ -105,6 +107,7 @@
     def apply_tree(self):
         text = TREE_FILE.format(
             hosts_per_group=self.hosts_per_group, groups=self.groups,
+            evidence_lease=self.evidence_lease,
             sheds=key_hash(KEYS["sheds-central"]),
             ledger=key_hash(KEYS["ledger"]))
         path = self.session.write_file("tree.toml", text)
--- a/testsuite/whole-path/run.py
+++ b/testsuite/whole-path/run.py
@@ -1,5 +1,6 @@
-"""A caller's requests end to end: sixteen hosts form one group, a daemon
-serves, a caller streams a completion and books a payout twice."""
+"""A caller's requests end to end: sixteen hosts form one group, two daemons
+serve, a caller follows the entry hosts, streams a completion and books a
+payout again and again."""
 
 import json
 
@@ -57,7 +58,14 @@
     with Session() as s:
         cluster = Cluster(s)
         cluster.start_upstreams()
-        entry = cluster.start_daemon("heredia-1")
+        for name in ("heredia-1", "heredia-2"):
+            cluster.start_daemon(name)
+        cluster.wait_for_members()
+        asked = cluster.daemons["heredia-2"]
+        entry_hosts = cluster.entry_hosts(asked, "ledger").json()["hosts"]
+        names = sorted(s.normalise(host) for host in entry_hosts)
+        s.say(f"entry hosts: {names}")
+        entry = entry_hosts[0]
         show_payout(s, cluster, entry)
         show_refusals(s, entry)
         cluster.wait_for_group()
