--- a/src/libdaemon/control_state.hpp
+++ b/src/libdaemon/control_state.hpp
@@ -53,6 +53,8 @@
     std::vector<traffic::group_row> groups_{};
     /// Open entry hosts, kept by the peer control.
     std::vector<traffic::entry_host_row> entry_hosts_{};
+    /// Other daemons that are not dead, kept by the peer control.
+    std::vector<base::daemon_id> live_daemons_{};
     /// The daemon among its peers; null until the peer control has started.
     std::unique_ptr<peer::service> peers_{};
     /// Takes a body on the channel for verdicts, set by the group control.
--- a/src/libdaemon/peer_control.cpp
+++ b/src/libdaemon/peer_control.cpp
@@ -143,12 +143,24 @@
 }
 
 
+std::vector<base::daemon_id> find_live_daemons(const membership::node& node)
+{
+    std::vector<base::daemon_id> live;
+    for (const auto& [id, other] : node.members())
+        if (other.record_.state_ != membership::member_state::dead)
+            live.push_back(id);
+    return live;
+}
+
+
 void update_entry_hosts(control_state& state)
 {
     auto rows = open_entry_hosts(state.peers_->node());
-    if (rows == state.entry_hosts_)
+    auto live = find_live_daemons(state.peers_->node());
+    if (rows == state.entry_hosts_ && live == state.live_daemons_)
         return;
     state.entry_hosts_ = std::move(rows);
+    state.live_daemons_ = std::move(live);
     publish_snapshot(state);
 }
 
--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -128,6 +128,7 @@
     snapshot->draining_ = state.draining_;
     snapshot->groups_ = state.groups_;
     snapshot->entry_hosts_ = state.entry_hosts_;
+    snapshot->live_daemons_ = state.live_daemons_;
     if (state.settings_ != nullptr)
         add_settings(state, *snapshot);
     state.metrics_.set(
--- a/testsuite/claims/run.py
+++ b/testsuite/claims/run.py
@@ -48,6 +48,13 @@
         self.daemons = {}
         for name in ("d1", "d2"):
             self.start_daemon(name)
+        for name, other in (("d1", "d2"), ("d2", "d1")):
+            wait_until(lambda n=name, o=other: self.knows(n, o), "membership")
+
+    def knows(self, name, other):
+        answer = request(
+            self.daemons[name].address, "GET", "/admin/members")
+        return answer.status == 200 and f'"{other}"' in answer.text()
 
     def start_ledger(self):
         self.service = self.session.start(
@@ -147,6 +154,17 @@
     b.book("later", "d1", "k-once")
 
 
+def show_while_running(b):
+    b.session.say("## a repeat at another daemon during the call")
+    b.ledger_faults(delay_ms=1000)
+    running = b.later("d1", "k-running")
+    wait_until(lambda: b.claim("k-running") == "claimed", "claim")
+    b.session.say(f"repeat: {b.call('d2', 'k-running')}")
+    b.session.say(f"first: {running.result()}")
+    b.ledger_faults(delay_ms=0)
+    b.book("later", "d2", "k-running")
+
+
 def show_crashes(b):
     b.session.say("## the service crashes")
     b.ledger_faults(crash_before_run=1)
@@ -197,6 +215,7 @@
     b.session.kill(b.daemons["d1"])
     b.session.say(f"caller: {running.result()}")
     wait_until(lambda: b.runs("k-kill") == 1, "run")
+    wait_until(lambda: "409" not in b.call("d2", "k-kill"), "dead member")
     b.ledger_faults(delay_ms=0)
     b.book("repeat", "d2", "k-kill")
     b.start_daemon("d1")
@@ -252,6 +271,7 @@
         b = Bench(s)
         show_repeats(b)
         show_at_once(b)
+        show_while_running(b)
         show_crashes(b)
         show_lost_answers(b)
         show_outage(b)
