routing: the burst of a GCRA limiter can change

A limiter that outlives settings needs its burst changed in place. Time taken ahead under a larger burst is cut to the new one, so that a caller who used the old burst does not wait for all of it. Tested through request_limiters.

--- a/src/include/monsoondock/routing/gcra.hpp
+++ b/src/include/monsoondock/routing/gcra.hpp
@@ -20,6 +20,11 @@
     void set_rate(double per_second, base::time_point now);
 
 
+    /// Changes the burst. Time still to wait is cut to what the new burst
+    /// allows to be taken ahead.
+    void set_burst(std::chrono::nanoseconds burst, base::time_point now);
+
+
     /// Takes one unit. Returns zero when the limit allows it, else the time
     /// after which it would, and takes nothing.
     std::chrono::nanoseconds take(base::time_point now);
--- a/src/librouting/gcra.cpp
+++ b/src/librouting/gcra.cpp
@@ -35,6 +35,13 @@
 }
 
 
+void gcra::set_burst(std::chrono::nanoseconds burst, base::time_point now)
+{
+    burst_ = burst;
+    next_ = std::min(next_, now + burst_ + interval_of(per_second_));
+}
+
+
 std::chrono::nanoseconds gcra::take(base::time_point now)
 {
     const base::time_point start = std::max(next_, now);
