daemon: a workspace's request rate and burst are enforced

Cause: workspace.request_rate and request_burst were read and shown, but the daemon admitted every request.

Change: workspace_row carries this daemon's even share of both, divided by the daemons known to live, itself among them. Operators' pages, GET /v1/models and GET /v1/entry-hosts are not counted.

The claims session polls readiness with calls of its workspace, which count; it sets a high rate so that polling on a slow machine cannot use up the burst. No check of it changed, nor its output.

The cost of the mutex under load was not measured.

--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace monsoondock::daemon {
@@ -92,6 +93,15 @@
 }
 
 
+// Daemons that may admit requests of a workspace, this one among them. One
+// that drains is no entry host, yet serves its callers until they leave.
+double count_shares(const traffic::routing_snapshot& snapshot)
+{
+    const std::size_t live = snapshot.live_daemons_.size() + 1;
+    return static_cast<double>(std::max(live, snapshot.entry_hosts_.size()));
+}
+
+
 void add_workspace(
     const settings::settings_tree& tree,
     traffic::routing_snapshot& snapshot,
@@ -100,8 +110,14 @@
     const auto found = settings::effective(tree, workspace_place(workspace));
     if (!base::ok(found))
         return;
+    const auto& values = base::value(found).workspace_;
+    const double shares = count_shares(snapshot);
+    const auto burst = static_cast<double>(values.request_burst_.value_);
     snapshot.workspaces_.push_back(
-        {workspace, base::value(found).workspace_.api_key_hashes_.value_});
+        {workspace,
+         values.api_key_hashes_.value_,
+         values.request_rate_.value_ / shares,
+         burst / shares});
 }
 
 
--- a/src/libtraffic/front.cpp
+++ b/src/libtraffic/front.cpp
@@ -14,7 +14,9 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <random>
 #include <string_view>
+#include <variant>
 
 namespace monsoondock::traffic::pvt {
 
@@ -83,8 +85,9 @@
 }
 
 
-// Returns the refusal, or nothing when the key names a workspace.
-std::optional<refusal> authenticate(request_context& context)
+// Returns the refusal, or the workspace that the key names.
+std::variant<refusal, const workspace_row*>
+authenticate(request_context& context)
 {
     constexpr std::string_view scheme = "Bearer ";
     const std::string_view header =
@@ -101,7 +104,7 @@
             "the Authorization header names no known API key");
     context.workspace_ = workspace->workspace_;
     context.label_.workspace_ = workspace->workspace_.value_;
-    return std::nullopt;
+    return workspace;
 }
 
 
@@ -174,7 +177,32 @@
 }
 
 
-std::optional<refusal> check_caller(request_context& context)
+bool is_counted(const request_context& context)
+{
+    const std::string_view target = context.request_.target();
+    if (context.request_.method() != http::verb::get)
+        return true;
+    return target != "/v1/models" && target != "/v1/entry-hosts";
+}
+
+
+// Callers that are refused together get times that lie apart.
+std::optional<refusal>
+check_rate(traffic_thread& thread, const workspace_row& workspace)
+{
+    const auto wait =
+        thread.counts_.limiters_.take(workspace, base::boot_clock::now());
+    if (wait == std::chrono::nanoseconds(0))
+        return std::nullopt;
+    const auto least = std::chrono::ceil<std::chrono::milliseconds>(wait);
+    std::uniform_int_distribution<std::int64_t> spread(0, least.count());
+    return request_rate_exceeded(
+        least + std::chrono::milliseconds(spread(thread.random_)));
+}
+
+
+std::optional<refusal>
+check_caller(traffic_thread& thread, request_context& context)
 {
     if (!context.snapshot_->ready_)
         return refusal{
@@ -183,11 +211,16 @@
             "the daemon has no settings yet",
             run_state::unsent,
             not_ready_retry_after};
-    if (auto refused = authenticate(context))
-        return refused;
+    auto known = authenticate(context);
+    if (auto* refused = std::get_if<refusal>(&known))
+        return std::move(*refused);
     if (auto refused = read_priority(context))
         return refused;
-    return read_deadline(context);
+    if (auto refused = read_deadline(context))
+        return refused;
+    if (!is_counted(context))
+        return std::nullopt;
+    return check_rate(thread, *std::get<const workspace_row*>(known));
 }
 
 
@@ -206,7 +239,7 @@
 {
     if (auto answer = serve_operator(thread, context))
         co_return std::move(*answer);
-    if (auto refused = check_caller(context))
+    if (auto refused = check_caller(thread, context))
         co_return std::move(*refused);
     const std::string_view target = context.request_.target();
     const bool get = context.request_.method() == http::verb::get;
--- a/src/libtraffic/refusals.cpp
+++ b/src/libtraffic/refusals.cpp
@@ -33,6 +33,17 @@
 }
 
 
+refusal request_rate_exceeded(std::chrono::milliseconds retry_after)
+{
+    return {
+        http::status::too_many_requests,
+        "request_rate_exceeded",
+        "the workspace is at its request rate",
+        run_state::unsent,
+        retry_after};
+}
+
+
 refusal deadline_passed(run_state run)
 {
     return {
--- a/src/libtraffic/refusals.hpp
+++ b/src/libtraffic/refusals.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/traffic/refusal.hpp>
 
+#include <chrono>
 #include <string>
 
 namespace monsoondock::traffic::pvt {
@@ -15,6 +16,11 @@
 refusal no_upstream(run_state run, std::string detail);
 
 
+/// Returns a refusal because the workspace is at its request rate, which
+/// admits again at the time given.
+refusal request_rate_exceeded(std::chrono::milliseconds retry_after);
+
+
 /// Returns a refusal because the caller's deadline passed.
 refusal deadline_passed(run_state run);
 
--- a/src/libtraffic/traffic_thread.hpp
+++ b/src/libtraffic/traffic_thread.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "live_attempts.hpp"
+#include "request_limiters.hpp"
 #include "upstream_pool.hpp"
 
 #include <monsoondock/platform/http_client.hpp>
@@ -22,6 +23,7 @@
     std::atomic<std::uint64_t> requests_{0};
     std::atomic<bool> closing_{false};
     live_attempts attempts_;
+    request_limiters limiters_;
 };
 
 
--- a/src/monsoondock-bench/server.cpp
+++ b/src/monsoondock-bench/server.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+// Far above what one process serves.
+constexpr double unlimited_per_second = 1e7;
+
+
 std::shared_ptr<traffic::routing_snapshot>
 make_snapshot(const bench_options& options)
 {
@@ -18,7 +22,10 @@
     snapshot->ready_ = true;
     snapshot->models_.push_back({"bench"});
     snapshot->workspaces_.push_back(
-        {{"bench"}, {settings::hash_api_key("bench")}});
+        {{"bench"},
+         {settings::hash_api_key("bench")},
+         unlimited_per_second,
+         unlimited_per_second});
     traffic::group_row group;
     group.group_.value_ = "bench-1";
     group.deployment_.value_ = "bench";
--- a/testsuite/claims/run.py
+++ b/testsuite/claims/run.py
@@ -44,6 +44,13 @@
         session.run_tool(
             "monsoondockctl", "settings", "apply", EXAMPLE / "settings.toml",
             "--platform", self.store, "--author", "ana")
+        # Readiness is polled with calls, which count against the rate.
+        for name in ("request_rate", "request_burst"):
+            result = session.run_tool(
+                "monsoondockctl", "settings", "set",
+                "resinas/workspaces/sheds-central", f"workspace.{name}",
+                "10000", "--platform", self.store)
+            assert result.returncode == 0, result.stderr
         session.write_file("peer.secret", "0123456789abcdef")
         self.daemons = {}
         for name in ("d1", "d2"):
