daemon: completions ask the quarantine before each dispatch

Cause: libquarantine decided well in its tests, but the daemon's model path did not ask it, so a request that crashes its groups went on from group to group.

Change: suspect_board shares the registry between the traffic threads, suspect_control follows the suspects in the store and carries out the registry's calls, suspect_flight stands for one dispatch, and completions have a retry budget. hold_ is 20 s and feed_bound_ 12 s, because the watch of the daemon answers every 10 s when nothing changes. A daemon that starts while the store answers may allow trials from its first listing on.

--- a/src/include/monsoondock/quarantine/suspect_registry.hpp
+++ b/src/include/monsoondock/quarantine/suspect_registry.hpp
@@ -30,9 +30,9 @@
     /// How long a lost group keeps its place in the ranking, and how long a
     /// watch must have gone on before a trial. Longer than suspects need to
     /// reach every daemon.
-    std::chrono::milliseconds hold_{10000};
+    std::chrono::milliseconds hold_{20000};
     /// Age of the last answer of the watch above which trials are refused.
-    std::chrono::milliseconds feed_bound_{3000};
+    std::chrono::milliseconds feed_bound_{12000};
     /// Age above which a trial whose daemon is silent may be replaced.
     std::chrono::milliseconds trial_bound_{900000};
     /// Pauses before a write that the store did not take is tried again. The
@@ -75,6 +75,12 @@
     commands completed(const base::request_id& request, moment now);
 
 
+    /// A suspect has come well past the point where it stood when its group was
+    /// lost. Its record is deleted and its group is free for another; if the
+    /// group is lost later that counts as a first loss.
+    commands proved(const base::request_id& request, moment now);
+
+
     /// The request ended in another way while its group went on, or its caller
     /// left before leave was given.
     commands abandoned(const base::request_id& request, moment now);
@@ -88,6 +94,15 @@
         moment now);
 
 
+    /// The group no longer takes requests, without being known as lost. It
+    /// keeps its place in the ranking for a while, and requests in flight go
+    /// on.
+    void group_left(
+        const base::deployment_id& deployment,
+        const group_instance& group,
+        moment now);
+
+
     /// Answer to put_suspect or erase_suspect.
     commands write_answered(
         store_call_id id, const platform::write_outcome& outcome, moment now);
--- a/src/include/monsoondock/traffic/server.hpp
+++ b/src/include/monsoondock/traffic/server.hpp
@@ -6,6 +6,7 @@
 #include <monsoondock/traffic/claim_parts.hpp>
 #include <monsoondock/traffic/limits.hpp>
 #include <monsoondock/traffic/snapshot_holder.hpp>
+#include <monsoondock/traffic/suspect_board.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -34,6 +35,8 @@
     claim_parts claims_;
     /// Where this daemon is; groups here come first.
     base::data_centre_id data_centre_;
+    /// Quarantine of requests that crash groups; null for none.
+    suspect_board* suspects_ = nullptr;
 };
 
 
--- /dev/null
+++ b/src/include/monsoondock/traffic/suspect_board.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <monsoondock/quarantine/suspect_registry.hpp>
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace monsoondock::traffic {
+
+/// Answer to a request that wants to be sent to a group.
+using dispatch_answer =
+    std::variant<quarantine::permit_dispatch, quarantine::refuse_dispatch>;
+
+
+/// The quarantine's registry, shared by the threads of a daemon. Answers and
+/// store calls are handed out after the lock is released, on the thread that
+/// brought them about.
+class suspect_board
+{
+public:
+    using answer_handler = std::function<void(dispatch_answer)>;
+    using store_handler =
+        std::function<void(const quarantine::quarantine_command&)>;
+
+    /// token_prefix must differ for each life of each daemon.
+    suspect_board(base::daemon_id self, std::string token_prefix);
+
+
+    /// Sets what takes put_suspect, erase_suspect and read_suspect. Call it
+    /// before any other function.
+    void set_store(store_handler handler);
+
+
+    /// Asks for leave to send; handler gets the answer once, perhaps before the
+    /// function returns.
+    void
+    ask(const quarantine::dispatch_question& question, answer_handler handler);
+
+
+    /// As in suspect_registry.
+    void dispatched(
+        const base::request_id& request,
+        const quarantine::group_instance& group);
+    void completed(const base::request_id& request);
+    void proved(const base::request_id& request);
+    void abandoned(const base::request_id& request);
+    void group_lost(
+        const base::deployment_id& deployment,
+        const quarantine::group_instance& group);
+    void group_left(
+        const base::deployment_id& deployment,
+        const quarantine::group_instance& group);
+    void write_answered(
+        quarantine::store_call_id id, const platform::write_outcome& outcome);
+    void read_answered(
+        quarantine::store_call_id id,
+        const std::optional<platform::object>& object);
+    void read_failed(quarantine::store_call_id id);
+    void feed_listed(const platform::listing& listing);
+    void feed_changed(const platform::change_batch& batch);
+    void tick();
+
+private:
+    template <class Call>
+    void run(const Call& call);
+
+    std::mutex mutex_;
+    quarantine::suspect_registry registry_;
+    std::map<base::request_id, answer_handler> waiting_;
+    store_handler store_;
+};
+
+} // namespace monsoondock::traffic
--- a/src/libdaemon/control_state.hpp
+++ b/src/libdaemon/control_state.hpp
@@ -13,6 +13,7 @@
 #include <monsoondock/settings/revision_keeper.hpp>
 #include <monsoondock/settings/settings_tree.hpp>
 #include <monsoondock/traffic/snapshot_holder.hpp>
+#include <monsoondock/traffic/suspect_board.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,6 +36,7 @@
     traffic::snapshot_holder& snapshots_;
     metrics::registry& metrics_;
     admin_board& admin_;
+    traffic::suspect_board& suspects_;
     boost::asio::io_context& context_;
     platform::http_client store_;
     std::mt19937_64 random_;
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -5,6 +5,7 @@
 #include "host_feed.hpp"
 #include "peer_control.hpp"
 #include "settings_feed.hpp"
+#include "suspect_control.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/daemon/run_daemon.hpp>
@@ -82,6 +83,15 @@
 }
 
 
+std::string make_token_prefix(const claims::claim_owner& self)
+{
+    std::string prefix = self.daemon_.value_;
+    return prefix.append("/")
+        .append(std::to_string(self.incarnation_))
+        .append("/");
+}
+
+
 // Waits until all requests in progress have ended or the bound is over.
 asio::awaitable<void>
 finish_requests(control_state& state, const traffic::server& server)
@@ -148,6 +158,7 @@
     asio::co_spawn(context, run_host_feed(state), asio::detached);
     asio::co_spawn(context, run_drain_feed(state), asio::detached);
     asio::co_spawn(context, run_claim_sweep(state), asio::detached);
+    asio::co_spawn(context, run_suspect_control(state), asio::detached);
     asio::co_spawn(context, run_peer_control(state), asio::detached);
     asio::co_spawn(context, run_group_control(state), asio::detached);
     asio::co_spawn(context, wait_for_signals(state, server), asio::detached);
@@ -162,11 +173,15 @@
     traffic::snapshot_holder snapshots;
     metrics::registry metrics;
     admin_board admin;
+    const traffic::claim_parts claim_parts = to_claim_parts(config);
+    traffic::suspect_board suspects(
+        config.daemon_, make_token_prefix(claim_parts.self_));
     control_state state{
         config,
         snapshots,
         metrics,
         admin,
+        suspects,
         context,
         platform::http_client(
             context.get_executor(),
@@ -178,8 +193,10 @@
          metrics,
          to_limits(config),
          [&admin](const auto& target) { return admin.read(target); },
-         to_claim_parts(config),
-         config.data_centre_});
+         claim_parts,
+         config.data_centre_,
+         &suspects});
+    connect_suspect_board(state);
     auto started = server.start(
         to_endpoint(config.caller_address_), config.traffic_threads_);
     if (!base::ok(started))
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -65,6 +65,20 @@
 }
 
 
+suspect_registry::commands
+suspect_registry::proved(const base::request_id& request, moment now)
+{
+    const auto found = flights_.find(request);
+    if (found == flights_.end() || !found->second.trial_)
+        return {};
+    found->second.trial_ = false;
+    entry& e = entries_.at(found->second.fingerprint_);
+    e.phase_ = trial_phase::succeeded;
+    reconcile(e, now);
+    return take_commands();
+}
+
+
 suspect_registry::commands
 suspect_registry::abandoned(const base::request_id& request, moment now)
 {
@@ -89,13 +103,22 @@
 }
 
 
-void suspect_registry::group_lost(
+void suspect_registry::group_left(
     const base::deployment_id& deployment,
     const group_instance& group,
     moment now)
 {
     if (!is_lost(group))
         lost_.push_back({deployment, group, now.boot_});
+}
+
+
+void suspect_registry::group_lost(
+    const base::deployment_id& deployment,
+    const group_instance& group,
+    moment now)
+{
+    group_left(deployment, group, now);
     for (auto f = flights_.begin(); f != flights_.end();) {
         if (!f->second.dispatched_ || f->second.group_ != group) {
             ++f;
@@ -598,7 +621,11 @@
 
 void suspect_registry::learn_from_feed(moment now)
 {
-    if (!feed_fresh(now))
+    // What was lost before this daemon started is in the first listing, unless
+    // the store was down until now.
+    if (!feed_started_)
+        fresh_since_ = now.boot_ - timing_.hold_;
+    else if (!feed_fresh(now))
         fresh_since_ = now.boot_;
     feed_started_ = true;
     feed_contact_ = now.boot_;
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -172,6 +172,8 @@
     }
     metrics.add(metrics::counter::tokens, a.context_.label_, fresh);
     report.tokens_ += fresh;
+    if (a.progress_.flight_ != nullptr)
+        a.progress_.flight_->generated(fresh);
     a.progress_.last_write_ = now;
 }
 
--- a/src/libtraffic/chat_attempt.hpp
+++ b/src/libtraffic/chat_attempt.hpp
@@ -5,6 +5,7 @@
 #include "event_splitter.hpp"
 #include "reply.hpp"
 #include "request_context.hpp"
+#include "suspect_flight.hpp"
 #include "traffic_thread.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -22,6 +23,8 @@
     bool head_sent_ = false;
     run_state run_ = run_state::unsent;
     base::time_point last_write_{};
+    /// The present dispatch as the quarantine sees it; may be null.
+    suspect_flight* flight_ = nullptr;
 };
 
 
--- a/src/libtraffic/chat_relay.cpp
+++ b/src/libtraffic/chat_relay.cpp
@@ -3,6 +3,7 @@
 #include "caller_writer.hpp"
 #include "chat_attempt.hpp"
 #include "disconnect_watch.hpp"
+#include "dispatch_leave.hpp"
 #include "group_choice.hpp"
 #include "refusals.hpp"
 
@@ -29,6 +30,13 @@
 }
 
 
+bool is_whole(const reply& r)
+{
+    return std::holds_alternative<streamed>(r) ||
+           std::holds_alternative<buffered_response>(r);
+}
+
+
 // A caller that already has part of the stream is told by an error event, and
 // the missing last chunk marks the answer as incomplete.
 asio::awaitable<reply> give_up(
@@ -54,6 +62,102 @@
 }
 
 
+// The dispatch needs a name of its own: callers may repeat request ids.
+base::request_id
+name_dispatch(traffic_thread& thread, const request_context& context)
+{
+    std::string name = context.id_.value_;
+    name.append("/").append(std::to_string(thread.random_()));
+    return {std::move(name)};
+}
+
+
+bool serves_model(const traffic_thread& thread, const chat_progress& progress)
+{
+    const auto snapshot = thread.parts_.snapshots_.get();
+    const auto& groups = snapshot->groups_;
+    return std::any_of(
+        groups.begin(), groups.end(), [&progress](const group_row& row) {
+            return row.deployment_ == progress.chat_.model_;
+        });
+}
+
+
+void count_attempt(
+    traffic_thread& thread,
+    const request_context& context,
+    const chat_progress& progress)
+{
+    auto& metrics = thread.parts_.metrics_;
+    if (context.report_.attempts_ > 0)
+        metrics.add(metrics::counter::retries, context.label_);
+    if (progress.head_sent_)
+        metrics.add(metrics::counter::resumed_streams, context.label_);
+}
+
+
+// Sends the request to one group of those that it may use. Nothing when there
+// is none.
+asio::awaitable<std::optional<attempt_result>> try_group(
+    traffic_thread& thread,
+    caller_connection& caller,
+    request_context& context,
+    chat_progress& progress,
+    group_question& question,
+    suspect_flight* flight)
+{
+    context.snapshot_ = thread.parts_.snapshots_.get();
+    const auto snapshot = context.snapshot_;
+    const group_row* group = choose_group(
+        thread.router_, *snapshot, question, base::boot_clock::now());
+    if (group == nullptr)
+        co_return std::nullopt;
+    question.tried_.push_back(group->group_);
+    count_attempt(thread, context, progress);
+    if (flight != nullptr)
+        flight->dispatched(*group);
+    progress.flight_ = flight;
+    auto result =
+        co_await attempt_chat(thread, caller, context, progress, *group);
+    progress.flight_ = nullptr;
+    if (flight == nullptr)
+        co_return result;
+    const auto* finished = std::get_if<reply>(&result);
+    if (std::holds_alternative<attempt_broken>(result))
+        co_await flight->broken(*group, thread.parts_.limits_.connect_);
+    else if (finished != nullptr && is_whole(*finished))
+        flight->completed();
+    co_return result;
+}
+
+
+// One attempt with the quarantine's leave. Nothing when no group can be tried.
+asio::awaitable<std::optional<attempt_result>> attempt_with_leave(
+    traffic_thread& thread,
+    caller_connection& caller,
+    request_context& context,
+    chat_progress& progress,
+    group_question& question)
+{
+    if (!serves_model(thread, progress))
+        co_return std::nullopt;
+    auto* board = thread.parts_.suspects_;
+    if (board == nullptr)
+        co_return co_await try_group(
+            thread, caller, context, progress, question, nullptr);
+    suspect_flight flight(*board, name_dispatch(thread, context));
+    auto permitted = co_await get_leave(thread, context, progress, flight);
+    if (auto* refused = std::get_if<refusal>(&permitted)) {
+        if (progress.head_sent_)
+            co_return std::nullopt;
+        co_return reply(std::move(*refused));
+    }
+    question.allowed_ = std::get<leave>(std::move(permitted));
+    co_return co_await try_group(
+        thread, caller, context, progress, question, &flight);
+}
+
+
 asio::awaitable<void> run_attempts(
     traffic_thread& thread,
     caller_connection& caller,
@@ -61,24 +165,18 @@
     chat_progress& progress,
     std::optional<reply>& answer)
 {
-    group_question question{progress.chat_.model_, progress.chat_.prefix_, {}};
+    group_question question{
+        progress.chat_.model_, progress.chat_.prefix_, {}, {}};
     while (context.report_.attempts_ < max_attempts) {
-        context.snapshot_ = thread.parts_.snapshots_.get();
-        const auto snapshot = context.snapshot_;
-        const group_row* group = choose_group(
-            thread.router_, *snapshot, question, base::boot_clock::now());
-        if (group == nullptr)
+        if (context.report_.attempts_ > 0 && !thread.retries_.take())
             break;
-        question.tried_.push_back(group->group_);
-        if (context.report_.attempts_ > 0)
-            thread.parts_.metrics_.add(
-                metrics::counter::retries, context.label_);
-        if (progress.head_sent_)
-            thread.parts_.metrics_.add(
-                metrics::counter::resumed_streams, context.label_);
-        auto result =
-            co_await attempt_chat(thread, caller, context, progress, *group);
-        if (auto* finished = std::get_if<reply>(&result)) {
+        auto result = co_await attempt_with_leave(
+            thread, caller, context, progress, question);
+        if (!result)
+            break;
+        if (auto* finished = std::get_if<reply>(&*result)) {
+            if (is_whole(*finished))
+                thread.retries_.succeeded();
             answer = std::move(*finished);
             co_return;
         }
--- a/src/libtraffic/group_choice.cpp
+++ b/src/libtraffic/group_choice.cpp
@@ -10,12 +10,20 @@
 constexpr unsigned SLOTS_PER_GROUP = 16;
 
 
+bool contains(
+    const std::vector<base::group_id>& groups, const base::group_id& group)
+{
+    return std::find(groups.begin(), groups.end(), group) != groups.end();
+}
+
+
 bool may_take(
     const group_row& row, const group_question& question, base::time_point now)
 {
-    const auto& tried = question.tried_;
+    const auto& allowed = question.allowed_;
     return row.deployment_ == question.deployment_ && may_dispatch(row, now) &&
-           std::find(tried.begin(), tried.end(), row.group_) == tried.end();
+           !contains(question.tried_, row.group_) &&
+           (allowed.empty() || contains(allowed, row.group_));
 }
 
 
--- a/src/libtraffic/group_choice.hpp
+++ b/src/libtraffic/group_choice.hpp
@@ -18,6 +18,8 @@
     std::string prefix_;
     /// Groups that were tried before and are left out.
     std::vector<base::group_id> tried_;
+    /// Groups that may be used; all when there is none.
+    std::vector<base::group_id> allowed_{};
 };
 
 
--- a/src/libtraffic/traffic_thread.hpp
+++ b/src/libtraffic/traffic_thread.hpp
@@ -5,6 +5,7 @@
 #include "upstream_pool.hpp"
 
 #include <monsoondock/platform/http_client.hpp>
+#include <monsoondock/routing/retry_budget.hpp>
 #include <monsoondock/routing/router.hpp>
 #include <monsoondock/traffic/server.hpp>
 
@@ -27,6 +28,13 @@
 };
 
 
+/// Retries earned by a successful completion.
+inline constexpr double RETRY_SHARE = 0.1;
+/// Retries that a thread can save up, so that the streams of a lost group can
+/// go on elsewhere.
+inline constexpr double MAX_SAVED_RETRIES = 100;
+
+
 /// State of one traffic thread. Only its own thread touches the members that
 /// are not shared by reference.
 struct traffic_thread
@@ -50,6 +58,8 @@
     std::mt19937_64 random_;
     /// Chooses groups for completions.
     routing::router router_;
+    /// Retries of completions that are left.
+    routing::retry_budget retries_{RETRY_SHARE, MAX_SAVED_RETRIES};
     /// Store of the claims.
     platform::http_client store_;
 };
--- a/src/monsoondock-bench/server.cpp
+++ b/src/monsoondock-bench/server.cpp
@@ -60,7 +60,8 @@
     traffic::snapshot_holder snapshots;
     snapshots.publish(make_snapshot(options));
     metrics::registry metrics;
-    traffic::server server({snapshots, metrics, make_limits(), nullptr});
+    traffic::server server(
+        {snapshots, metrics, make_limits(), nullptr, {}, {}, nullptr});
     const auto started = server.start(options.listen_, 1);
     if (!base::ok(started)) {
         std::cerr << base::to_string(base::error(started)) << '\n';
