--- a/src/include/monsoondock/quarantine/suspect_registry.hpp
+++ b/src/include/monsoondock/quarantine/suspect_registry.hpp
@@ -185,6 +185,7 @@
     bool feed_settled(moment now) const;
     bool overdue(const trial& t, moment now) const;
     bool is_lost(const group_instance& group) const;
+    bool is_recorded_lost(const group_instance& group) const;
     bool is_held(const lost_group& lost, moment now) const;
     std::set<base::group_id>
     held_groups(const base::deployment_id& deployment, moment now) const;
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -275,6 +275,17 @@
 }
 
 
+// The record of a loss tells of it earlier than this daemon's view of the
+// group may.
+bool suspect_registry::is_recorded_lost(const group_instance& group) const
+{
+    return std::any_of(
+        feed_.all().begin(), feed_.all().end(), [&group](const auto& item) {
+            return item.second.record_.lost_.contains(group);
+        });
+}
+
+
 bool suspect_registry::is_held(const lost_group& lost, moment now) const
 {
     return now.boot_ - lost.lost_at_ < timing_.hold_ || !feed_settled(now);
@@ -317,7 +328,7 @@
         const bool inside =
             std::find(ranked.begin(), ranked.end(), whole.group_) !=
             ranked.end();
-        if (inside && !held.contains(whole.group_))
+        if (inside && !held.contains(whole.group_) && !is_recorded_lost(whole))
             allowed.push_back(whole);
     }
     return allowed;
--- a/src/libtraffic/suspect_flight.cpp
+++ b/src/libtraffic/suspect_flight.cpp
@@ -38,7 +38,9 @@
         return false;
     const json::value* phase = fields->if_contains("phase");
     const json::value* number = fields->if_contains("generation");
-    if (phase == nullptr || number == nullptr || *phase != "ready")
+    if (phase == nullptr || !phase->is_string() || number == nullptr)
+        return false;
+    if (phase->get_string() != "ready")
         return false;
     const auto generation = number->to_number<std::uint64_t>(failure);
     return !failure && generation == group.generation_.value_;
@@ -63,8 +65,9 @@
     http::response<http::string_body> answer;
     const auto [read_failure, used] = co_await http::async_read(
         upstream->stream_, upstream->buffer_, answer, await_tuple);
-    co_return !read_failure && answer.result() == http::status::ok &&
-        serves_generation(answer.body(), group);
+    if (read_failure || answer.result() != http::status::ok)
+        co_return false;
+    co_return serves_generation(answer.body(), group);
 }
 
 } // namespace
@@ -134,10 +137,11 @@
 asio::awaitable<void>
 suspect_flight::broken(const group_row& group, std::chrono::milliseconds bound)
 {
-    if (!co_await stands(group, bound)) {
-        board_.group_lost(group.deployment_, instance_of(group));
-        open_ = false;
-    }
+    const bool alive = co_await stands(group, bound);
+    if (alive)
+        co_return;
+    open_ = false;
+    board_.group_lost(group.deployment_, instance_of(group));
 }
 
 } // namespace monsoondock::traffic::pvt
