--- a/src/monsoondock-bench/slopes.py
+++ b/src/monsoondock-bench/slopes.py
@@ -44,7 +44,7 @@
     """Returns the bytes that a daemon's peer socket sent and received."""
     text = request(address, "GET", "/metrics").text()
     found = re.findall(
-        r"^monsoondock_peer_bytes_total\S* ([0-9.e+]+)$", text, re.M)
+        r"^monsoondock_peer_bytes_\w+_total\S* ([0-9.e+]+)$", text, re.M)
     return sum(float(value) for value in found)
 
 
@@ -67,8 +67,7 @@
 
 
 def revision_of(address):
-    page = request(address, "GET", "/admin/settings").json()
-    return page.get("in_force", {}).get("revision", page.get("revision", 0))
+    return request(address, "GET", "/admin/settings").json()["in_force"]
 
 
 def change(cluster, number):
