--- a/src/include/monsoondock/metrics/metric.hpp
+++ b/src/include/monsoondock/metrics/metric.hpp
@@ -22,6 +22,8 @@
     resumed_streams,
     cancelled,
     bad_requests,
+    peer_bytes_sent,
+    peer_bytes_received,
     peer_datagrams_dropped
 };
 
@@ -32,7 +34,6 @@
     settings_revision,
     members_alive,
     groups_serving,
-    open_streams,
     ready
 };
 
--- a/src/include/monsoondock/metrics/registry.hpp
+++ b/src/include/monsoondock/metrics/registry.hpp
@@ -26,6 +26,10 @@
     void add(counter what, const label& labels, std::uint64_t n = 1);
 
 
+    /// Replaces the total of a counter that is kept elsewhere.
+    void set_total(counter what, const label& labels, std::uint64_t total);
+
+
     /// Sets a gauge.
     void set(gauge what, double value);
 
--- a/src/libdaemon/peer_control.cpp
+++ b/src/libdaemon/peer_control.cpp
@@ -1,5 +1,6 @@
 #include "peer_control.hpp"
 
+#include "control_metrics.hpp"
 #include "member_views.hpp"
 #include "peer_registration.hpp"
 #include "peer_settings.hpp"
@@ -174,6 +175,7 @@
     state.admin_.post(
         "members",
         members_page(state.peers_->node(), state.peers_->counters()));
+    post_control_metrics(state);
 }
 
 
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -41,6 +41,10 @@
         return "monsoondock_resumed_streams_total";
     case counter::cancelled:
         return "monsoondock_cancelled_total";
+    case counter::peer_bytes_sent:
+        return "monsoondock_peer_bytes_sent_total";
+    case counter::peer_bytes_received:
+        return "monsoondock_peer_bytes_received_total";
     case counter::peer_datagrams_dropped:
         return "monsoondock_peer_datagrams_dropped_total";
     case counter::bad_requests:
@@ -59,8 +63,6 @@
         return "monsoondock_members_alive";
     case gauge::groups_serving:
         return "monsoondock_groups_serving";
-    case gauge::open_streams:
-        return "monsoondock_open_streams";
     case gauge::ready:
         break;
     }
@@ -125,6 +127,14 @@
 }
 
 
+void registry::set_total(
+    counter what, const label& labels, std::uint64_t total)
+{
+    const std::lock_guard lock(mutex_);
+    counters_[{what, labels}] = total;
+}
+
+
 void registry::set(gauge what, double value)
 {
     const std::lock_guard lock(mutex_);
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -24,6 +24,8 @@
 
 [timeouts]
 entry_host_ttl = "{entry_host_ttl}"
+header = "{read_timeout}"
+body = "{read_timeout}"
 """
 
 TREE_FILE = """\
@@ -73,13 +75,15 @@
     """Starts the processes of one cluster in a session."""
 
     def __init__(self, session, hosts=16, hosts_per_group=16, groups=1,
-                 entry_host_ttl="200ms", evidence_lease="8s"):
+                 entry_host_ttl="200ms", evidence_lease="8s",
+                 read_timeout="5s"):
         self.session = session
         self.hosts = hosts
         self.hosts_per_group = hosts_per_group
         self.groups = groups
         self.entry_host_ttl = entry_host_ttl
         self.evidence_lease = evidence_lease
+        self.read_timeout = read_timeout
         self.daemons = {}
         self.processes = {}
         session.write_file("peer.secret", SECRET)
@@ -135,7 +139,8 @@
         path = self.session.write_file(f"{name}.toml", DAEMON_FILE.format(
             name=name, data_centre=data_centre, caller_port=port,
             peer_port=free_port(), platform=self.platform.address,
-            entry_host_ttl=self.entry_host_ttl))
+            entry_host_ttl=self.entry_host_ttl,
+            read_timeout=self.read_timeout))
         process = self.session.launch(
             name, "monsoondockd", "--config", path)
         process.addresses.append(f"127.0.0.1:{port}")
@@ -149,6 +154,16 @@
         self.session.name_addresses(process)
         return True
 
+    def restart_daemon(self, name):
+        """Starts a daemon that has ended with its file of before, and waits
+        until it is ready."""
+        address = self.daemons[name]
+        path = self.session.path_of(f"{name}.toml")
+        process = self.session.launch(name, "monsoondockd", "--config", path)
+        process.addresses.append(address)
+        self.processes[name] = process
+        wait_until(lambda: self.is_ready(address), f"ready {name}")
+
     def is_ready(self, address):
         try:
             return request(address, "GET", "/readyz").status == 200
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -175,9 +175,13 @@
             print(f"--- standard error of {process.name}")
             print("\n".join(lines[-20:]))
 
+    def path_of(self, name):
+        """Returns the path of a file that lasts as long as the session."""
+        return pathlib.Path(self.scratch.name) / name
+
     def write_file(self, name, text):
         """Writes a file that lasts as long as the session."""
-        path = pathlib.Path(self.scratch.name) / name
+        path = self.path_of(name)
         path.write_text(text)
         return path
 
