daemon: explain a routing decision, ready only with evidence; a lease that can be kept

Ruled out: faster pacing; at 470 daemons it costs more than the 8 KB/s. Load reports of engines go through take_report, so that own dispatches correct them.

--- a/src/libdaemon/control_state.hpp
+++ b/src/libdaemon/control_state.hpp
@@ -50,6 +50,8 @@
     /// The platform's lagging list of hosts.
     std::map<base::host_id, host_record> hosts_{};
     bool hosts_known_ = false;
+    /// True once requests can find the groups that serve.
+    bool groups_known_ = false;
     drain_table drains_{};
     /// Groups that may take requests, kept by the group control.
     std::vector<traffic::group_row> groups_{};
--- a/src/libdaemon/group_control.cpp
+++ b/src/libdaemon/group_control.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::daemon {
 
 namespace asio = boost::asio;
@@ -20,6 +22,7 @@
 constexpr std::string_view prefix = "domains/";
 constexpr std::chrono::milliseconds min_interval{200};
 constexpr std::chrono::milliseconds step_interval{200};
+constexpr std::chrono::milliseconds longest_wait_for_evidence{3000};
 
 
 asio::awaitable<void> follow_domains(group_state& state)
@@ -41,6 +44,37 @@
         state.control_, std::string(prefix), std::move(handlers), min_interval);
 }
 
+std::size_t count_serving(const group_state& state)
+{
+    std::size_t serving = 0;
+    for (const auto& [domain, known] : state.domains_) {
+        const auto& all = known.record_.groups_;
+        serving += static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [](const auto& group) {
+                return group.phase_ == groups::group_phase::serving;
+            }));
+    }
+    return serving;
+}
+
+
+// A daemon that starts takes callers once it has evidence of the groups, or
+// after a while without: a group that is down must not keep it closed.
+void note_groups_known(group_state& state)
+{
+    control_state& control = state.control_;
+    if (control.groups_known_ || !state.listed_)
+        return;
+    const base::time_point now = base::boot_clock::now();
+    if (state.listed_at_ == base::time_point{})
+        state.listed_at_ = now;
+    const bool seen = control.groups_.size() >= count_serving(state);
+    if (!seen && now - state.listed_at_ < longest_wait_for_evidence)
+        return;
+    control.groups_known_ = true;
+    publish_snapshot(control);
+}
+
 } // namespace
 
 asio::awaitable<void> run_group_control(control_state& control)
@@ -58,6 +92,7 @@
         probe_groups(state);
         ask_for_verdicts(state);
         update_groups(state);
+        note_groups_known(state);
         timer.expires_after(step_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
--- a/src/libdaemon/group_probes.cpp
+++ b/src/libdaemon/group_probes.cpp
@@ -26,8 +26,8 @@
     if (status.report_.running_ == 0 && status.queued_ == 0 &&
         found->second->reported_running_ == 0)
         return;
-    found->second->reported_running_ = status.report_.running_;
-    found->second->reported_queued_ = status.queued_;
+    traffic::take_report(
+        *found->second, status.report_.running_, status.queued_);
 }
 
 
--- a/src/libdaemon/group_state.hpp
+++ b/src/libdaemon/group_state.hpp
@@ -46,6 +46,8 @@
     std::uint64_t incarnation_ = 0;
     /// True once the records were read for the first time.
     bool listed_ = false;
+    /// When that was noticed.
+    base::time_point listed_at_{};
     std::map<base::fabric_domain_id, known_domain> domains_;
     std::map<base::fabric_domain_id, led_domain> led_;
     groups::evidence_table evidence_;
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -1,6 +1,7 @@
 #include "claim_sweep.hpp"
 #include "control_state.hpp"
 #include "drain_feed.hpp"
+#include "explain_page.hpp"
 #include "group_control.hpp"
 #include "host_feed.hpp"
 #include "peer_control.hpp"
@@ -164,6 +165,16 @@
     asio::co_spawn(context, wait_for_signals(state, server), asio::detached);
 }
 
+std::optional<std::string> read_admin(
+    const admin_board& board,
+    const traffic::snapshot_holder& snapshots,
+    const std::string& target)
+{
+    if (target.starts_with("/admin/explain"))
+        return explain_page(*snapshots.get(), target, base::boot_clock::now());
+    return board.read(target);
+}
+
 } // namespace
 
 base::result<base::done> run_daemon(const settings::daemon_config& config)
@@ -192,7 +203,9 @@
         {snapshots,
          metrics,
          to_limits(config),
-         [&admin](const auto& target) { return admin.read(target); },
+         [&](const std::string& target) {
+             return read_admin(admin, snapshots, target);
+         },
          claim_parts,
          config.data_centre_,
          &suspects});
--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -140,7 +140,8 @@
 void publish_snapshot(control_state& state)
 {
     auto snapshot = std::make_shared<traffic::routing_snapshot>();
-    snapshot->ready_ = state.settings_ != nullptr && state.hosts_known_;
+    snapshot->ready_ =
+        state.settings_ != nullptr && state.hosts_known_ && state.groups_known_;
     snapshot->draining_ = state.draining_;
     snapshot->groups_ = state.groups_;
     snapshot->entry_hosts_ = state.entry_hosts_;
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -127,8 +127,7 @@
 }
 
 
-void registry::set_total(
-    counter what, const label& labels, std::uint64_t total)
+void registry::set_total(counter what, const label& labels, std::uint64_t total)
 {
     const std::lock_guard lock(mutex_);
     counters_[{what, labels}] = total;
--- a/src/libsettings/schema_deployment.hpp
+++ b/src/libsettings/schema_deployment.hpp
@@ -96,8 +96,8 @@
         setting<milliseconds>{
             "deployment",
             {"evidence_lease",
-             2s,
-             {200ms, 30s},
+             8s,
+             {4s, 8s},
              "Time for which evidence that a host lives lets its group serve."},
             PLACES_AND_DEPLOYMENTS},
         [](auto& v) -> auto& { return v.deployment_.evidence_lease_; });
