daemon: peers list a daemon only once it is ready; testsuite: files appear whole

Cause: golden-planned-stop failed once in a landing run: 3 of the requests got 503 not_ready from a daemon that had just restarted. Its peers listed it as open by an older rule than the one that readyz uses. golden-groups failed 3 of 3 runs: each daemon's start wrote peer.secret again, and another daemon read it while it was empty. Ruled out: the rate limit (no 429 in the logs). Change: one predicate, is_ready, for both; the harness renames a finished file into place.

--- a/src/libdaemon/control_state.hpp
+++ b/src/libdaemon/control_state.hpp
@@ -78,6 +78,11 @@
 };
 
 
+/// Returns true once the daemon knows enough to take callers. Until then its
+/// peers keep it off the list of entry hosts.
+bool is_ready(const control_state& state);
+
+
 /// Builds a snapshot from the state and hands it to the traffic threads.
 void publish_snapshot(control_state& state);
 
--- a/src/libdaemon/peer_control.cpp
+++ b/src/libdaemon/peer_control.cpp
@@ -125,8 +125,7 @@
         status.settings_revision_ = state.settings_->revision_.value_;
     if (state.load_permille_)
         status.load_permille_ = state.load_permille_();
-    const bool ready = state.settings_ != nullptr && state.hosts_known_;
-    if (state.draining_ || !ready)
+    if (state.draining_ || !is_ready(state))
         status.entry_mode_ = membership::entry_mode::draining;
     if (status == control.status_)
         return;
--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -137,11 +137,17 @@
 
 } // namespace
 
+bool is_ready(const control_state& state)
+{
+    return state.settings_ != nullptr && state.hosts_known_ &&
+           state.groups_known_;
+}
+
+
 void publish_snapshot(control_state& state)
 {
     auto snapshot = std::make_shared<traffic::routing_snapshot>();
-    snapshot->ready_ =
-        state.settings_ != nullptr && state.hosts_known_ && state.groups_known_;
+    snapshot->ready_ = is_ready(state);
     snapshot->draining_ = state.draining_;
     snapshot->groups_ = state.groups_;
     snapshot->entry_hosts_ = state.entry_hosts_;
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -182,7 +182,10 @@
     def write_file(self, name, text):
         """Writes a file that lasts as long as the session."""
         path = self.path_of(name)
-        path.write_text(text)
+        # A process that reads the file now must never see a part of it.
+        fresh = path.with_suffix(".fresh")
+        fresh.write_text(text)
+        fresh.replace(path)
         return path
 
     def launch(self, name, program, *arguments):
