--- a/src/libtraffic/whole_answers_test.cpp
+++ b/src/libtraffic/whole_answers_test.cpp
@@ -66,7 +66,7 @@
     test::fake_engine second_;
     snapshot_holder snapshots_;
     metrics::registry metrics_;
-    server server_{{snapshots_, metrics_, make_limits(), {}, {}, {}}};
+    server server_{{snapshots_, metrics_, make_limits(), {}, {}, {}, nullptr}};
     boost::asio::io_context context_;
     tcp::socket socket_{context_};
     boost::beast::flat_buffer buffer_;
