quarantine: an entry of known red that no longer fails fails its test

Change: every listed seed must show its violation, else the test asks for the entry to be removed. No check is loosened.

--- a/src/libquarantine/exploration_test.cpp
+++ b/src/libquarantine/exploration_test.cpp
@@ -504,7 +504,8 @@
 
 
 // A seed that is listed in KNOWN-RED.txt with what it shows. It is run and
-// printed; any other violation, also on this seed, fails the test.
+// printed; any other violation, also on this seed, fails the test, and so does
+// an entry that no longer shows: it must be removed then.
 struct known_red
 {
     std::uint64_t seed_ = 0;
@@ -530,9 +531,11 @@
     const std::vector<known_red>& known = {})
 {
     figures sum;
+    std::size_t seen_red = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         const auto violation = world(seed, variant::correct, f).explore(sum);
         if (violation && is_known_red(known, seed, *violation)) {
+            ++seen_red;
             std::printf(
                 "KNOWN RED faults=%s seed=%llu violation=\"%s\"\n",
                 name,
@@ -547,6 +550,10 @@
             static_cast<unsigned long long>(seed),
             violation ? violation->c_str() : "");
     }
+    cr_assert(
+        seen_red == known.size(),
+        "%s: an entry of KNOWN-RED.txt no longer fails; remove it",
+        name);
     std::printf(
         "faults=%s seeds=%llu groups_lost=%ld most=%ld innocents=%ld "
         "completed=%ld quarantined_innocents=%ld writes=%ld\n",
