--- /dev/null
+++ b/src/include/monsoondock/catalog/deployment.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <monsoondock/base/identifier.hpp>
+#include <monsoondock/catalog/engine.hpp>
+
+#include <optional>
+
+namespace monsoondock::catalog {
+
+/// A set of interchangeable upstreams: model engines or a plain service.
+struct deployment
+{
+    base::deployment_id id_;
+    /// Connections that one upstream host accepts from all callers together.
+    unsigned max_connections_ = 0;
+    /// Present for model engines only.
+    std::optional<engine> engine_;
+};
+
+} // namespace monsoondock::catalog
--- /dev/null
+++ b/src/include/monsoondock/placement/planner_config.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+
+namespace monsoondock::placement {
+
+/// Timing of the planner.
+struct planner_config
+{
+    /// An order whose effect does not show is sent again after this time.
+    std::chrono::milliseconds repeat_order_{1000};
+    /// A formation is given up when a member has not become ready this long
+    /// after the time that its join was expected to take.
+    std::chrono::milliseconds formation_slack_{4000};
+    /// A closing group that still has requests is told to leave after this
+    /// time.
+    std::chrono::milliseconds longest_close_{9000};
+    /// A head that can't be reached and is not listed any more counts as
+    /// gone, or broken on its own, this long after it was last listed.
+    std::chrono::milliseconds silent_head_{4200};
+    /// Hosts are placed at a first start once the list has not grown for
+    /// this time.
+    std::chrono::milliseconds settle_{400};
+    /// Hosts outside of groups of the largest model that should hold its
+    /// weights, for each domain.
+    unsigned staged_spares_ = 2;
+    /// Window and share of the load limit that this planner uses.
+    std::chrono::milliseconds load_window_{5000};
+    double load_share_ = 0.9;
+};
+
+} // namespace monsoondock::placement
--- a/src/include/monsoondock/platform/http_client.hpp
+++ b/src/include/monsoondock/platform/http_client.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/platform/change.hpp>
 #include <monsoondock/platform/listing.hpp>
+#include <monsoondock/platform/store_dialect.hpp>
 #include <monsoondock/platform/write_condition.hpp>
 #include <monsoondock/platform/write_outcome.hpp>
 
@@ -25,11 +26,12 @@
 {
 public:
     /// Addresses of the platform, tried in turn. timeout bounds every call
-    /// but the watch.
+    /// but the watch. dialect must outlive the client.
     http_client(
         boost::asio::any_io_executor executor,
         std::vector<boost::asio::ip::tcp::endpoint> addresses,
-        std::chrono::milliseconds timeout);
+        std::chrono::milliseconds timeout,
+        const store_dialect& dialect = native_dialect());
 
     ~http_client();
 
--- /dev/null
+++ b/src/include/monsoondock/relay/attempt_window.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <monsoondock/base/boot_clock.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace monsoondock::relay {
+
+/// Limit on sends beyond the first of each request, over a sliding window.
+struct attempt_limit
+{
+    std::chrono::milliseconds window_{10000};
+    /// Repeats allowed for each request in the window.
+    double ratio_ = 0.2;
+    /// Repeats allowed on top, over all daemons together.
+    double slack_ = 100;
+};
+
+
+/// Counts first sends and repeats of one deployment at one daemon, so that
+/// retries cannot multiply the load of an outage.
+class attempt_window
+{
+public:
+    explicit attempt_window(attempt_limit limit) : limit_(limit) {}
+
+
+    /// A request of a caller came.
+    void add_request(base::time_point now);
+
+
+    /// Takes one repeat. daemons is the number of daemons that share the
+    /// slack. Returns false when the limit is reached.
+    bool take_repeat(unsigned daemons, base::time_point now);
+
+private:
+    static constexpr std::size_t slice_count = 10;
+
+    struct slice
+    {
+        std::int64_t number_ = -1;
+        std::uint32_t requests_ = 0;
+        std::uint32_t repeats_ = 0;
+    };
+
+    slice& current(base::time_point now);
+
+    attempt_limit limit_;
+    std::array<slice, slice_count> slices_{};
+};
+
+} // namespace monsoondock::relay
--- /dev/null
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <monsoondock/relay/upstream.hpp>
+#include <monsoondock/relay/upstream_board.hpp>
+
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace monsoondock::relay {
+
+/// What a choice depends on beside the upstreams.
+struct choice_request
+{
+    /// Model asked for; empty for a plain service.
+    std::string model_;
+    base::data_centre_id here_;
+    /// Hosts that this request was sent to already.
+    std::set<base::host_id> tried_;
+    base::time_point now_;
+    /// Number from 0 up to, but not including, 1 that breaks ties.
+    double draw_ = 0;
+};
+
+
+/// Weights of a choice.
+struct choice_weights
+{
+    /// Load, as a share of the slots, that the own data centre may have more.
+    double locality_ = 0.1;
+    /// Load added to an upstream whose events come this much slower than the
+    /// median of its model, for each multiple beyond the first.
+    double slowness_ = 1.0;
+};
+
+
+/// Chooses the upstream with the least load for its slots and speed. Doubted
+/// upstreams are taken only when no other is left; upstreams that the request
+/// was sent to already are never taken. Returns nothing when there are none.
+///
+/// Load pattern: many groups with few requests each, some of them slow, and
+/// several daemons that choose at once.
+std::optional<std::size_t> choose_upstream(
+    const std::vector<upstream>& all,
+    const upstream_board& board,
+    const choice_request& request,
+    const choice_weights& weights = {});
+
+
+/// Returns the free places of the upstreams of a model, less their load; below
+/// zero when requests wait. Doubted upstreams do not count.
+long spare_places(
+    const std::vector<upstream>& all,
+    const upstream_board& board,
+    const std::string& model,
+    base::time_point now);
+
+} // namespace monsoondock::relay
--- /dev/null
+++ b/src/include/monsoondock/relay/front.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <monsoondock/base/result.hpp>
+#include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/relay/attempt_window.hpp>
+#include <monsoondock/relay/front_events.hpp>
+#include <monsoondock/relay/header_names.hpp>
+#include <monsoondock/relay/serving_view.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+namespace monsoondock::relay {
+
+/// What a front needs to run.
+struct front_config
+{
+    header_names headers_;
+    base::data_centre_id here_;
+    attempt_limit attempts_;
+    /// Connections of callers that are held at once.
+    std::size_t max_connections_ = 1500;
+};
+
+
+/// Takes requests of callers on its own thread and relays them to upstreams.
+/// All functions may be called from any thread.
+class front
+{
+public:
+    front(front_config config, front_events events, metrics::registry& metrics);
+
+    front(const front&) = delete;
+    front& operator=(const front&) = delete;
+
+    /// Stops at once.
+    ~front();
+
+
+    /// Listens and begins. Problem code unavailable: the address can't be
+    /// bound.
+    base::result<base::done> start(boost::asio::ip::tcp::endpoint address);
+
+
+    /// Replaces what requests are decided from.
+    void publish(view_pointer view);
+
+
+    /// Takes what a peer told of its requests in progress.
+    void set_peer_loads(
+        base::daemon_id peer,
+        std::unordered_map<base::host_id, unsigned> loads);
+
+
+    /// A peer doubts an upstream.
+    void doubt_upstream(base::host_id host);
+
+
+    /// A peer, or an answer to the control thread, shows that an upstream
+    /// works.
+    void trust_upstream(base::host_id host);
+
+
+    /// A peer reports that a request brought an upstream down.
+    void add_crash(crash_report report);
+
+
+    /// Calls done on the traffic thread with the requests in progress by host.
+    void read_loads(
+        std::function<void(std::unordered_map<base::host_id, unsigned>)> done);
+
+
+    /// Returns the number of requests in progress.
+    std::uint64_t active_requests() const noexcept;
+
+
+    /// Refuses all further requests, truthfully as not run.
+    void refuse_new() noexcept;
+
+
+    /// Ends the thread; requests in progress are cut.
+    void stop();
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace monsoondock::relay
--- /dev/null
+++ b/src/libentry/await_tuple.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace monsoondock::entry::pvt {
+
+/// Completion token that returns the error code instead of throwing it.
+inline constexpr auto await_tuple =
+    boost::asio::as_tuple(boost::asio::use_awaitable);
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/catalog_feed.cpp
@@ -0,0 +1,111 @@
+#include "await_tuple.hpp"
+#include "control.hpp"
+#include "page_client.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds watch_time{20000};
+constexpr std::chrono::milliseconds retry_pause{150};
+constexpr std::chrono::milliseconds peer_timeout{500};
+
+
+void take_object(control& c, const platform::object& o)
+{
+    if (o.key_ == c.adapter_.catalog_key_)
+        take_catalog(c, o.value_, "store");
+}
+
+
+// Reads the present configuration; returns the version to watch from.
+asio::awaitable<std::optional<platform::version>> read_catalogs(control& c)
+{
+    const auto listed = co_await c.store_.list(c.adapter_.catalog_prefix_);
+    note_store(c, base::ok(listed));
+    if (!base::ok(listed))
+        co_return std::nullopt;
+    for (const platform::object& o : base::value(listed).objects_)
+        take_object(c, o);
+    co_return base::value(listed).version_;
+}
+
+
+asio::awaitable<void> watch_catalog(control& c, platform::version from)
+{
+    for (;;) {
+        const auto batch = co_await c.store_.watch(
+            c.adapter_.catalog_prefix_, from, watch_time);
+        note_store(c, base::ok(batch));
+        if (!base::ok(batch))
+            co_return;
+        for (const platform::change& change : base::value(batch).changes_) {
+            if (!change.deleted_)
+                take_object(c, change.object_);
+        }
+        from = base::value(batch).next_;
+    }
+}
+
+} // namespace
+
+bool take_catalog(control& c, const std::string& text, std::string_view source)
+{
+    auto read = c.adapter_.read_catalog_(text);
+    if (!base::ok(read)) {
+        base::event_line("settings_unreadable", base::severity::error)
+            .field("source", source)
+            .field("reason", base::to_string(base::error(read)));
+        return false;
+    }
+    auto next =
+        std::make_shared<catalog::catalog>(base::value(std::move(read)));
+    const std::uint64_t have =
+        c.catalog_.catalog_ == nullptr ? 0 : c.catalog_.catalog_->version_;
+    if (next->version_ <= have)
+        return false;
+    base::event_line("settings_in_force")
+        .field("version", next->version_)
+        .field("before", have)
+        .field("source", source)
+        .field("routes", next->routes_.size());
+    c.catalog_ = {std::move(next), text};
+    publish_status(c);
+    publish_view(c);
+    return true;
+}
+
+
+asio::awaitable<void> run_catalog_feed(control& c)
+{
+    for (;;) {
+        const auto from = co_await read_catalogs(c);
+        if (from)
+            co_await watch_catalog(c, *from);
+        co_await sleep_for(c, retry_pause);
+    }
+}
+
+
+asio::awaitable<void> fetch_catalog(control& c, membership::endpoint peer)
+{
+    const auto text = co_await get_page(
+        c.context_,
+        {asio::ip::address_v4(peer.address_), peer.port_},
+        "/settings",
+        peer_timeout);
+    if (!text) {
+        base::event_line("peer_settings_failed", base::severity::warning)
+            .field("peer", membership::to_string(peer));
+        co_return;
+    }
+    take_catalog(c, *text, "peer");
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/control.cpp
@@ -0,0 +1,256 @@
+#include "control.hpp"
+
+#include "await_tuple.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/fleet/replica_group.hpp>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Longest wait for the store's answer to a call that does not watch.
+constexpr std::chrono::milliseconds store_timeout{1000};
+
+
+// The time of the start tells the lives of a daemon apart.
+std::uint64_t make_incarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+
+membership::endpoint to_peer(const settings::socket_address& a)
+{
+    return membership::parse_endpoint(settings::to_string(a))
+        .value_or(membership::endpoint{});
+}
+
+
+membership::member_record make_record(const settings::entry_config& config)
+{
+    membership::member_record r;
+    r.id_ = config.daemon_;
+    r.data_centre_ = config.data_centre_;
+    r.region_ = config.region_;
+    r.peer_ = to_peer(config.peer_address_);
+    r.caller_ = to_peer(config.caller_address_);
+    r.incarnation_ = {make_incarnation()};
+    r.status_.entry_mode_ = membership::entry_mode::draining;
+    return r;
+}
+
+
+std::vector<membership::endpoint>
+make_seeds(const settings::entry_config& config)
+{
+    std::vector<membership::endpoint> seeds;
+    const auto self = to_peer(config.peer_address_);
+    for (settings::socket_address a : config.seed_hosts_) {
+        a.port_ = config.peer_address_.port_;
+        const auto seed = to_peer(a);
+        if (seed != self)
+            seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+
+// Callers notice a lost daemon within a second or two, so the others must.
+membership::node_config make_node_config()
+{
+    membership::node_config c;
+    c.probe_period_ = 400ms;
+    c.direct_timeout_ = 150ms;
+    c.suspicion_base_ = 1200ms;
+    c.expiry_period_ = 200ms;
+    c.dead_probe_period_ = 2000ms;
+    c.dead_retention_ = std::chrono::minutes(10);
+    c.sync_period_ = 5000ms;
+    c.seed_period_ = 3000ms;
+    c.join_period_ = 200ms;
+    c.urgent_fanout_ = 8;
+    c.urgent_period_ = 50ms;
+    return c;
+}
+
+
+asio::ip::tcp::endpoint to_endpoint(const settings::socket_address& a)
+{
+    return {asio::ip::make_address(a.ip_), a.port_};
+}
+
+
+relay::upstream make_upstream(
+    const fleet::host_fact& host, const asio::ip::tcp::endpoint& address)
+{
+    relay::upstream u;
+    u.host_ = host.id_;
+    u.address_ = address;
+    u.data_centre_ = host.data_centre_;
+    u.slots_ = host.slots_;
+    return u;
+}
+
+
+std::optional<asio::ip::tcp::endpoint> parse_address(const std::string& text)
+{
+    const auto parsed = settings::parse_socket_address(text);
+    if (!parsed)
+        return std::nullopt;
+    return to_endpoint(*parsed);
+}
+
+
+std::vector<relay::upstream>
+service_upstreams(const control& c, const base::deployment_id& id)
+{
+    std::vector<relay::upstream> result;
+    for (const auto& [host_id, host] : c.hosts_.hosts_) {
+        const auto address = parse_address(host.address_);
+        if (host.deployment_ == id && !host.draining_ && address)
+            result.push_back(make_upstream(host, *address));
+    }
+    return result;
+}
+
+
+bool is_retiring(const control& c, const base::host_id& head)
+{
+    for (const auto& [id, planner] : c.planners_) {
+        for (const base::host_id& retiring : planner.retiring_heads()) {
+            if (retiring == head)
+                return true;
+        }
+    }
+    return false;
+}
+
+
+std::vector<relay::upstream>
+group_upstreams(const control& c, const catalog::deployment& d)
+{
+    std::map<std::string, unsigned> sizes;
+    std::map<std::string, double> paces;
+    for (const catalog::model& m : d.engine_->models_) {
+        sizes[m.name_] = m.group_size_;
+        paces[m.name_] = m.pace_;
+    }
+    std::vector<relay::upstream> result;
+    for (const auto& [key, g] :
+         fleet::derive_groups(c.hosts_.hosts_, d.id_, sizes)) {
+        if (!fleet::may_serve(g) || is_retiring(c, g.members_.front()))
+            continue;
+        const auto& head = c.hosts_.hosts_.at(g.members_.front());
+        const auto address = parse_address(head.address_);
+        if (!address)
+            continue;
+        relay::upstream u = make_upstream(head, *address);
+        u.slots_ = d.engine_->slots_;
+        u.model_ = g.model_;
+        u.pace_ = paces[g.model_];
+        u.group_ = key.name_;
+        result.push_back(std::move(u));
+    }
+    return result;
+}
+
+
+unsigned live_daemons(const control& c)
+{
+    unsigned count = 1;
+    for (const auto& [id, member] : c.node_.members())
+        count += member.record_.state_ == membership::member_state::alive;
+    return count;
+}
+
+} // namespace
+
+control::control(
+    const settings::entry_config& config,
+    const site_adapter& adapter,
+    metrics::registry& metrics)
+    : config_(config), adapter_(adapter), metrics_(metrics),
+      random_(std::random_device()()),
+      store_(
+          context_.get_executor(),
+          {to_endpoint(config.platform_address_)},
+          store_timeout,
+          *adapter.store_),
+      peer_socket_(context_), node_(
+                                  make_node_config(),
+                                  make_record(config),
+                                  make_seeds(config),
+                                  random_()),
+      started_at_(base::boot_clock::now()), placement_wake_(context_)
+{}
+
+
+void publish_view(control& c)
+{
+    auto view = std::make_shared<relay::serving_view>();
+    view->catalog_ = c.catalog_.catalog_;
+    view->daemons_ = live_daemons(c);
+    view->stopping_ = c.stopping_;
+    if (view->catalog_ != nullptr) {
+        for (const auto& [id, d] : view->catalog_->deployments_)
+            view->upstreams_[id] =
+                d.engine_ ? group_upstreams(c, d) : service_upstreams(c, id);
+    }
+    c.front_->publish(std::move(view));
+}
+
+
+bool is_ready(const control& c)
+{
+    return !c.stopping_ && c.catalog_.catalog_ != nullptr && c.hosts_.known_;
+}
+
+
+void publish_status(control& c)
+{
+    membership::member_status status;
+    status.settings_revision_ =
+        c.catalog_.catalog_ == nullptr ? 0 : c.catalog_.catalog_->version_;
+    status.entry_mode_ = is_ready(c) ? membership::entry_mode::open
+                                     : membership::entry_mode::draining;
+    const auto out = c.node_.set_status(status, base::boot_clock::now());
+    for (const membership::datagram& d : out.datagrams_) {
+        const std::string bytes = encode(membership_message{d.body_});
+        boost::system::error_code ignored;
+        c.peer_socket_.send_to(
+            asio::buffer(bytes),
+            {asio::ip::address_v4(d.peer_.address_), d.peer_.port_},
+            0,
+            ignored);
+    }
+}
+
+
+void note_store(control& c, bool answered)
+{
+    if (answered)
+        c.store_answered_at_ = base::boot_clock::now();
+    if (answered == !c.store_failed_)
+        return;
+    c.store_failed_ = !answered;
+    base::event_line(
+        answered ? "store_regained" : "store_lost",
+        answered ? base::severity::info : base::severity::warning)
+        .field("daemon", c.config_.daemon_);
+}
+
+
+asio::awaitable<void> sleep_for(control& c, std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(c.context_, time);
+    co_await timer.async_wait(await_tuple);
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/control.hpp
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "peer_message.hpp"
+
+#include <monsoondock/entry/site_adapter.hpp>
+#include <monsoondock/fleet/host_table.hpp>
+#include <monsoondock/membership/node.hpp>
+#include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/placement/planner.hpp>
+#include <monsoondock/platform/http_client.hpp>
+#include <monsoondock/relay/front.hpp>
+#include <monsoondock/settings/entry_config.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace monsoondock::entry::pvt {
+
+/// The accepted configuration that this daemon has in force.
+struct catalog_state
+{
+    std::shared_ptr<const catalog::catalog> catalog_;
+    /// As the store has it, for peers that can't read the store.
+    std::string text_;
+};
+
+
+/// Upstream hosts as the platform lists them.
+struct host_state
+{
+    fleet::host_table hosts_;
+    bool known_ = false;
+    /// Hosts whose entries vanished right after an outage of the store; they
+    /// count as gone only when they do not come back by this time.
+    std::map<base::host_id, base::time_point> lapsed_;
+    /// Until this time a vanished entry may be one that lapsed in an outage.
+    base::time_point lapse_until_;
+};
+
+
+/// Who leads placement, as this daemon knows it.
+struct leader_state
+{
+    bool leading_ = false;
+    std::uint64_t term_ = 0;
+    platform::version record_version_;
+    /// Epochs below this one are reserved for this leader.
+    std::uint64_t epochs_below_ = 0;
+    std::uint64_t next_epoch_ = 1;
+    /// When the record was last written, by the time the call was begun.
+    base::time_point fenced_at_;
+    /// No orders are sent before this time, so that those of an earlier
+    /// leader have ended.
+    base::time_point orders_from_;
+    /// Last beat of another leader.
+    base::time_point heard_at_;
+    base::daemon_id leader_;
+};
+
+
+/// What is known of an upstream host beside the list.
+struct host_verdict
+{
+    /// The host counts as unreachable until this time.
+    base::time_point unreachable_until_;
+    base::time_point checked_at_;
+    /// When the host last answered this daemon or a peer.
+    base::time_point answered_at_;
+};
+
+
+/// State of the control thread; no other thread touches it.
+struct control
+{
+    control(
+        const settings::entry_config& config,
+        const site_adapter& adapter,
+        metrics::registry& metrics);
+
+    const settings::entry_config& config_;
+    const site_adapter& adapter_;
+    metrics::registry& metrics_;
+    boost::asio::io_context context_{1};
+    std::mt19937_64 random_;
+    platform::http_client store_;
+    boost::asio::ip::udp::socket peer_socket_;
+    membership::node node_;
+    std::unique_ptr<relay::front> front_;
+    catalog_state catalog_;
+    host_state hosts_;
+    leader_state leader_;
+    std::map<base::deployment_id, placement::planner> planners_;
+    std::map<base::host_id, host_verdict> verdicts_;
+    base::time_point started_at_;
+    /// When the store last answered a call.
+    base::time_point store_answered_at_;
+    bool store_failed_ = false;
+    bool stopping_ = false;
+    /// Wakes the placement loop before its period is over.
+    boost::asio::steady_timer placement_wake_;
+    /// Wakes the catalog feed when a peer has a newer configuration.
+    std::optional<membership::endpoint> newer_at_;
+    std::uint64_t newer_version_ = 0;
+};
+
+
+/// Publishes what requests are decided from to the traffic thread.
+void publish_view(control& c);
+
+
+/// Tells membership what this daemon is ready for.
+void publish_status(control& c);
+
+
+/// Returns true when this daemon can serve callers.
+bool is_ready(const control& c);
+
+
+/// Notes that the store answered, or did not.
+void note_store(control& c, bool answered);
+
+
+/// Waits for a time on the control thread.
+boost::asio::awaitable<void>
+sleep_for(control& c, std::chrono::milliseconds time);
+
+
+/// Takes a configuration as the store or a peer has it. Returns false when
+/// it can't be read or is not newer.
+bool take_catalog(control& c, const std::string& text, std::string_view source);
+
+
+/// Follows the configuration in the store until the process ends.
+boost::asio::awaitable<void> run_catalog_feed(control& c);
+
+
+/// Fetches a newer configuration from a peer.
+boost::asio::awaitable<void>
+fetch_catalog(control& c, membership::endpoint peer);
+
+
+/// Follows the entries of upstream hosts until the process ends.
+boost::asio::awaitable<void> run_host_feed(control& c);
+
+
+/// Takes part in membership and takes messages of peers.
+boost::asio::awaitable<void> run_peers(control& c);
+
+
+/// Sends a message to all live peers.
+void broadcast(control& c, const peer_message& m);
+
+
+/// Tells peers at a fixed rate how many requests are in progress where.
+boost::asio::awaitable<void> run_load_reports(control& c);
+
+
+/// Elects the leader of placement and keeps it known.
+boost::asio::awaitable<void> run_leadership(control& c);
+
+
+/// Writes the leader's record unless that was done a moment ago. Returns
+/// false when this daemon does not lead any more or can't tell.
+boost::asio::awaitable<bool> fence(control& c);
+
+
+/// Returns the next epoch.
+std::uint64_t take_epoch(control& c);
+
+
+/// While this daemon leads, has planners step and sends their orders.
+boost::asio::awaitable<void> run_placement(control& c);
+
+
+/// Checks the hosts of a group whose head is doubted.
+void check_group(control& c, const doubt_message& d);
+
+
+/// Serves readiness, the directory, peers' requests and metrics.
+void start_pages(control& c);
+
+
+/// Stops the process on signals.
+boost::asio::awaitable<void> run_signals(control& c);
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/host_feed.cpp
@@ -0,0 +1,190 @@
+#include "control.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+#include <set>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds watch_time{20000};
+constexpr std::chrono::milliseconds retry_pause{150};
+// Changes come in bursts; the next watch begins this much later, so that a
+// burst costs one call.
+constexpr std::chrono::milliseconds batch_pause{20};
+// Hosts write again within about two seconds of the store's return.
+constexpr std::chrono::milliseconds lapse_grace{2500};
+// An outage shorter than this makes no entry lapse.
+constexpr std::chrono::milliseconds shortest_outage{1000};
+
+
+std::string id_of(const control& c, const std::string& key)
+{
+    return key.substr(c.adapter_.hosts_prefix_.size());
+}
+
+
+void log_host(const fleet::host_fact& h, const char* event)
+{
+    base::event_line line(event);
+    line.field("host", h.id_)
+        .field("deployment", h.deployment_)
+        .field("draining", h.draining_ ? "yes" : "no")
+        .field("born", h.born_ms_);
+    if (h.role_)
+        line.field("group", h.role_->key_.name_)
+            .field("rank", h.role_->rank_)
+            .field("phase", fleet::to_string(h.role_->phase_));
+}
+
+
+void take_entry(control& c, const platform::object& o)
+{
+    const std::string id = id_of(c, o.key_);
+    auto read = c.adapter_.read_host_(id, o.value_);
+    if (!base::ok(read)) {
+        base::event_line("host_entry_unreadable", base::severity::warning)
+            .field("host", id)
+            .field("reason", base::to_string(base::error(read)));
+        c.hosts_.hosts_.erase({id});
+        return;
+    }
+    fleet::host_fact host = base::value(std::move(read));
+    c.hosts_.lapsed_.erase(host.id_);
+    auto& known = c.hosts_.hosts_[host.id_];
+    if (known == host)
+        return;
+    if (known.born_ms_ != host.born_ms_)
+        c.verdicts_.erase(host.id_);
+    known = std::move(host);
+    log_host(known, "host_changed");
+}
+
+
+void drop_host(control& c, const base::host_id& id, const char* reason)
+{
+    const auto found = c.hosts_.hosts_.find(id);
+    if (found == c.hosts_.hosts_.end())
+        return;
+    base::event_line("host_gone").field("host", id).field("reason", reason);
+    c.hosts_.hosts_.erase(found);
+    c.hosts_.lapsed_.erase(id);
+}
+
+
+void take_removal(control& c, const base::host_id& id)
+{
+    const base::time_point now = base::boot_clock::now();
+    const auto found = c.hosts_.hosts_.find(id);
+    if (found == c.hosts_.hosts_.end())
+        return;
+    // A host that was leaving does not come back.
+    if (now < c.hosts_.lapse_until_ && !found->second.draining_) {
+        c.hosts_.lapsed_.try_emplace(id, c.hosts_.lapse_until_);
+        return;
+    }
+    drop_host(c, id, "entry_removed");
+}
+
+
+void expire_lapsed(control& c)
+{
+    const base::time_point now = base::boot_clock::now();
+    std::vector<base::host_id> expired;
+    for (const auto& [id, until] : c.hosts_.lapsed_) {
+        if (now >= until)
+            expired.push_back(id);
+    }
+    for (const base::host_id& id : expired)
+        drop_host(c, id, "not_back_after_outage");
+    if (!expired.empty())
+        publish_view(c);
+}
+
+
+void after_change(control& c)
+{
+    publish_view(c);
+    c.placement_wake_.cancel();
+}
+
+
+void note_return(control& c, base::time_point last_answer)
+{
+    const base::time_point now = base::boot_clock::now();
+    if (c.hosts_.known_ && now - last_answer > shortest_outage)
+        c.hosts_.lapse_until_ = now + lapse_grace;
+}
+
+
+// Reads all entries; returns the version to watch from.
+asio::awaitable<std::optional<platform::version>> read_hosts(control& c)
+{
+    const base::time_point last_answer = c.store_answered_at_;
+    const bool failed_before = c.store_failed_;
+    const auto listed = co_await c.store_.list(c.adapter_.hosts_prefix_);
+    note_store(c, base::ok(listed));
+    if (!base::ok(listed))
+        co_return std::nullopt;
+    if (failed_before)
+        note_return(c, last_answer);
+    std::set<base::host_id> present;
+    for (const platform::object& o : base::value(listed).objects_) {
+        present.insert({id_of(c, o.key_)});
+        take_entry(c, o);
+    }
+    std::vector<base::host_id> missing;
+    for (const auto& [id, host] : c.hosts_.hosts_) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (const base::host_id& id : missing)
+        take_removal(c, id);
+    if (!c.hosts_.known_) {
+        c.hosts_.known_ = true;
+        publish_status(c);
+    }
+    after_change(c);
+    co_return base::value(listed).version_;
+}
+
+
+asio::awaitable<void> watch_hosts(control& c, platform::version from)
+{
+    for (;;) {
+        const auto batch =
+            co_await c.store_.watch(c.adapter_.hosts_prefix_, from, watch_time);
+        note_store(c, base::ok(batch));
+        if (!base::ok(batch))
+            co_return;
+        for (const platform::change& change : base::value(batch).changes_) {
+            if (change.deleted_)
+                take_removal(c, {id_of(c, change.object_.key_)});
+            else
+                take_entry(c, change.object_);
+        }
+        from = base::value(batch).next_;
+        if (!base::value(batch).changes_.empty())
+            after_change(c);
+        expire_lapsed(c);
+        co_await sleep_for(c, batch_pause);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> run_host_feed(control& c)
+{
+    for (;;) {
+        const auto from = co_await read_hosts(c);
+        if (from)
+            co_await watch_hosts(c, *from);
+        expire_lapsed(c);
+        co_await sleep_for(c, retry_pause);
+    }
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/page_client.cpp
@@ -0,0 +1,74 @@
+#include "page_client.hpp"
+
+#include "await_tuple.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+asio::awaitable<call_result> call_once(
+    asio::io_context& context,
+    asio::ip::tcp::endpoint address,
+    short_request request,
+    std::chrono::milliseconds connect_time,
+    std::chrono::milliseconds total_time)
+{
+    beast::tcp_stream stream(context);
+    stream.expires_after(connect_time);
+    const auto [connect_failure] =
+        co_await stream.async_connect(address, await_tuple);
+    if (connect_failure == asio::error::connection_refused)
+        co_return call_failure::refused;
+    if (connect_failure)
+        co_return call_failure::unreachable;
+    stream.expires_after(total_time);
+    const auto [write_failure, sent] =
+        co_await http::async_write(stream, request, await_tuple);
+    if (write_failure)
+        co_return call_failure::unanswered;
+    beast::flat_buffer buffer;
+    short_response response;
+    const auto [failure, received] =
+        co_await http::async_read(stream, buffer, response, await_tuple);
+    if (failure)
+        co_return call_failure::unanswered;
+    co_return response;
+}
+
+
+asio::awaitable<std::optional<std::string>> get_page(
+    asio::io_context& context,
+    asio::ip::tcp::endpoint address,
+    std::string target,
+    std::chrono::milliseconds timeout)
+{
+    short_request request(http::verb::get, target, 11);
+    request.set(http::field::host, "peer");
+    auto result = co_await call_once(
+        context, address, std::move(request), timeout, timeout);
+    auto* response = std::get_if<short_response>(&result);
+    if (response == nullptr || response->result() != http::status::ok)
+        co_return std::nullopt;
+    co_return std::move(response->body());
+}
+
+
+asio::awaitable<bool> accepts_connections(
+    asio::io_context& context,
+    asio::ip::tcp::endpoint address,
+    std::chrono::milliseconds timeout)
+{
+    beast::tcp_stream stream(context);
+    stream.expires_after(timeout);
+    const auto [failure] = co_await stream.async_connect(address, await_tuple);
+    co_return !failure;
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/peer_message.cpp
@@ -0,0 +1,161 @@
+#include "peer_message.hpp"
+
+#include <stdexcept>
+
+namespace monsoondock::entry::pvt {
+
+namespace {
+
+constexpr std::size_t max_name_bytes = 255;
+constexpr std::size_t max_membership_bytes = 1200;
+constexpr std::size_t max_loads = 2000;
+
+
+void put(wire::body_writer& out, const membership_message& m)
+{
+    wire::write_text(out, m.body_);
+}
+
+
+void put(wire::body_writer& out, const leader_beat& m)
+{
+    wire::write_text(out, m.leader_.value_);
+    out(m.term_);
+}
+
+
+void put(wire::body_writer& out, const doubt_message& m)
+{
+    wire::write_text(out, m.host_.value_);
+    wire::write_text(out, m.failed_host_.value_);
+}
+
+
+void put(wire::body_writer& out, const trust_message& m)
+{
+    wire::write_text(out, m.host_.value_);
+}
+
+
+void put(wire::body_writer& out, const loads_message& m)
+{
+    wire::write_text(out, m.sender_.value_);
+    wire::write_count(out, m.loads_.size());
+    for (const auto& [host, count] : m.loads_) {
+        wire::write_text(out, host.value_);
+        out(static_cast<std::uint32_t>(count));
+    }
+}
+
+
+void put(wire::body_writer& out, const crash_message& m)
+{
+    out(m.report_.fingerprint_);
+    wire::write_text(out, m.report_.host_.value_);
+}
+
+
+void get(wire::body_reader& in, membership_message& m)
+{
+    wire::read_text(in, m.body_, max_membership_bytes);
+}
+
+
+void get(wire::body_reader& in, leader_beat& m)
+{
+    wire::read_text(in, m.leader_.value_, max_name_bytes);
+    in(m.term_);
+}
+
+
+void get(wire::body_reader& in, doubt_message& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+    wire::read_text(in, m.failed_host_.value_, max_name_bytes);
+}
+
+
+void get(wire::body_reader& in, trust_message& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+}
+
+
+void get(wire::body_reader& in, loads_message& m)
+{
+    wire::read_text(in, m.sender_.value_, max_name_bytes);
+    const std::size_t count = wire::read_count(in, max_loads);
+    for (std::size_t i = 0; i < count; ++i) {
+        base::host_id host;
+        std::uint32_t load = 0;
+        wire::read_text(in, host.value_, max_name_bytes);
+        in(load);
+        m.loads_[host] = load;
+    }
+}
+
+
+void get(wire::body_reader& in, crash_message& m)
+{
+    in(m.report_.fingerprint_);
+    wire::read_text(in, m.report_.host_.value_, max_name_bytes);
+}
+
+
+template <std::size_t Index = 0>
+peer_message get_alternative(wire::body_reader& in, std::size_t index)
+{
+    if constexpr (Index == std::variant_size_v<peer_message>) {
+        throw std::range_error("unknown kind of message");
+    } else {
+        if (index != Index)
+            return get_alternative<Index + 1>(in, index);
+        peer_message m(std::in_place_index<Index>);
+        get(in, std::get<Index>(m));
+        return m;
+    }
+}
+
+} // namespace
+
+
+void write(wire::body_writer& out, const peer_message& m)
+{
+    out(static_cast<std::uint8_t>(m.index()));
+    std::visit([&](const auto& alternative) { put(out, alternative); }, m);
+}
+
+
+void read(wire::body_reader& in, peer_message& m)
+{
+    std::uint8_t index = 0;
+    in(index);
+    m = get_alternative(in, index);
+}
+
+
+std::string encode(const peer_message& m)
+{
+    std::ostringstream stream;
+    {
+        wire::body_writer out(stream);
+        write(out, m);
+    }
+    return std::move(stream).str();
+}
+
+
+std::optional<peer_message> decode(const std::string& bytes)
+{
+    try {
+        std::istringstream stream(bytes);
+        wire::body_reader in(stream);
+        peer_message m;
+        read(in, m);
+        return m;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/peer_message_test.cpp
@@ -0,0 +1,31 @@
+#include "peer_message.hpp"
+
+#include <criterion/criterion.h>
+
+namespace pvt = monsoondock::entry::pvt;
+
+Test(peer_message, loads_come_back_as_they_were)
+{
+    const pvt::loads_message sent{{"heredia-1"}, {{{"a"}, 3}, {{"b"}, 1}}};
+    const auto got = pvt::decode(pvt::encode(sent));
+    cr_assert(got.has_value());
+    const auto& m = std::get<pvt::loads_message>(*got);
+    cr_assert(m.sender_ == sent.sender_);
+    cr_assert(m.loads_ == sent.loads_);
+}
+
+
+Test(peer_message, a_beat_keeps_its_term)
+{
+    const auto got = pvt::decode(pvt::encode(pvt::leader_beat{{"x"}, 7}));
+    cr_assert_eq(std::get<pvt::leader_beat>(*got).term_, 7);
+}
+
+
+Test(peer_message, damaged_bytes_are_refused)
+{
+    const std::string bytes = pvt::encode(pvt::doubt_message{{"h"}, {"m"}});
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        cr_assert_not(pvt::decode(bytes.substr(0, n)).has_value());
+    cr_assert_not(pvt::decode(std::string("\x01\x7f", 2)).has_value());
+}
--- /dev/null
+++ b/src/libentry/peers.cpp
@@ -0,0 +1,196 @@
+#include "await_tuple.hpp"
+#include "control.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+
+#include <array>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_period{100};
+constexpr std::chrono::milliseconds load_period{150};
+constexpr std::size_t max_datagram_bytes = 65507;
+// A peer's configuration is fetched this long after its version was heard
+// of, unless the store delivers it before.
+constexpr std::chrono::milliseconds fetch_delay{250};
+
+
+template <class... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+template <class... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+
+void send_bytes(
+    control& c, const membership::endpoint& to, const std::string& bytes)
+{
+    boost::system::error_code failure;
+    c.peer_socket_.send_to(
+        asio::buffer(bytes),
+        {asio::ip::address_v4(to.address_), to.port_},
+        0,
+        failure);
+    if (!failure)
+        c.metrics_.add(
+            metrics::counter::peer_bytes_sent, {"none", "none"}, bytes.size());
+}
+
+
+asio::awaitable<void>
+fetch_later(control& c, membership::endpoint from, std::uint64_t version)
+{
+    co_await sleep_for(c, fetch_delay);
+    const auto& have = c.catalog_.catalog_;
+    if (have == nullptr || have->version_ < version)
+        co_await fetch_catalog(c, from);
+}
+
+
+void take_event(control& c, const membership::member_event& event)
+{
+    if (const auto* changed = std::get_if<membership::member_changed>(&event)) {
+        base::event_line("member_changed")
+            .field("member", changed->record_.id_)
+            .field("state", to_string(changed->record_.state_));
+        publish_view(c);
+    }
+    if (const auto* seen = std::get_if<membership::revision_seen>(&event))
+        asio::co_spawn(
+            c.context_,
+            fetch_later(c, seen->from_, seen->settings_revision_),
+            asio::detached);
+    if (const auto* pause = std::get_if<membership::pause_noticed>(&event))
+        base::event_line("paused", base::severity::warning)
+            .field("gap", pause->gap_);
+}
+
+
+void take_output(control& c, const membership::node_output& out)
+{
+    for (const membership::datagram& d : out.datagrams_)
+        send_bytes(c, d.peer_, encode(membership_message{d.body_}));
+    for (const membership::member_event& event : out.events_)
+        take_event(c, event);
+}
+
+
+void take_beat(control& c, const leader_beat& m)
+{
+    leader_state& l = c.leader_;
+    if (m.term_ < l.term_)
+        return;
+    if (l.leading_ && m.term_ > l.term_) {
+        base::event_line("leadership_lost", base::severity::warning)
+            .field("to", m.leader_)
+            .field("term", m.term_);
+        l.leading_ = false;
+        c.planners_.clear();
+    }
+    l.term_ = m.term_;
+    l.leader_ = m.leader_;
+    l.heard_at_ = base::boot_clock::now();
+}
+
+
+void take_message(
+    control& c, const peer_message& message, const membership::endpoint& from)
+{
+    const base::time_point now = base::boot_clock::now();
+    std::visit(
+        overloaded{
+            [&](const membership_message& m) {
+                take_output(c, c.node_.handle({from, m.body_}, now));
+            },
+            [&](const leader_beat& m) { take_beat(c, m); },
+            [&](const doubt_message& m) {
+                c.front_->doubt_upstream(m.host_);
+                check_group(c, m);
+            },
+            [&](const trust_message& m) {
+                c.verdicts_[m.host_].answered_at_ = now;
+                c.front_->trust_upstream(m.host_);
+            },
+            [&](const loads_message& m) {
+                c.front_->set_peer_loads(m.sender_, m.loads_);
+            },
+            [&](const crash_message& m) {
+                c.front_->add_crash(m.report_);
+            }},
+        message);
+}
+
+
+asio::awaitable<void> receive_datagrams(control& c)
+{
+    std::string buffer(max_datagram_bytes, '\0');
+    asio::ip::udp::endpoint from;
+    for (;;) {
+        const auto [failure, size] = co_await c.peer_socket_.async_receive_from(
+            asio::buffer(buffer), from, await_tuple);
+        if (failure == asio::error::operation_aborted)
+            co_return;
+        // A peer that is gone shows as a refused connection; go on.
+        if (failure)
+            continue;
+        const auto message = decode(buffer.substr(0, size));
+        if (message)
+            take_message(
+                c, *message, {from.address().to_v4().to_uint(), from.port()});
+        else
+            c.metrics_.add(
+                metrics::counter::peer_datagrams_dropped,
+                {"none", "malformed"});
+    }
+}
+
+} // namespace
+
+void broadcast(control& c, const peer_message& m)
+{
+    const std::string bytes = encode(m);
+    for (const auto& [id, member] : c.node_.members()) {
+        if (member.record_.state_ != membership::member_state::dead)
+            send_bytes(c, member.record_.peer_, bytes);
+    }
+}
+
+
+asio::awaitable<void> run_peers(control& c)
+{
+    asio::co_spawn(c.context_, receive_datagrams(c), asio::detached);
+    for (;;) {
+        take_output(c, c.node_.tick(base::boot_clock::now()));
+        co_await sleep_for(c, tick_period);
+    }
+}
+
+
+asio::awaitable<void> run_load_reports(control& c)
+{
+    auto last = std::make_shared<std::unordered_map<base::host_id, unsigned>>();
+    for (;;) {
+        co_await sleep_for(c, load_period);
+        c.front_->read_loads([&c, last](auto loads) {
+            asio::post(c.context_, [&c, last, loads = std::move(loads)] {
+                if (loads == *last)
+                    return;
+                *last = loads;
+                broadcast(c, loads_message{c.config_.daemon_, loads});
+            });
+        });
+    }
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/placement_loop.cpp
@@ -0,0 +1,181 @@
+#include "await_tuple.hpp"
+#include "control.hpp"
+#include "page_client.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds step_period{100};
+constexpr std::chrono::milliseconds order_connect_time{300};
+constexpr std::chrono::milliseconds order_time{700};
+// Callers' traffic begins this long after the daemons at the very first start.
+constexpr std::chrono::milliseconds early_time{9500};
+// An answer this recent shows that a host serves whatever the list says.
+constexpr std::chrono::milliseconds recent_answer{2500};
+
+
+std::optional<asio::ip::tcp::endpoint>
+address_of(const control& c, const base::host_id& id)
+{
+    const auto found = c.hosts_.hosts_.find(id);
+    if (found == c.hosts_.hosts_.end())
+        return std::nullopt;
+    const auto address = settings::parse_socket_address(found->second.address_);
+    if (!address)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(
+        asio::ip::make_address(address->ip_), address->port_);
+}
+
+
+short_request make_request(const control& c, const placement::order& o)
+{
+    short_request r(http::verb::post, c.adapter_.orders_path_, 11);
+    r.set(http::field::host, o.host_.value_);
+    r.set(c.adapter_.headers_.target_host_, o.host_.value_);
+    r.set(http::field::content_type, "application/json");
+    r.set(http::field::connection, "close");
+    r.body() = c.adapter_.write_order_(o);
+    r.prepare_payload();
+    return r;
+}
+
+
+placement::order_outcome outcome_of(const control& c, const call_result& result)
+{
+    if (const auto* response = std::get_if<short_response>(&result))
+        return c.adapter_.read_order_answer_(response->result_int());
+    if (std::get<call_failure>(result) == call_failure::refused)
+        return placement::order_outcome::no_such_host;
+    return placement::order_outcome::unanswered;
+}
+
+
+asio::awaitable<void> send_order(
+    control& c,
+    base::deployment_id deployment,
+    placement::order o,
+    std::optional<asio::ip::tcp::endpoint> address)
+{
+    placement::order_outcome outcome = placement::order_outcome::unanswered;
+    std::string status = "none";
+    if (address) {
+        const auto result = co_await call_once(
+            c.context_,
+            *address,
+            make_request(c, o),
+            order_connect_time,
+            order_time);
+        outcome = outcome_of(c, result);
+        if (const auto* response = std::get_if<short_response>(&result))
+            status = std::to_string(response->result_int());
+    }
+    base::event_line("order")
+        .field("kind", to_string(o.kind_))
+        .field("host", o.host_)
+        .field("group", o.group_.name_)
+        .field("model", o.model_)
+        .field("outcome", to_string(outcome))
+        .field("status", status);
+    const auto planner = c.planners_.find(deployment);
+    if (planner != c.planners_.end())
+        planner->second.take_result(
+            o.number_, outcome, base::boot_clock::now());
+    c.placement_wake_.cancel();
+}
+
+
+placement::facts make_facts(const control& c, const catalog::deployment& d)
+{
+    placement::facts f;
+    f.now_ = base::boot_clock::now();
+    f.hosts_ = &c.hosts_.hosts_;
+    f.engine_ = &*d.engine_;
+    for (const auto& [id, v] : c.verdicts_) {
+        if (v.unreachable_until_ > f.now_)
+            f.unreachable_.insert(id);
+        if (f.now_ - v.answered_at_ < recent_answer)
+            f.answering_.insert(id);
+    }
+    f.before_traffic_ =
+        c.config_.first_start_ && f.now_ - c.started_at_ < early_time;
+    return f;
+}
+
+
+placement::planner& planner_of(control& c, const base::deployment_id& id)
+{
+    const auto found = c.planners_.find(id);
+    if (found != c.planners_.end())
+        return found->second;
+    return c.planners_
+        .emplace(id, placement::planner(id, {}, [&c] { return take_epoch(c); }))
+        .first->second;
+}
+
+
+asio::awaitable<void> step_deployment(control& c, const catalog::deployment& d)
+{
+    placement::planner& planner = planner_of(c, d.id_);
+    const auto retiring = planner.retiring_heads();
+    const auto orders = planner.step(make_facts(c, d));
+    if (retiring != planner.retiring_heads())
+        publish_view(c);
+    if (orders.empty())
+        co_return;
+    // Addresses are taken before the wait: hosts may vanish meanwhile.
+    std::vector<std::optional<asio::ip::tcp::endpoint>> addresses;
+    for (const placement::order& o : orders)
+        addresses.push_back(address_of(c, o.host_));
+    const std::uint64_t term = c.leader_.term_;
+    const bool allowed = co_await fence(c);
+    if (!c.leader_.leading_ || c.leader_.term_ != term)
+        co_return;
+    for (std::size_t i = 0; i < orders.size(); ++i)
+        asio::co_spawn(
+            c.context_,
+            send_order(
+                c, d.id_, orders[i], allowed ? addresses[i] : std::nullopt),
+            asio::detached);
+}
+
+
+asio::awaitable<void> step_all(control& c)
+{
+    const auto catalog = c.catalog_.catalog_;
+    if (catalog == nullptr || !c.hosts_.known_)
+        co_return;
+    for (const auto& [id, d] : catalog->deployments_) {
+        if (d.engine_)
+            co_await step_deployment(c, d);
+        if (!c.leader_.leading_)
+            co_return;
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> run_placement(control& c)
+{
+    for (;;) {
+        const leader_state& l = c.leader_;
+        if (l.leading_ && !c.stopping_ &&
+            base::boot_clock::now() >= l.orders_from_)
+            co_await step_all(c);
+        c.placement_wake_.expires_after(step_period);
+        co_await c.placement_wake_.async_wait(await_tuple);
+    }
+}
+
+} // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libentry/run_entry.cpp
@@ -0,0 +1,201 @@
+#include "await_tuple.hpp"
+#include "control.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/entry/run_entry.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace monsoondock::entry {
+
+namespace asio = boost::asio;
+
+namespace pvt {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds poll_period{50};
+// Callers that got this daemon's address just before keep it for a while.
+constexpr std::chrono::milliseconds linger{300};
+// Requests that would outlast the grace time are refused this long before
+// its end.
+constexpr std::chrono::milliseconds refuse_before_end{4500};
+constexpr std::chrono::milliseconds exit_before_end{400};
+
+
+asio::awaitable<void> stop_gracefully(control& c)
+{
+    const base::time_point begun = base::boot_clock::now();
+    base::event_line("stopping")
+        .field("daemon", c.config_.daemon_)
+        .field("active_requests", c.front_->active_requests());
+    c.stopping_ = true;
+    c.leader_.leading_ = false;
+    publish_status(c);
+    publish_view(c);
+    for (const auto& d : c.node_.leave(begun).datagrams_) {
+        boost::system::error_code ignored;
+        c.peer_socket_.send_to(
+            asio::buffer(encode(membership_message{d.body_})),
+            {asio::ip::address_v4(d.peer_.address_), d.peer_.port_},
+            0,
+            ignored);
+    }
+    const auto lingering = c.config_.directory_ttl_ + linger;
+    for (;;) {
+        co_await sleep_for(c, poll_period);
+        const auto passed = base::boot_clock::now() - begun;
+        if (passed > c.config_.grace_ - refuse_before_end)
+            c.front_->refuse_new();
+        const bool done =
+            c.front_->active_requests() == 0 && passed > lingering;
+        if (done || passed > c.config_.grace_ - exit_before_end)
+            break;
+    }
+    for (const auto& d : c.node_.depart(base::boot_clock::now()).datagrams_) {
+        boost::system::error_code ignored;
+        c.peer_socket_.send_to(
+            asio::buffer(encode(membership_message{d.body_})),
+            {asio::ip::address_v4(d.peer_.address_), d.peer_.port_},
+            0,
+            ignored);
+    }
+    base::event_line("stopped")
+        .field("daemon", c.config_.daemon_)
+        .field("cut_requests", c.front_->active_requests());
+    c.context_.stop();
+}
+
+} // namespace
+
+asio::awaitable<void> run_signals(control& c)
+{
+    asio::signal_set signals(c.context_, SIGTERM, SIGINT);
+    signals.add(SIGHUP);
+    bool asked = false;
+    for (;;) {
+        const auto [failure, number] = co_await signals.async_wait(await_tuple);
+        if (failure)
+            co_return;
+        if (number == SIGHUP) {
+            base::event_line("reload").field("daemon", c.config_.daemon_);
+            continue;
+        }
+        if (asked)
+            break;
+        asked = true;
+        asio::co_spawn(c.context_, stop_gracefully(c), asio::detached);
+    }
+    base::event_line("stopped_at_once", base::severity::warning)
+        .field("cut_requests", c.front_->active_requests());
+    c.context_.stop();
+}
+
+} // namespace pvt
+
+namespace {
+
+relay::front_config
+make_front_config(const settings::entry_config& config, const site_adapter& a)
+{
+    relay::front_config f;
+    f.headers_ = a.headers_;
+    f.here_ = config.data_centre_;
+    f.attempts_ = {
+        config.retries_.window_,
+        config.retries_.ratio_,
+        double(config.retries_.slack_)};
+    f.max_connections_ = config.max_connections_;
+    return f;
+}
+
+
+relay::front_events make_events(pvt::control& c)
+{
+    relay::front_events events;
+    events.doubted_ = [&c](const relay::doubt& d) {
+        asio::post(c.context_, [&c, d] {
+            const pvt::doubt_message m{d.host_, d.failed_host_};
+            pvt::broadcast(c, m);
+            pvt::check_group(c, m);
+        });
+    };
+    events.crashed_ = [&c](const relay::crash_report& r) {
+        asio::post(
+            c.context_, [&c, r] { pvt::broadcast(c, pvt::crash_message{r}); });
+    };
+    events.answers_ = [&c](const base::host_id& host) {
+        asio::post(c.context_, [&c, host] {
+            c.verdicts_[host].answered_at_ = base::boot_clock::now();
+            pvt::broadcast(c, pvt::trust_message{host});
+        });
+    };
+    return events;
+}
+
+
+void bind_peers(pvt::control& c)
+{
+    const asio::ip::udp::endpoint address(
+        asio::ip::make_address(c.config_.peer_address_.ip_),
+        c.config_.peer_address_.port_);
+    c.peer_socket_.open(address.protocol());
+    c.peer_socket_.bind(address);
+}
+
+
+void spawn_all(pvt::control& c)
+{
+    auto& context = c.context_;
+    asio::co_spawn(context, pvt::run_signals(c), asio::detached);
+    asio::co_spawn(context, pvt::run_catalog_feed(c), asio::detached);
+    asio::co_spawn(context, pvt::run_host_feed(c), asio::detached);
+    asio::co_spawn(context, pvt::run_peers(c), asio::detached);
+    asio::co_spawn(context, pvt::run_load_reports(c), asio::detached);
+    asio::co_spawn(context, pvt::run_leadership(c), asio::detached);
+    asio::co_spawn(context, pvt::run_placement(c), asio::detached);
+}
+
+} // namespace
+
+base::result<base::done>
+run_entry(const settings::entry_config& config, const site_adapter& adapter)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    metrics::registry metrics;
+    pvt::control c(config, adapter, metrics);
+    c.front_ = std::make_unique<relay::front>(
+        make_front_config(config, adapter), make_events(c), metrics);
+    try {
+        bind_peers(c);
+        pvt::start_pages(c);
+    } catch (const boost::system::system_error& failure) {
+        return base::problem{
+            base::problem_code::unavailable,
+            std::string("can't listen: ") + failure.what(),
+            "check the addresses in the settings file"};
+    }
+    auto started = c.front_->start(
+        {asio::ip::make_address(config.caller_address_.ip_),
+         config.caller_address_.port_});
+    if (!base::ok(started))
+        return started;
+    base::event_line("started")
+        .field("daemon", config.daemon_)
+        .field("data_centre", config.data_centre_)
+        .field("caller_address", settings::to_string(config.caller_address_))
+        .field("first_start", config.first_start_ ? "yes" : "no");
+    spawn_all(c);
+    c.context_.run();
+    c.front_->stop();
+    return base::done{};
+}
+
+} // namespace monsoondock::entry
--- /dev/null
+++ b/src/libplacement/advance_formations.cpp
@@ -0,0 +1,231 @@
+#include "planner_state.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::placement::pvt {
+
+namespace {
+
+// Entries are updated within a second; a late order may show after this.
+constexpr std::chrono::seconds ended_retention{60};
+
+
+/// What the list says of a formation's members.
+struct member_check
+{
+    /// Some member is not listed, unreachable, or a new process.
+    bool lost_ = false;
+    bool draining_ = false;
+    /// Every member says that it is ready in this group.
+    bool all_ready_ = true;
+    std::optional<fleet::group_phase> head_phase_;
+};
+
+
+bool is_in(const fleet::host_fact& host, const formation& f)
+{
+    return host.role_ && host.role_->key_ == f.key_;
+}
+
+
+member_check check_members(const planning& p, const formation& f)
+{
+    member_check result;
+    for (std::size_t i = 0; i < f.members_.size(); ++i) {
+        const fleet::host_fact* host = find_host(p, f.members_[i]);
+        const bool same = host != nullptr && host->born_ms_ == f.born_ms_[i];
+        if (!same || p.f_.unreachable_.contains(f.members_[i]))
+            result.lost_ = true;
+        if (!same) {
+            result.all_ready_ = false;
+            continue;
+        }
+        result.draining_ = result.draining_ || host->draining_;
+        const bool inside = is_in(*host, f);
+        if (i == 0 && inside)
+            result.head_phase_ = host->role_->phase_;
+        result.all_ready_ = result.all_ready_ && inside &&
+                            (host->role_->phase_ == fleet::group_phase::ready ||
+                             host->role_->phase_ == fleet::group_phase::open);
+    }
+    return result;
+}
+
+
+void log_phase(const formation& f, const char* event, const char* reason)
+{
+    base::event_line(event)
+        .field("group", f.key_.name_)
+        .field("epoch", f.key_.epoch_)
+        .field("model", f.model_)
+        .field("domain", f.domain_)
+        .field("head", f.members_.front())
+        .field("reason", reason);
+}
+
+
+void dissolve(planning& p, formation& f, const char* reason)
+{
+    log_phase(f, "group_dissolving", reason);
+    set_phase(p, f, formation_phase::dissolving);
+}
+
+
+// Returns true when the formation is over and its hosts are free.
+bool advance_joining(planning& p, formation& f, const member_check& m)
+{
+    if (m.head_phase_ == fleet::group_phase::open) {
+        set_phase(p, f, formation_phase::serving);
+        log_phase(f, "group_serving", "open");
+        return false;
+    }
+    const bool late = p.f_.now_ >= f.give_up_;
+    if (m.lost_ || m.draining_ || late) {
+        if (f.may_open_) {
+            dissolve(p, f, late ? "late" : "member_lost");
+            return false;
+        }
+        log_phase(f, "formation_given_up", late ? "late" : "member_lost");
+        return true;
+    }
+    if (m.all_ready_) {
+        f.may_open_ = true;
+        set_phase(p, f, formation_phase::opening);
+        tell(p, f, f.members_.front(), order_kind::open);
+        return false;
+    }
+    for (const base::host_id& id : f.members_) {
+        const fleet::host_fact* host = find_host(p, id);
+        if (host != nullptr && !is_in(*host, f))
+            tell(p, f, id, order_kind::join);
+    }
+    return false;
+}
+
+
+void advance_opening(planning& p, formation& f, const member_check& m)
+{
+    if (m.lost_ || m.draining_ || !m.all_ready_) {
+        dissolve(p, f, "member_lost");
+        return;
+    }
+    if (m.head_phase_ == fleet::group_phase::open) {
+        set_phase(p, f, formation_phase::serving);
+        log_phase(f, "group_serving", "open");
+        return;
+    }
+    tell(p, f, f.members_.front(), order_kind::open);
+}
+
+
+void advance_serving(planning& p, formation& f, const member_check& m)
+{
+    if (m.lost_ || m.head_phase_ == fleet::group_phase::broken ||
+        !m.head_phase_) {
+        dissolve(p, f, "member_lost");
+        return;
+    }
+    if (m.draining_) {
+        log_phase(f, "group_closing", "member_drains");
+        set_phase(p, f, formation_phase::closing);
+        return;
+    }
+    if (m.head_phase_ == fleet::group_phase::ready) {
+        set_phase(p, f, formation_phase::opening);
+        return;
+    }
+    if (!m.all_ready_)
+        dissolve(p, f, "member_left");
+}
+
+
+bool advance_closing(planning& p, formation& f, const member_check& m)
+{
+    if (m.lost_ || m.head_phase_ == fleet::group_phase::broken) {
+        dissolve(p, f, "member_lost");
+        return false;
+    }
+    const bool closed =
+        !m.head_phase_ || m.head_phase_ == fleet::group_phase::ready;
+    // The entry may still be the one from before the close.
+    if (closed && !f.told_.empty()) {
+        log_phase(f, "group_closed", "done");
+        return true;
+    }
+    if (p.f_.now_ - f.phase_start_ > p.s_.config_.longest_close_) {
+        dissolve(p, f, "close_too_long");
+        return false;
+    }
+    if (m.head_phase_ == fleet::group_phase::open)
+        tell(p, f, f.members_.front(), order_kind::close);
+    return false;
+}
+
+
+// A group whose head may still take requests keeps its hosts until the head
+// has left, is a new process, or must have broken by itself.
+bool advance_dissolving(planning& p, formation& f)
+{
+    const base::host_id& head = f.members_.front();
+    const fleet::host_fact* listed = find_host(p, head);
+    const bool same = listed != nullptr && listed->born_ms_ == f.born_ms_[0];
+    const bool reborn = listed != nullptr && !same;
+    const bool gone_by_entry =
+        same && (!is_in(*listed, f) ||
+                 listed->role_->phase_ == fleet::group_phase::broken);
+    const bool silent_for_long =
+        !same && p.f_.now_ - f.head_listed_ > p.s_.config_.silent_head_ &&
+        !p.f_.answering_.contains(head);
+    if (f.head_gone_ || reborn || gone_by_entry || silent_for_long) {
+        log_phase(f, "group_dissolved", f.head_gone_ ? "left" : "entry");
+        return true;
+    }
+    tell(p, f, head, order_kind::leave);
+    return false;
+}
+
+
+bool advance(planning& p, formation& f)
+{
+    if (find_host(p, f.members_.front()) != nullptr)
+        f.head_listed_ = p.f_.now_;
+    const member_check m = check_members(p, f);
+    switch (f.phase_) {
+    case formation_phase::joining:
+        return advance_joining(p, f, m);
+    case formation_phase::opening:
+        advance_opening(p, f, m);
+        return false;
+    case formation_phase::serving:
+        advance_serving(p, f, m);
+        return false;
+    case formation_phase::closing:
+        return advance_closing(p, f, m);
+    case formation_phase::dissolving:
+        return advance_dissolving(p, f);
+    }
+    return false;
+}
+
+} // namespace
+
+void advance_formations(planning& p)
+{
+    auto& formations = p.s_.formations_;
+    for (auto entry = formations.begin(); entry != formations.end();) {
+        if (!advance(p, entry->second)) {
+            ++entry;
+            continue;
+        }
+        p.s_.ended_[entry->first] = p.f_.now_;
+        entry = formations.erase(entry);
+    }
+    std::erase_if(p.s_.ended_, [&](const auto& entry) {
+        return p.f_.now_ - entry.second > ended_retention &&
+               !p.groups_.contains(entry.first);
+    });
+}
+
+} // namespace monsoondock::placement::pvt
--- /dev/null
+++ b/src/libplacement/fake_hosts_test.cpp
@@ -0,0 +1,192 @@
+#include "fake_hosts_test.hpp"
+
+#include <monsoondock/fleet/replica_group.hpp>
+#include <monsoondock/placement/join_time.hpp>
+
+namespace monsoondock::placement {
+
+namespace {
+
+constexpr std::chrono::milliseconds step_time{100};
+
+} // namespace
+
+catalog::engine two_models()
+{
+    using namespace std::chrono_literals;
+    catalog::engine e;
+    e.models_ = {
+        {"large", 4, 1.0, 0.5, 16000ms, 1600ms},
+        {"small", 2, 0.6, 0.5, 12000ms, 1100ms}};
+    e.loads_per_second_ = 5;
+    return e;
+}
+
+
+fake_hosts::fake_hosts(catalog::engine engine) : engine_(std::move(engine))
+{
+    facts_.now_ = base::time_point(std::chrono::hours(1));
+    facts_.hosts_ = &hosts_;
+    facts_.engine_ = &engine_;
+}
+
+
+void fake_hosts::add(const std::string& id, const std::string& domain)
+{
+    fleet::host_fact h;
+    h.id_ = {id};
+    h.deployment_ = {"llm"};
+    h.domain_ = {domain};
+    h.born_ms_ = 1;
+    hosts_[h.id_] = h;
+}
+
+
+void fake_hosts::silence(const std::string& id)
+{
+    silent_.insert({id});
+}
+
+
+void fake_hosts::unlist(const std::string& id)
+{
+    hosts_.erase({id});
+}
+
+
+void fake_hosts::drain(const std::string& id)
+{
+    hosts_.at({id}).draining_ = true;
+}
+
+
+bool fake_hosts::is_silent(const base::host_id& id) const
+{
+    return silent_.contains(id) || !hosts_.contains(id);
+}
+
+
+bool fake_hosts::has_open_head(const base::host_id& id) const
+{
+    const auto& role = hosts_.at(id).role_;
+    if (!role)
+        return false;
+    for (const auto& [other, h] : hosts_) {
+        if (h.role_ && h.role_->key_ == role->key_ && h.role_->rank_ == 0 &&
+            !is_silent(other) &&
+            (h.role_->phase_ == fleet::group_phase::open ||
+             h.role_->phase_ == fleet::group_phase::closing))
+            return true;
+    }
+    return false;
+}
+
+
+order_outcome fake_hosts::join(const order& o)
+{
+    fleet::host_fact& h = hosts_.at(o.host_);
+    if (o.group_.epoch_ < seen_epochs_[o.host_])
+        return order_outcome::refused;
+    const bool same = h.role_ && h.role_->key_ == o.group_;
+    if (same)
+        return member_lists_[o.host_] == o.members_ ? order_outcome::accepted
+                                                    : order_outcome::refused;
+    if (has_open_head(o.host_))
+        ++joins_of_open_groups_;
+    const catalog::model* m = nullptr;
+    for (const catalog::model& each : engine_.models_)
+        m = each.name_ == o.model_ ? &each : m;
+    const auto source = find_weights(h, last_models_[o.host_], *m);
+    if (source == weights_source::weight_store)
+        h.staged_ = {o.model_};
+    const auto rank = std::find(o.members_.begin(), o.members_.end(), o.host_) -
+                      o.members_.begin();
+    h.role_ = fleet::group_role{
+        o.group_, static_cast<unsigned>(rank), fleet::group_phase::joining};
+    h.model_ = o.model_;
+    last_models_[o.host_] = o.model_;
+    seen_epochs_[o.host_] = o.group_.epoch_;
+    member_lists_[o.host_] = o.members_;
+    joining_[o.host_] = {facts_.now_ + join_time(source, *m), o.group_};
+    return order_outcome::accepted;
+}
+
+
+order_outcome fake_hosts::apply(const order& o)
+{
+    if (is_silent(o.host_))
+        return order_outcome::unanswered;
+    fleet::host_fact& h = hosts_.at(o.host_);
+    if (o.kind_ == order_kind::join)
+        return join(o);
+    if (o.kind_ == order_kind::stage) {
+        h.staged_ = {o.model_};
+        return order_outcome::accepted;
+    }
+    if (!h.role_ || h.role_->key_ != o.group_)
+        return order_outcome::refused;
+    if (o.kind_ == order_kind::leave)
+        h.role_.reset();
+    else if (o.kind_ == order_kind::close)
+        h.role_->phase_ = fleet::group_phase::ready;
+    else if (h.role_->phase_ == fleet::group_phase::joining)
+        return order_outcome::refused;
+    else {
+        for (const base::host_id& id : member_lists_[o.host_]) {
+            const auto& role =
+                hosts_.contains(id) ? hosts_.at(id).role_ : std::nullopt;
+            if (!role || role->key_ != o.group_ ||
+                role->phase_ == fleet::group_phase::joining)
+                ++early_opens_;
+        }
+        h.role_->phase_ = fleet::group_phase::open;
+    }
+    return order_outcome::accepted;
+}
+
+
+void fake_hosts::advance()
+{
+    facts_.now_ += step_time;
+    std::erase_if(joining_, [&](const auto& entry) {
+        const auto& [id, join] = entry;
+        if (is_silent(id) || facts_.now_ < join.ready_at_)
+            return is_silent(id);
+        auto& role = hosts_.at(id).role_;
+        if (role && role->key_ == join.key_)
+            role->phase_ = fleet::group_phase::ready;
+        return true;
+    });
+}
+
+
+void fake_hosts::run(planner& p, std::chrono::milliseconds time)
+{
+    for (auto passed = step_time; passed <= time; passed += step_time) {
+        for (const order& o : p.step(facts_)) {
+            order_outcome outcome = apply(o);
+            if (lost_answers_ > 0) {
+                --lost_answers_;
+                outcome = order_outcome::unanswered;
+            }
+            p.take_result(o.number_, outcome, facts_.now_);
+        }
+        advance();
+    }
+}
+
+
+unsigned fake_hosts::open_groups(const std::string& model) const
+{
+    unsigned count = 0;
+    const std::map<std::string, unsigned> sizes{{"large", 4}, {"small", 2}};
+    for (const auto& [key, g] : fleet::derive_groups(hosts_, {"llm"}, sizes)) {
+        bool alive = g.model_ == model && fleet::may_serve(g);
+        for (const base::host_id& id : g.members_)
+            alive = alive && !is_silent(id);
+        count += alive ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace monsoondock::placement
--- /dev/null
+++ b/src/libplacement/fake_hosts_test.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <monsoondock/placement/planner.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace monsoondock::placement {
+
+/// Engine hosts that carry out orders as their published rules say. Every rule
+/// that an order breaks is counted.
+class fake_hosts
+{
+public:
+    explicit fake_hosts(catalog::engine engine);
+
+
+    /// Adds an empty host.
+    void add(const std::string& id, const std::string& domain);
+
+
+    /// The host falls silent; its entry stays for a while.
+    void silence(const std::string& id);
+
+
+    /// The entry of a host vanishes; a silent one is gone for good.
+    void unlist(const std::string& id);
+
+
+    /// The host announces that it leaves.
+    void drain(const std::string& id);
+
+
+    /// Lets time pass in steps, with the planner at work.
+    void run(planner& p, std::chrono::milliseconds time);
+
+
+    /// Carries out an order; answers as the host would.
+    order_outcome apply(const order& o);
+
+
+    /// Returns the number of groups of a model that are whole and open.
+    unsigned open_groups(const std::string& model) const;
+
+    facts facts_;
+    fleet::host_table hosts_;
+    /// Joins that came while the head of the host's group was open.
+    unsigned joins_of_open_groups_ = 0;
+    /// Opens of a group whose members were not all ready.
+    unsigned early_opens_ = 0;
+    /// Answer of the next orders; the order is carried out all the same.
+    unsigned lost_answers_ = 0;
+
+private:
+    struct pending_join
+    {
+        base::time_point ready_at_;
+        fleet::group_key key_;
+    };
+
+    bool is_silent(const base::host_id& id) const;
+    bool has_open_head(const base::host_id& id) const;
+    order_outcome join(const order& o);
+    void advance();
+
+    catalog::engine engine_;
+    std::map<base::host_id, pending_join> joining_;
+    std::map<base::host_id, std::uint64_t> seen_epochs_;
+    std::map<base::host_id, std::string> last_models_;
+    std::map<base::host_id, std::vector<base::host_id>> member_lists_;
+    std::set<base::host_id> silent_;
+};
+
+
+/// Returns an engine with a large model of four hosts and a small one of two.
+catalog::engine two_models();
+
+} // namespace monsoondock::placement
--- /dev/null
+++ b/src/libplacement/planner.cpp
@@ -0,0 +1,130 @@
+#include "planner_state.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+
+namespace monsoondock::placement {
+
+namespace {
+
+std::map<std::string, unsigned> group_sizes(const catalog::engine& e)
+{
+    std::map<std::string, unsigned> sizes;
+    for (const catalog::model& m : e.models_)
+        sizes[m.name_] = m.group_size_;
+    return sizes;
+}
+
+
+// Remembers the models of groups, since a host's entry tells them only while
+// it is in one.
+void remember_models(pvt::planning& p)
+{
+    for (const auto& [id, host] : *p.f_.hosts_) {
+        if (host.deployment_ != p.s_.deployment_)
+            continue;
+        auto& last = p.s_.last_models_[id];
+        if (last.born_ms_ != host.born_ms_)
+            last = {host.born_ms_, {}};
+        if (host.role_ && !host.model_.empty() &&
+            host.role_->phase_ != fleet::group_phase::joining)
+            last.model_ = host.model_;
+    }
+}
+
+
+bool has_settled(pvt::planning& p)
+{
+    if (p.s_.settled_)
+        return true;
+    std::size_t listed = 0;
+    for (const auto& [id, host] : *p.f_.hosts_)
+        listed += host.deployment_ == p.s_.deployment_ ? 1 : 0;
+    if (listed != p.s_.listed_) {
+        p.s_.listed_ = listed;
+        p.s_.listed_since_ = p.f_.now_;
+    }
+    const auto wait = p.s_.config_.settle_;
+    p.s_.settled_ = listed > 0 && p.f_.now_ - p.s_.listed_since_ >= wait;
+    return p.s_.settled_;
+}
+
+} // namespace
+
+planner::planner(
+    base::deployment_id deployment, planner_config config, epoch_source epochs)
+    : state_(std::make_unique<pvt::planner_state>())
+{
+    state_->deployment_ = std::move(deployment);
+    state_->config_ = config;
+    state_->epochs_ = std::move(epochs);
+}
+
+
+planner::planner(planner&&) noexcept = default;
+planner& planner::operator=(planner&&) noexcept = default;
+planner::~planner() = default;
+
+
+std::vector<order> planner::step(const facts& f)
+{
+    pvt::planning p{
+        *state_,
+        f,
+        fleet::derive_groups(
+            *f.hosts_, state_->deployment_, group_sizes(*f.engine_)),
+        {}};
+    remember_models(p);
+    if (!has_settled(p))
+        return {};
+    pvt::adopt_groups(p);
+    pvt::advance_formations(p);
+    pvt::form_groups(p);
+    pvt::stage_spares(p);
+    return std::move(p.orders_);
+}
+
+
+void planner::take_result(
+    std::uint64_t number, order_outcome outcome, base::time_point)
+{
+    const auto found = state_->sent_.find(number);
+    if (found == state_->sent_.end())
+        return;
+    const pvt::planner_state::sent_order sent = found->second;
+    state_->sent_.erase(found);
+    const auto formed = state_->formations_.find(sent.group_);
+    if (formed == state_->formations_.end())
+        return;
+    pvt::formation& f = formed->second;
+    if (f.members_.front() != sent.host_ || sent.kind_ == order_kind::join)
+        return;
+    // A refused leave tells that the head is not in this group any more.
+    const bool left = sent.kind_ == order_kind::leave &&
+                      (outcome == order_outcome::accepted ||
+                       outcome == order_outcome::refused);
+    if (left || outcome == order_outcome::no_such_host)
+        f.head_gone_ = true;
+}
+
+
+std::vector<base::host_id> planner::retiring_heads() const
+{
+    std::vector<base::host_id> heads;
+    for (const auto& [key, f] : state_->formations_) {
+        if (f.phase_ == pvt::formation_phase::closing ||
+            f.phase_ == pvt::formation_phase::dissolving)
+            heads.push_back(f.members_.front());
+    }
+    return heads;
+}
+
+
+std::size_t planner::serving_groups() const
+{
+    std::size_t count = 0;
+    for (const auto& [key, f] : state_->formations_)
+        count += f.phase_ == pvt::formation_phase::serving ? 1 : 0;
+    return count;
+}
+
+} // namespace monsoondock::placement
--- /dev/null
+++ b/src/libplacement/planner_test.cpp
@@ -0,0 +1,208 @@
+#include "fake_hosts_test.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace monsoondock;
+using namespace monsoondock::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct bench
+{
+    explicit bench(unsigned domains, unsigned hosts = 10) : hosts_(two_models())
+    {
+        for (unsigned d = 0; d < domains; ++d) {
+            for (unsigned h = 0; h < hosts; ++h)
+                hosts_.add(
+                    "d" + std::to_string(d) + "-" + std::to_string(h),
+                    "d" + std::to_string(d));
+        }
+    }
+
+
+    planner make_planner()
+    {
+        return {{"llm"}, {}, [this] {
+                    return ++epoch_;
+                }};
+    }
+
+
+    void check_orders() const
+    {
+        cr_assert_eq(hosts_.joins_of_open_groups_, 0);
+        cr_assert_eq(hosts_.early_opens_, 0);
+    }
+
+    fake_hosts hosts_;
+    std::uint64_t epoch_ = 0;
+};
+
+
+std::string head_of(const fake_hosts& hosts, const std::string& model)
+{
+    for (const auto& [id, h] : hosts.hosts_) {
+        if (h.role_ && h.role_->rank_ == 0 && h.model_ == model)
+            return id.value_;
+    }
+    return {};
+}
+
+
+std::string member_of(const fake_hosts& hosts, const std::string& head)
+{
+    const auto key = hosts.hosts_.at({head}).role_->key_;
+    for (const auto& [id, h] : hosts.hosts_) {
+        if (h.role_ && h.role_->key_ == key && h.role_->rank_ > 0)
+            return id.value_;
+    }
+    return {};
+}
+
+} // namespace
+
+Test(planner, places_all_hosts_by_expected_shares)
+{
+    bench b(6);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.run(p, 20s);
+    const unsigned large = b.hosts_.open_groups("large");
+    const unsigned small = b.hosts_.open_groups("small");
+    cr_assert_eq(4 * large + 2 * small, 60);
+    // Half of the work each: 30 hosts, as near as whole groups allow.
+    cr_assert(large == 7 || large == 8);
+    b.check_orders();
+}
+
+
+Test(planner, a_lost_member_is_replaced_within_seconds)
+{
+    bench b(1);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.run(p, 20s);
+    b.hosts_.facts_.before_traffic_ = false;
+    const unsigned before = b.hosts_.open_groups("large");
+    const std::string lost = member_of(b.hosts_, head_of(b.hosts_, "large"));
+    b.hosts_.silence(lost);
+    b.hosts_.facts_.unreachable_.insert({lost});
+    b.hosts_.run(p, 4s);
+    cr_assert_eq(b.hosts_.open_groups("large"), before);
+    b.check_orders();
+}
+
+
+Test(planner, hosts_of_a_silent_head_wait_until_it_is_surely_gone)
+{
+    bench b(1);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.run(p, 20s);
+    b.hosts_.facts_.before_traffic_ = false;
+    const std::string head = head_of(b.hosts_, "small");
+    const std::string member = member_of(b.hosts_, head);
+    const auto key = b.hosts_.hosts_.at({member}).role_->key_;
+    b.hosts_.silence(head);
+    b.hosts_.facts_.unreachable_.insert({head});
+    b.hosts_.run(p, 3s);
+    cr_assert(b.hosts_.hosts_.at({member}).role_->key_ == key);
+    b.hosts_.unlist(head);
+    b.hosts_.run(p, 4s);
+    cr_assert(b.hosts_.hosts_.at({member}).role_->key_ == key);
+    b.hosts_.run(p, 2s);
+    const std::size_t open = p.serving_groups();
+    cr_assert(open > 0);
+    b.check_orders();
+}
+
+
+Test(planner, a_head_that_answers_a_peer_keeps_its_members)
+{
+    bench b(1);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.run(p, 20s);
+    const std::string head = head_of(b.hosts_, "small");
+    const std::string member = member_of(b.hosts_, head);
+    const auto key = b.hosts_.hosts_.at({member}).role_->key_;
+    b.hosts_.unlist(head);
+    b.hosts_.facts_.answering_.insert({head});
+    b.hosts_.run(p, 10s);
+    cr_assert(b.hosts_.hosts_.at({member}).role_->key_ == key);
+}
+
+
+Test(planner, a_leaving_member_closes_its_group_before_it_is_replaced)
+{
+    bench b(1);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.run(p, 20s);
+    const unsigned before = b.hosts_.open_groups("small");
+    b.hosts_.drain(member_of(b.hosts_, head_of(b.hosts_, "small")));
+    b.hosts_.run(p, 10s);
+    cr_assert(b.hosts_.open_groups("small") + 1 >= before);
+    b.check_orders();
+}
+
+
+Test(planner, lost_answers_lead_to_no_wrong_join)
+{
+    bench b(2);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.lost_answers_ = 40;
+    b.hosts_.run(p, 20s);
+    cr_assert(b.hosts_.open_groups("large") >= 2);
+    b.check_orders();
+}
+
+
+Test(planner, another_planner_takes_over_open_groups)
+{
+    bench b(2);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto first = b.make_planner();
+    b.hosts_.run(first, 20s);
+    const std::uint64_t epochs = b.epoch_;
+    auto second = b.make_planner();
+    b.hosts_.run(second, 5s);
+    cr_assert_eq(b.epoch_, epochs);
+    cr_assert(second.serving_groups() > 0);
+    b.check_orders();
+}
+
+
+Test(planner, churn_of_members_breaks_no_order_rule)
+{
+    bench b(6);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto p = b.make_planner();
+    b.hosts_.run(p, 20s);
+    b.hosts_.facts_.before_traffic_ = false;
+    unsigned random = 7;
+    for (int round = 0; round < 12; ++round) {
+        const std::string domain = "d" + std::to_string(round % 6);
+        for (int n = 0; n < 2; ++n) {
+            random = random * 1103515245U + 12345U;
+            const std::string id =
+                domain + "-" + std::to_string((random >> 16U) % 10);
+            if (!b.hosts_.hosts_.contains({id}))
+                continue;
+            b.hosts_.silence(id);
+            b.hosts_.facts_.unreachable_.insert({id});
+        }
+        b.hosts_.run(p, 2500ms);
+        b.hosts_.add("n" + std::to_string(round), domain);
+        b.hosts_.run(p, 1500ms);
+        std::vector<std::string> gone;
+        for (const auto& id : b.hosts_.facts_.unreachable_)
+            b.hosts_.unlist(id.value_);
+    }
+    b.hosts_.run(p, 25s);
+    b.check_orders();
+    cr_assert(b.hosts_.open_groups("large") >= 4);
+    cr_assert(b.hosts_.open_groups("small") >= 6);
+}
--- /dev/null
+++ b/src/libplacement/planning.cpp
@@ -0,0 +1,87 @@
+#include "planner_state.hpp"
+
+namespace monsoondock::placement::pvt {
+
+const fleet::host_fact* find_host(const planning& p, const base::host_id& id)
+{
+    const auto found = p.f_.hosts_->find(id);
+    return found == p.f_.hosts_->end() ? nullptr : &found->second;
+}
+
+
+bool is_usable(const planning& p, const base::host_id& id)
+{
+    const fleet::host_fact* host = find_host(p, id);
+    return host != nullptr && !host->draining_ &&
+           !p.f_.unreachable_.contains(id);
+}
+
+
+const catalog::model* find_model(const planning& p, const std::string& name)
+{
+    for (const catalog::model& m : p.f_.engine_->models_) {
+        if (m.name_ == name)
+            return &m;
+    }
+    return nullptr;
+}
+
+
+void send(planning& p, order o)
+{
+    o.number_ = p.s_.next_number_++;
+    p.s_.sent_[o.number_] = {o.kind_, o.host_, o.group_};
+    p.orders_.push_back(std::move(o));
+}
+
+
+void tell(planning& p, formation& f, const base::host_id& host, order_kind kind)
+{
+    const auto told = f.told_.find(host);
+    if (told != f.told_.end() &&
+        p.f_.now_ - told->second < p.s_.config_.repeat_order_)
+        return;
+    f.told_[host] = p.f_.now_;
+    order o{0, kind, host, f.key_, f.model_, {}};
+    if (kind == order_kind::join)
+        o.members_ = f.members_;
+    send(p, std::move(o));
+}
+
+
+void set_phase(planning& p, formation& f, formation_phase phase)
+{
+    f.phase_ = phase;
+    f.phase_start_ = p.f_.now_;
+    f.told_.clear();
+}
+
+
+weights_source weights_of(
+    const planning& p, const fleet::host_fact& h, const catalog::model& m)
+{
+    const auto last = p.s_.last_models_.find(h.id_);
+    const std::string& model =
+        last == p.s_.last_models_.end() ? std::string() : last->second.model_;
+    return find_weights(h, model, m);
+}
+
+
+bool take_load(planning& p)
+{
+    if (p.f_.before_traffic_)
+        return true;
+    auto& loads = p.s_.loads_;
+    const auto window = p.s_.config_.load_window_;
+    while (!loads.empty() && p.f_.now_ - loads.front() > window)
+        loads.pop_front();
+    const double seconds = std::chrono::duration<double>(window).count();
+    const double allowed =
+        p.f_.engine_->loads_per_second_ * seconds * p.s_.config_.load_share_;
+    if (double(loads.size()) + 1 > allowed)
+        return false;
+    loads.push_back(p.f_.now_);
+    return true;
+}
+
+} // namespace monsoondock::placement::pvt
--- a/src/libplatform/connection.cpp
+++ b/src/libplatform/connection.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/tcp.h>
+
 namespace monsoondock::platform::pvt {
 
 namespace asio = boost::asio;
@@ -20,6 +22,30 @@
 // A list or a watch answer holds many objects.
 constexpr std::size_t max_answer_bytes = 64 * max_value_bytes;
 
+
+// A connection can go silent without a reset. Keep-alive probes and a bound on
+// unacknowledged data end it within about three seconds, also during a watch.
+constexpr int probe_idle_s = 1;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 2;
+constexpr int unacknowledged_ms = 2000;
+
+
+void detect_silence(asio::ip::tcp::socket& socket)
+{
+    using asio::detail::socket_option::integer;
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(
+        integer<IPPROTO_TCP, TCP_KEEPIDLE>(probe_idle_s), ignored);
+    socket.set_option(
+        integer<IPPROTO_TCP, TCP_KEEPINTVL>(probe_interval_s), ignored);
+    socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(probe_count), ignored);
+    socket.set_option(
+        integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(unacknowledged_ms), ignored);
+}
+
 } // namespace
 
 asio::awaitable<std::string> open(
@@ -32,8 +58,7 @@
         co_await c.stream_.async_connect(address, await_tuple);
     if (failure)
         co_return failure.message();
-    boost::system::error_code ignored;
-    c.stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    detect_silence(c.stream_.socket());
     co_return std::string();
 }
 
--- a/src/libplatform/connection.hpp
+++ b/src/libplatform/connection.hpp
@@ -1,21 +1,16 @@
 #pragma once
 
+#include <monsoondock/platform/store_dialect.hpp>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
 #include <variant>
 
 namespace monsoondock::platform::pvt {
 
-using http_request =
-    boost::beast::http::request<boost::beast::http::string_body>;
-using http_response =
-    boost::beast::http::response<boost::beast::http::string_body>;
-
 /// The connection could not be opened, so nothing was sent.
 struct connect_failed
 {
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -3,8 +3,6 @@
 
 #include <monsoondock/platform/http_client.hpp>
 
-#include <cctype>
-
 namespace monsoondock::platform {
 
 namespace asio = boost::asio;
@@ -13,48 +11,12 @@
 using pvt::connect_failed;
 using pvt::exchange_failed;
 using pvt::exchange_result;
-using pvt::http_request;
-using pvt::http_response;
 
 namespace {
 
-constexpr unsigned http_version_1_1 = 11;
 constexpr std::size_t max_idle_connections = 8;
 
 
-std::string percent_encode(std::string_view text)
-{
-    static constexpr char digits[] = "0123456789ABCDEF";
-    std::string result;
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) ||
-            std::string_view("-._~/").find(c) != std::string_view::npos) {
-            result += c;
-            continue;
-        }
-        result += '%';
-        result += digits[byte >> 4U];
-        result += digits[byte & 15U];
-    }
-    return result;
-}
-
-
-http_request make_request(http::verb method, const std::string& target)
-{
-    http_request request(method, target, http_version_1_1);
-    request.set(http::field::host, "platform");
-    return request;
-}
-
-
-std::string quoted(version v)
-{
-    return '"' + std::to_string(v.value_) + '"';
-}
-
-
 base::problem unavailable(const std::string& reason)
 {
     return {
@@ -70,23 +32,31 @@
 }
 
 
-write_outcome to_write_outcome(const exchange_result& result)
+bool is_success(const http_response& response)
+{
+    return response.result() == http::status::ok ||
+           response.result() == http::status::created;
+}
+
+
+write_outcome
+to_write_outcome(const exchange_result& result, const store_dialect& dialect)
 {
     if (const auto* refused = std::get_if<connect_failed>(&result))
         return not_reached{refused->reason_};
     if (const auto* lost = std::get_if<exchange_failed>(&result))
         return answer_lost{lost->reason_};
     const auto& response = std::get<http_response>(result);
-    if (response.result() == http::status::precondition_failed)
+    if (response.result() == dialect.conflict_)
         return condition_failed{};
     if (response.result() == http::status::service_unavailable)
         return not_reached{"the store is down"};
     // Any other server error may come after the write took effect.
     if (response.result_int() >= 500)
         return answer_lost{"status " + std::to_string(response.result_int())};
-    if (response.result() != http::status::ok)
+    if (!is_success(response))
         return not_reached{"status " + std::to_string(response.result_int())};
-    const auto v = pvt::parse_version(response.body());
+    const auto v = dialect.read_version_(response.body());
     if (!base::ok(v))
         return answer_lost{base::error(v).message_};
     return written{base::value(v)};
@@ -99,6 +69,7 @@
     asio::any_io_executor executor_;
     std::vector<asio::ip::tcp::endpoint> addresses_;
     std::chrono::milliseconds timeout_;
+    const store_dialect* dialect_ = nullptr;
     std::size_t preferred_ = 0;
     std::vector<std::unique_ptr<pvt::connection>> idle_;
 
@@ -157,12 +128,14 @@
 http_client::http_client(
     asio::any_io_executor executor,
     std::vector<asio::ip::tcp::endpoint> addresses,
-    std::chrono::milliseconds timeout)
+    std::chrono::milliseconds timeout,
+    const store_dialect& dialect)
     : impl_(std::make_unique<impl>())
 {
     impl_->executor_ = std::move(executor);
     impl_->addresses_ = std::move(addresses);
     impl_->timeout_ = timeout;
+    impl_->dialect_ = &dialect;
 }
 
 
@@ -172,10 +145,8 @@
 asio::awaitable<base::result<std::optional<object>>>
 http_client::get(std::string key)
 {
-    auto request =
-        make_request(http::verb::get, "/v1/objects/" + percent_encode(key));
     const auto result =
-        co_await impl_->call_read(std::move(request), impl_->timeout_);
+        co_await impl_->call_read(impl_->dialect_->get_(key), impl_->timeout_);
     const auto* response = std::get_if<http_response>(&result);
     if (response == nullptr)
         co_return unavailable("connection failed");
@@ -183,7 +154,7 @@
         co_return std::optional<object>();
     if (response->result() != http::status::ok)
         co_return unexpected_status(*response);
-    auto parsed = pvt::parse_object(response->body());
+    auto parsed = impl_->dialect_->read_object_(key, response->body());
     if (!base::ok(parsed))
         co_return base::error(parsed);
     co_return std::optional<object>(base::value(std::move(parsed)));
@@ -192,59 +163,60 @@
 
 asio::awaitable<base::result<listing>> http_client::list(std::string prefix)
 {
-    auto request = make_request(
-        http::verb::get, "/v1/objects?prefix=" + percent_encode(prefix));
-    const auto result =
-        co_await impl_->call_read(std::move(request), impl_->timeout_);
-    const auto* response = std::get_if<http_response>(&result);
-    if (response == nullptr)
-        co_return unavailable("connection failed");
-    if (response->result() != http::status::ok)
-        co_return unexpected_status(*response);
-    co_return pvt::parse_listing(response->body());
+    listing all;
+    std::string after;
+    bool first = true;
+    do {
+        const auto result = co_await impl_->call_read(
+            impl_->dialect_->list_(prefix, after), impl_->timeout_);
+        const auto* response = std::get_if<http_response>(&result);
+        if (response == nullptr)
+            co_return unavailable("connection failed");
+        if (response->result() != http::status::ok)
+            co_return unexpected_status(*response);
+        auto read = impl_->dialect_->read_listing_(prefix, response->body());
+        if (!base::ok(read))
+            co_return base::error(read);
+        auto& page = base::value(read);
+        // The watch begins at the oldest page, so no change is missed.
+        if (first)
+            all.version_ = page.part_.version_;
+        first = false;
+        for (object& o : page.part_.objects_)
+            all.objects_.push_back(std::move(o));
+        after = std::move(page.after_);
+    } while (!after.empty());
+    co_return all;
 }
 
 
 asio::awaitable<write_outcome>
 http_client::put(std::string key, std::string value, write_condition condition)
 {
-    auto request =
-        make_request(http::verb::put, "/v1/objects/" + percent_encode(key));
-    if (const auto* expected = std::get_if<if_version>(&condition))
-        request.set(http::field::if_match, quoted(expected->version_));
-    else
-        request.set(http::field::if_none_match, "*");
-    request.set(http::field::content_type, "application/json");
-    request.body() = std::move(value);
-    request.prepare_payload();
+    auto request = impl_->dialect_->put_(key, std::move(value), condition);
     // A kept connection may be closed unseen, which would make the outcome of
     // the write unknown; a fresh one keeps "not reached" certain.
     co_return to_write_outcome(
-        co_await impl_->call_fresh(std::move(request), impl_->timeout_));
+        co_await impl_->call_fresh(std::move(request), impl_->timeout_),
+        *impl_->dialect_);
 }
 
 
 asio::awaitable<write_outcome>
 http_client::erase(std::string key, version expected)
 {
-    auto request =
-        make_request(http::verb::delete_, "/v1/objects/" + percent_encode(key));
-    request.set(http::field::if_match, quoted(expected));
     co_return to_write_outcome(
-        co_await impl_->call_fresh(std::move(request), impl_->timeout_));
+        co_await impl_->call_fresh(
+            impl_->dialect_->erase_(key, expected), impl_->timeout_),
+        *impl_->dialect_);
 }
 
 
 asio::awaitable<base::result<change_batch>> http_client::watch(
     std::string prefix, version from, std::chrono::milliseconds wait)
 {
-    auto request = make_request(
-        http::verb::get,
-        "/v1/watch?prefix=" + percent_encode(prefix) +
-            "&from=" + std::to_string(from.value_) +
-            "&wait_ms=" + std::to_string(wait.count()));
-    const auto result =
-        co_await impl_->call_read(std::move(request), wait + impl_->timeout_);
+    const auto result = co_await impl_->call_read(
+        impl_->dialect_->watch_(prefix, from, wait), wait + impl_->timeout_);
     const auto* response = std::get_if<http_response>(&result);
     if (response == nullptr)
         co_return unavailable("connection failed");
@@ -255,7 +227,7 @@
             "list again"};
     if (response->result() != http::status::ok)
         co_return unexpected_status(*response);
-    co_return pvt::parse_changes(response->body());
+    co_return impl_->dialect_->read_changes_(prefix, response->body());
 }
 
 } // namespace monsoondock::platform
--- /dev/null
+++ b/src/librelay/event_splitter.cpp
@@ -0,0 +1,94 @@
+#include "event_splitter.hpp"
+
+#include <charconv>
+
+namespace monsoondock::relay::pvt {
+
+namespace {
+
+// Returns the length of the first whole event in text, its blank line
+// included, or 0 when it is not whole yet.
+std::size_t event_length(std::string_view text)
+{
+    std::size_t line = 0;
+    for (;;) {
+        const std::size_t end = text.find('\n', line);
+        if (end == std::string_view::npos)
+            return 0;
+        const std::size_t length = end - line;
+        const bool blank = length == 0 || (length == 1 && text[line] == '\r');
+        if (blank)
+            return end + 1;
+        line = end + 1;
+    }
+}
+
+
+std::optional<std::uint64_t> event_id(std::string_view event)
+{
+    std::size_t line = 0;
+    while (line < event.size()) {
+        const std::size_t end = event.find('\n', line);
+        std::string_view text = event.substr(line, end - line);
+        line = end == std::string_view::npos ? event.size() : end + 1;
+        if (!text.starts_with("id:"))
+            continue;
+        text.remove_prefix(3);
+        while (text.starts_with(' '))
+            text.remove_prefix(1);
+        std::uint64_t id = 0;
+        const auto [stop, failure] =
+            std::from_chars(text.data(), text.data() + text.size(), id);
+        if (failure == std::errc())
+            return id;
+    }
+    return std::nullopt;
+}
+
+
+// Returns true when the event is new to the receiver.
+bool follow(event_splitter& s, std::optional<std::uint64_t> id)
+{
+    ++s.events_;
+    if (!id)
+        return true;
+    if (s.last_id_ && *id <= *s.last_id_)
+        return false;
+    const bool follows = !s.last_id_ || *id == *s.last_id_ + 1;
+    if (!follows && s.events_ > 2 && s.consecutive_)
+        s.gap_ = true;
+    s.consecutive_ = s.consecutive_ && follows;
+    if (!s.gap_)
+        s.last_id_ = id;
+    return !s.gap_;
+}
+
+} // namespace
+
+std::string take_events(event_splitter& splitter, std::string_view bytes)
+{
+    splitter.pending_.append(bytes);
+    std::string whole;
+    std::size_t begin = 0;
+    const std::string_view all = splitter.pending_;
+    while (!splitter.gap_) {
+        const std::string_view rest = all.substr(begin);
+        const std::size_t length = event_length(rest);
+        if (length == 0)
+            break;
+        const std::string_view event = rest.substr(0, length);
+        if (follow(splitter, event_id(event)))
+            whole.append(event);
+        begin += length;
+    }
+    splitter.pending_.erase(0, begin);
+    return whole;
+}
+
+
+void restart(event_splitter& splitter)
+{
+    splitter.pending_.clear();
+}
+
+} // namespace monsoondock::relay::pvt
--- /dev/null
+++ b/src/librelay/exchange.cpp
@@ -0,0 +1,43 @@
+#include "exchange.hpp"
+
+namespace monsoondock::relay::pvt {
+
+void stop(exchange& e, stop_reason why)
+{
+    if (e.stopped_ != stop_reason::none)
+        return;
+    e.stopped_ = why;
+    if (e.upstream_ == nullptr)
+        return;
+    boost::system::error_code ignored;
+    e.upstream_->socket_.close(ignored);
+}
+
+
+bool may_run_again(const exchange& e) noexcept
+{
+    if (e.runs_ == 0)
+        return true;
+    return catalog::may_repeat(e.route_->kind_) &&
+           e.runs_ < e.route_->attempts_;
+}
+
+
+const char* to_string(stop_reason why) noexcept
+{
+    switch (why) {
+    case stop_reason::none:
+        return "none";
+    case stop_reason::caller_left:
+        return "caller_left";
+    case stop_reason::deadline:
+        return "deadline";
+    case stop_reason::connect_timeout:
+        return "connect_timeout";
+    case stop_reason::moved:
+        return "moved";
+    }
+    return "unknown";
+}
+
+} // namespace monsoondock::relay::pvt
--- /dev/null
+++ b/src/librelay/front_thread.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "exchange.hpp"
+
+#include <monsoondock/relay/crash_board.hpp>
+#include <monsoondock/relay/front.hpp>
+#include <monsoondock/relay/upstream_board.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <random>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace monsoondock::relay::pvt {
+
+/// State of the traffic thread; no other thread touches it, but for the
+/// atomic members.
+struct front_thread
+{
+    front_thread(
+        front_config config, front_events events, metrics::registry& metrics)
+        : config_(std::move(config)), events_(std::move(events)),
+          metrics_(metrics), acceptor_(context_), sweep_timer_(context_),
+          random_(std::random_device()())
+    {}
+
+    front_config config_;
+    front_events events_;
+    metrics::registry& metrics_;
+    boost::asio::io_context context_{1};
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer sweep_timer_;
+    std::mt19937_64 random_;
+    view_pointer view_ = std::make_shared<serving_view>();
+    upstream_board board_;
+    crash_board crashes_;
+    link_pool pool_;
+    std::unordered_map<base::deployment_id, attempt_window> attempts_;
+    std::unordered_set<std::shared_ptr<caller_link>> callers_;
+    std::unordered_set<std::shared_ptr<exchange>> exchanges_;
+    std::atomic<std::uint64_t> active_{0};
+    std::atomic<bool> refusing_{false};
+};
+
+
+/// Returns a number from 0 up to, but not including, 1.
+double draw(front_thread& t);
+
+
+/// Returns the retry window of a deployment.
+attempt_window&
+attempts_of(front_thread& t, const base::deployment_id& deployment);
+
+
+/// Stops waits that have gone on for too long, at a fixed rate, until the
+/// thread ends.
+void start_sweep(front_thread& t);
+
+
+/// Doubts an upstream and tells the control thread.
+void raise_doubt(front_thread& t, const doubt& d);
+
+} // namespace monsoondock::relay::pvt
--- /dev/null
+++ b/src/librelay/http_text.cpp
@@ -0,0 +1,220 @@
+#include "http_text.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace monsoondock::relay::pvt {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return beast::iequals(
+        beast::string_view(a.data(), a.size()),
+        beast::string_view(b.data(), b.size()));
+}
+
+
+// Fields that concern one connection only, or that describe the framing.
+bool is_hop_by_hop(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+
+void append_field(
+    std::string& text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+
+// Names that the Connection field adds to the hop-by-hop ones.
+template <class Fields>
+std::vector<std::string> connection_names(const Fields& fields)
+{
+    std::vector<std::string> names;
+    for (const auto& token : http::token_list(fields[http::field::connection]))
+        names.emplace_back(token);
+    return names;
+}
+
+
+bool contains(const std::vector<std::string>& names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [&](const auto& n) {
+        return same_name(n, name);
+    });
+}
+
+
+bool is_set_by_relay(const header_names& names, std::string_view name)
+{
+    const std::array own{
+        &names.time_left_,
+        &names.target_host_,
+        &names.workspace_,
+        &names.priority_,
+        &names.weight_version_,
+        &names.last_event_};
+    return std::any_of(own.begin(), own.end(), [&](const auto* n) {
+        return same_name(*n, name);
+    });
+}
+
+
+template <class Fields>
+void append_end_to_end(std::string& text, const Fields& fields)
+{
+    const auto dropped = connection_names(fields);
+    for (const auto& f : fields) {
+        const std::string_view name(f.name_string());
+        if (is_hop_by_hop(f.name()) || contains(dropped, name))
+            continue;
+        append_field(text, name, f.value());
+    }
+}
+
+
+std::string status_line(const http_response& answer)
+{
+    std::string text = "HTTP/1.1 ";
+    text.append(std::to_string(answer.result_int())).append(" ");
+    text.append(std::string_view(answer.reason())).append("\r\n");
+    append_end_to_end(text, answer);
+    return text;
+}
+
+
+void append_connection(std::string& text, bool keep_open)
+{
+    if (!keep_open)
+        append_field(text, "Connection", "close");
+}
+
+} // namespace
+
+std::string upstream_request(
+    const exchange& e, const header_names& names, const send_fields& fields)
+{
+    const http_request& r = e.request_;
+    std::string text(r.method_string());
+    text.append(" ").append(std::string_view(r.target()));
+    text.append(" HTTP/1.1\r\n");
+    const auto dropped = connection_names(r);
+    for (const auto& f : r) {
+        const std::string_view name(f.name_string());
+        if (is_hop_by_hop(f.name()) || contains(dropped, name) ||
+            is_set_by_relay(names, name) ||
+            f.name() == http::field::authorization)
+            continue;
+        append_field(text, name, f.value());
+    }
+    const auto left = std::max<std::int64_t>(1, fields.time_left_.count());
+    append_field(text, names.time_left_, std::to_string(left));
+    append_field(text, names.target_host_, fields.target_.value_);
+    if (!e.workspace_.empty())
+        append_field(text, names.workspace_, e.workspace_);
+    if (!fields.last_event_.empty())
+        append_field(text, names.last_event_, fields.last_event_);
+    if (!e.model_.empty())
+        append_field(text, names.priority_, std::to_string(e.priority_));
+    const bool has_body =
+        !r.body().empty() || r.has_content_length() || r.chunked();
+    if (has_body)
+        append_field(text, "Content-Length", std::to_string(r.body().size()));
+    text.append("\r\n").append(r.body());
+    return text;
+}
+
+
+std::string caller_answer(const http_response& answer, bool keep_open)
+{
+    std::string text = status_line(answer);
+    const bool no_body = answer.result() == http::status::no_content ||
+                         answer.result() == http::status::not_modified;
+    if (!no_body)
+        append_field(
+            text, "Content-Length", std::to_string(answer.body().size()));
+    append_connection(text, keep_open);
+    text.append("\r\n").append(answer.body());
+    return text;
+}
+
+
+std::string stream_head(const http_response& answer, bool keep_open)
+{
+    std::string text = status_line(answer);
+    append_field(text, "Transfer-Encoding", "chunked");
+    append_connection(text, keep_open);
+    text.append("\r\n");
+    return text;
+}
+
+
+std::string stream_chunk(std::string_view bytes)
+{
+    std::array<char, 24> size{};
+    const int length =
+        std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string text(size.data(), static_cast<std::size_t>(length));
+    text.append(bytes).append("\r\n");
+    return text;
+}
+
+
+std::string own_answer_text(
+    const own_answer& answer,
+    const header_names& names,
+    std::string_view request_id,
+    bool keep_open)
+{
+    std::string body = R"({"error":")";
+    body.append(answer.reason_).append("\"}\n");
+    std::string text = "HTTP/1.1 ";
+    text.append(std::to_string(static_cast<unsigned>(answer.status_)));
+    text.append(" ");
+    text.append(std::string_view(http::obsolete_reason(answer.status_)));
+    text.append("\r\n");
+    if (!request_id.empty())
+        append_field(text, names.request_id_, request_id);
+    if (answer.retry_after_) {
+        std::array<char, 24> seconds{};
+        std::snprintf(
+            seconds.data(),
+            seconds.size(),
+            "%.3f",
+            double(answer.retry_after_->count()) / 1000.0);
+        append_field(text, "Retry-After", seconds.data());
+    }
+    append_field(text, "Content-Type", "application/json");
+    append_field(text, "Content-Length", std::to_string(body.size()));
+    append_connection(text, keep_open);
+    text.append("\r\n").append(body);
+    return text;
+}
+
+} // namespace monsoondock::relay::pvt
--- /dev/null
+++ b/src/librelay/patience.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "exchange.hpp"
+
+#include <chrono>
+
+namespace monsoondock::relay::pvt {
+
+/// Longest wait for a connection; a data centre's links take a few
+/// milliseconds at most.
+inline constexpr std::chrono::milliseconds connect_limit{250};
+
+/// How long a doubt lasts: until the platform's list shows a lost host.
+inline constexpr std::chrono::milliseconds doubt_time{5000};
+
+
+/// Returns how long the exchange may wait in its present phase before another
+/// upstream is the better choice. Zero means that the wait is not bounded
+/// before the answer is due.
+std::chrono::nanoseconds wait_limit(const exchange& e);
+
+} // namespace monsoondock::relay::pvt
--- a/src/monsoondockd/main.cpp
+++ b/src/monsoondockd/main.cpp
@@ -1,5 +1,9 @@
+#include "platform/site.hpp"
+
 #include <monsoondock/daemon/run_daemon.hpp>
+#include <monsoondock/entry/run_entry.hpp>
 #include <monsoondock/settings/daemon_config.hpp>
+#include <monsoondock/settings/entry_config.hpp>
 
 #include <gflags/gflags.h>
 #include <glog/logging.h>
@@ -7,6 +11,7 @@
 #include <iostream>
 
 DEFINE_string(config, "", "TOML file with the settings of this daemon");
+DEFINE_bool(entry, false, "serve callers on the users' platform");
 DEFINE_bool(check, false, "check the settings file and exit");
 DECLARE_bool(help);
 DECLARE_bool(version);
@@ -19,10 +24,14 @@
 constexpr int exit_bad_usage = 2;
 
 constexpr const char* usage =
-    "usage: monsoondockd --config FILE [--check]\n"
+    "usage: monsoondockd [--entry] --config FILE [--check]\n"
     "\n"
     "Runs one entry host: it serves callers and takes part in control.\n"
     "\n"
+    "  --entry        serve callers on the users' platform, whose store holds\n"
+    "                 routes, keys and hosts; the file then has the keys of "
+    "an\n"
+    "                 entry daemon (docs/settings.md)\n"
     "  --config FILE  TOML file with the settings of this daemon\n"
     "  --check        check the file, print what is wrong, and exit\n"
     "  --version      print the version and exit\n"
@@ -41,9 +50,8 @@
 }
 
 
-int run(const settings::daemon_config& config)
+int report_end(const monsoondock::base::result<monsoondock::base::done>& ended)
 {
-    const auto ended = monsoondock::daemon::run_daemon(config);
     if (monsoondock::base::ok(ended))
         return 0;
     std::cerr << "monsoondockd: "
@@ -52,6 +60,30 @@
     return exit_failed;
 }
 
+
+void start_logging(const char* program)
+{
+    // The hosts have no disks, so the log goes to standard error only.
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(program);
+}
+
+
+// Checks the settings, then runs the daemon that they are for.
+template <class Config, class Run>
+int check_and_run(
+    const settings::checked<Config>& loaded, const char* program, Run run)
+{
+    if (const auto* found = std::get_if<settings::findings>(&loaded))
+        return report_findings(*found);
+    if (FLAGS_check) {
+        std::cout << FLAGS_config << ": no faults\n";
+        return 0;
+    }
+    start_logging(program);
+    return report_end(run(std::get<Config>(loaded)));
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -70,15 +102,18 @@
                      "--help shows the usage\n";
         return exit_bad_usage;
     }
-    const auto loaded = settings::load_daemon_config(FLAGS_config);
-    if (const auto* found = std::get_if<settings::findings>(&loaded))
-        return report_findings(*found);
-    if (FLAGS_check) {
-        std::cout << FLAGS_config << ": no faults\n";
-        return 0;
-    }
-    // The hosts have no disks, so the log goes to standard error only.
-    FLAGS_logtostderr = true;
-    google::InitGoogleLogging(argv[0]);
-    return run(std::get<settings::daemon_config>(loaded));
+    if (FLAGS_entry)
+        return check_and_run(
+            settings::load_entry_config(FLAGS_config),
+            argv[0],
+            [](const settings::entry_config& c) {
+                return monsoondock::entry::run_entry(
+                    c, monsoondock::adapter::users_platform());
+            });
+    return check_and_run(
+        settings::load_daemon_config(FLAGS_config),
+        argv[0],
+        [](const settings::daemon_config& c) {
+            return monsoondock::daemon::run_daemon(c);
+        });
 }
