--- a/src/include/monsoondock/placement/facts.hpp
+++ b/src/include/monsoondock/placement/facts.hpp
@@ -20,9 +20,9 @@
     std::set<base::host_id> unreachable_;
     /// Heads that answer some daemon, whatever the list says.
     std::set<base::host_id> answering_;
-    /// Share of the deployment's host time that each model needs; models that
-    /// are missing take the share that operators expect.
-    std::map<std::string, double> demand_;
+    /// Hosts that each model's requests keep busy, as measured. Empty: nothing
+    /// was measured, and operators' expected shares count.
+    std::map<std::string, double> needed_hosts_;
     /// True before any caller's request, when loads are quick and free.
     bool before_traffic_ = false;
 };
--- a/src/include/monsoondock/placement/planner_config.hpp
+++ b/src/include/monsoondock/placement/planner_config.hpp
@@ -16,14 +16,14 @@
     /// time.
     std::chrono::milliseconds longest_close_{9000};
     /// A head that can't be reached and is not listed any more counts as
-    /// gone, or broken on its own, this long after it was last listed.
-    std::chrono::milliseconds silent_head_{4200};
+    /// gone, or broken on its own, this long after it fell silent.
+    std::chrono::milliseconds silent_head_{4300};
     /// Hosts are placed at a first start once the list has not grown for
     /// this time.
     std::chrono::milliseconds settle_{400};
-    /// Hosts outside of groups of the largest model that should hold its
-    /// weights, for each domain.
-    unsigned staged_spares_ = 2;
+    /// Time over which a group's hosts are expected to stay together; a group
+    /// that takes longer to form is worth nothing.
+    std::chrono::milliseconds horizon_{30000};
     /// Window and share of the load limit that this planner uses.
     std::chrono::milliseconds load_window_{5000};
     double load_share_ = 0.9;
--- a/src/include/monsoondock/relay/front.hpp
+++ b/src/include/monsoondock/relay/front.hpp
@@ -69,9 +69,13 @@
     void add_crash(crash_report report);
 
 
-    /// Calls done on the traffic thread with the requests in progress by host.
-    void read_loads(
-        std::function<void(std::unordered_map<base::host_id, unsigned>)> done);
+    /// Calls done on the traffic thread with what is in progress, and with
+    /// what was asked for since the last call.
+    void read_activity(std::function<void(activity)> done);
+
+
+    /// A peer asks whether an upstream answers this daemon.
+    void ask_upstream(base::host_id host);
 
 
     /// Returns the number of requests in progress.
--- a/src/include/monsoondock/relay/front_events.hpp
+++ b/src/include/monsoondock/relay/front_events.hpp
@@ -3,11 +3,39 @@
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/relay/crash_board.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
+#include <unordered_map>
+#include <utility>
 
 namespace monsoondock::relay {
 
+/// Work that callers asked of a model within some time.
+struct model_work
+{
+    std::uint64_t requests_ = 0;
+    /// Tokens of prompts, and of answers as callers estimate them.
+    double prompt_tokens_ = 0;
+    double answer_tokens_ = 0;
+};
+
+/// Work by deployment and model.
+using work_table =
+    std::map<std::pair<base::deployment_id, std::string>, model_work>;
+
+
+/// What the traffic thread has in progress and was asked for.
+struct activity
+{
+    /// Requests in progress by host.
+    std::unordered_map<base::host_id, unsigned> loads_;
+    /// Work asked for since the last reading.
+    work_table work_;
+};
+
+
 /// Why traffic makes a daemon doubt an upstream.
 enum class doubt_reason
 {
@@ -25,8 +53,9 @@
 {
     base::host_id host_;
     doubt_reason reason_ = doubt_reason::silent;
-    /// Host at fault when the upstream named it, else empty.
-    base::host_id failed_host_;
+    /// Address of the host at fault, "ip:port", when the upstream named one
+    /// other than itself; else empty.
+    std::string failed_address_;
 };
 
 
@@ -35,8 +64,10 @@
 struct front_events
 {
     std::function<void(const doubt&)> doubted_;
+    /// Nothing has come from an upstream for a while: does any peer hear it?
+    std::function<void(const base::host_id&)> asked_;
     std::function<void(const crash_report&)> crashed_;
-    /// A peer doubts an upstream that answers this daemon.
+    /// A peer doubts, or asks for, an upstream that answers this daemon.
     std::function<void(const base::host_id&)> answers_;
 };
 
--- a/src/include/monsoondock/relay/header_names.hpp
+++ b/src/include/monsoondock/relay/header_names.hpp
@@ -24,6 +24,8 @@
     std::string model_;
     /// "prompt tokens,most output tokens".
     std::string token_counts_;
+    /// Tokens of the answer as the caller estimates them.
+    std::string answer_estimate_;
     /// Proof by an upstream that an answer is its own.
     std::string seal_;
     /// Present when the upstream did not run the request.
--- a/src/include/monsoondock/relay/upstream_board.hpp
+++ b/src/include/monsoondock/relay/upstream_board.hpp
@@ -19,6 +19,10 @@
     std::map<base::daemon_id, unsigned> peers_;
     /// When an answer, or a part of one, last came from there.
     base::time_point last_progress_;
+    /// When a peer last told that the upstream answers it.
+    base::time_point heard_by_peer_;
+    /// When peers were last asked whether it answers them.
+    base::time_point asked_at_;
     /// Nothing is sent there before this time unless nothing else is left.
     base::time_point doubted_until_;
     /// Mean time between events, 0 before the first measurement.
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -62,6 +62,8 @@
     /// Last beat of another leader.
     base::time_point heard_at_;
     base::daemon_id leader_;
+    /// The leader said that it stops.
+    bool resigned_ = false;
 };
 
 
@@ -76,6 +78,19 @@
 };
 
 
+/// Work a second that each daemon's callers ask for, smoothed.
+struct work_rates
+{
+    struct daemon_rates
+    {
+        relay::work_table a_second_;
+        base::time_point told_at_;
+    };
+
+    std::map<base::daemon_id, daemon_rates> daemons_;
+};
+
+
 /// State of the control thread; no other thread touches it.
 struct control
 {
@@ -98,6 +113,7 @@
     leader_state leader_;
     std::map<base::deployment_id, placement::planner> planners_;
     std::map<base::host_id, host_verdict> verdicts_;
+    work_rates work_;
     base::time_point started_at_;
     /// When the store last answered a call.
     base::time_point store_answered_at_;
@@ -111,6 +127,16 @@
 };
 
 
+/// Takes what callers asked a daemon for.
+void take_work(control& c, const work_message& m);
+
+
+/// Returns the hosts that a deployment's models keep busy, by model; empty
+/// when no work was measured.
+std::map<std::string, double>
+needed_hosts(const control& c, const catalog::deployment& d);
+
+
 /// Publishes what requests are decided from to the traffic thread.
 void publish_view(control& c);
 
--- a/src/libentry/group_checks.cpp
+++ b/src/libentry/group_checks.cpp
@@ -40,6 +40,19 @@
 }
 
 
+std::optional<base::host_id>
+host_at(const control& c, const std::string& address)
+{
+    if (address.empty())
+        return std::nullopt;
+    for (const auto& [id, host] : c.hosts_.hosts_) {
+        if (host.address_ == address)
+            return id;
+    }
+    return std::nullopt;
+}
+
+
 /// Checks under way for one group.
 struct group_check
 {
@@ -96,10 +109,10 @@
     if (!c.leader_.leading_)
         return;
     const base::time_point now = base::boot_clock::now();
-    const auto failed = c.hosts_.hosts_.find(d.failed_host_);
-    const bool named = failed != c.hosts_.hosts_.end();
+    const auto failed = host_at(c, d.failed_address_);
+    const bool named = failed.has_value();
     if (named) {
-        c.verdicts_[d.failed_host_].unreachable_until_ = now + named_time;
+        c.verdicts_[*failed].unreachable_until_ = now + named_time;
         c.placement_wake_.cancel();
     }
     auto& head = c.verdicts_[d.host_];
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -16,18 +16,18 @@
 
 // Kind and name of the record in the store; the kind is the project's own.
 constexpr const char* record_key = "leaders/placement";
-constexpr std::chrono::milliseconds round_period{200};
-constexpr std::chrono::milliseconds beat_period{400};
+constexpr std::chrono::milliseconds round_period{100};
+constexpr std::chrono::milliseconds beat_period{250};
 // Without a beat for so long the leader counts as lost; each daemon waits a
 // little longer than the one before it in the order of names.
-constexpr std::chrono::milliseconds silence_limit{1400};
-constexpr std::chrono::milliseconds rank_delay{400};
+constexpr std::chrono::milliseconds silence_limit{1000};
+constexpr std::chrono::milliseconds rank_delay{250};
 // At the very first start nobody can lead yet, so all try at once.
 constexpr std::chrono::milliseconds first_spread{80};
 // An order is sent within this time of the write of the record, and a new
 // leader waits a little longer before it sends its first one.
-constexpr std::chrono::milliseconds fence_time{800};
-constexpr std::chrono::milliseconds takeover_wait{1200};
+constexpr std::chrono::milliseconds fence_time{500};
+constexpr std::chrono::milliseconds takeover_wait{700};
 // A leader that has not reached the store for so long stops its beats.
 constexpr std::chrono::milliseconds store_silence{2500};
 constexpr std::uint64_t epoch_block = 10000;
@@ -82,12 +82,21 @@
 }
 
 
+// At the very first start nobody leads until somebody has made the record.
+bool may_be_first(const control& c)
+{
+    return c.config_.first_start_ && c.leader_.term_ == 0 &&
+           base::boot_clock::now() - c.started_at_ < silence_limit;
+}
+
+
 bool leader_is_lost(const control& c)
 {
     const base::time_point now = base::boot_clock::now();
-    if (c.config_.first_start_ && c.leader_.term_ == 0 &&
-        now - c.started_at_ < silence_limit)
+    if (may_be_first(c))
         return true;
+    if (c.leader_.resigned_)
+        return now - c.leader_.heard_at_ >= rank(c) * rank_delay;
     const base::time_point since = std::max(c.leader_.heard_at_, c.started_at_);
     return now - since > silence_limit + rank(c) * rank_delay;
 }
@@ -111,6 +120,7 @@
     l.leading_ = true;
     l.term_ = r.term_;
     l.leader_ = c.config_.daemon_;
+    l.resigned_ = false;
     l.record_version_ = v;
     l.epochs_below_ = r.epochs_below_;
     l.next_epoch_ = r.epochs_below_ - epoch_block;
@@ -159,6 +169,11 @@
     platform::write_condition condition = platform::if_absent{};
     if (there) {
         const auto old = parse_record(there->value_);
+        if (old && may_be_first(c)) {
+            c.leader_.term_ = old->term_;
+            c.leader_.heard_at_ = base::boot_clock::now();
+            co_return;
+        }
         if (!old) {
             base::event_line("leader_record_unreadable", base::severity::error);
             co_return;
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -27,7 +27,7 @@
 void put(wire::body_writer& out, const doubt_message& m)
 {
     wire::write_text(out, m.host_.value_);
-    wire::write_text(out, m.failed_host_.value_);
+    wire::write_text(out, m.failed_address_);
 }
 
 
@@ -55,6 +55,25 @@
 }
 
 
+void put(wire::body_writer& out, const question_message& m)
+{
+    wire::write_text(out, m.host_.value_);
+}
+
+
+void put(wire::body_writer& out, const work_message& m)
+{
+    wire::write_text(out, m.sender_.value_);
+    out(static_cast<std::int64_t>(m.time_.count()));
+    wire::write_count(out, m.work_.size());
+    for (const auto& [of, work] : m.work_) {
+        wire::write_text(out, of.first.value_);
+        wire::write_text(out, of.second);
+        out(work.requests_, work.prompt_tokens_, work.answer_tokens_);
+    }
+}
+
+
 void get(wire::body_reader& in, membership_message& m)
 {
     wire::read_text(in, m.body_, max_membership_bytes);
@@ -71,7 +90,7 @@
 void get(wire::body_reader& in, doubt_message& m)
 {
     wire::read_text(in, m.host_.value_, max_name_bytes);
-    wire::read_text(in, m.failed_host_.value_, max_name_bytes);
+    wire::read_text(in, m.failed_address_, max_name_bytes);
 }
 
 
@@ -102,6 +121,30 @@
 }
 
 
+void get(wire::body_reader& in, question_message& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+}
+
+
+void get(wire::body_reader& in, work_message& m)
+{
+    wire::read_text(in, m.sender_.value_, max_name_bytes);
+    std::int64_t ms = 0;
+    in(ms);
+    m.time_ = std::chrono::milliseconds(ms);
+    const std::size_t count = wire::read_count(in, max_loads);
+    for (std::size_t i = 0; i < count; ++i) {
+        base::deployment_id deployment;
+        std::string model;
+        wire::read_text(in, deployment.value_, max_name_bytes);
+        wire::read_text(in, model, max_name_bytes);
+        auto& work = m.work_[{deployment, model}];
+        in(work.requests_, work.prompt_tokens_, work.answer_tokens_);
+    }
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
 #include <monsoondock/base/identifier.hpp>
-#include <monsoondock/relay/crash_board.hpp>
+#include <monsoondock/relay/front_events.hpp>
 #include <monsoondock/wire/body_codec.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,12 +32,28 @@
 struct doubt_message
 {
     base::host_id host_;
-    /// Host that keeps it from serving, when the upstream named one.
-    base::host_id failed_host_;
+    /// Address of the host that keeps it from serving, when it named one.
+    std::string failed_address_;
 };
 
 
-/// An upstream that is doubted answers the sender.
+/// The sender has not heard of an upstream for a while: does anybody?
+struct question_message
+{
+    base::host_id host_;
+};
+
+
+/// Work that callers asked the sender for, over some time.
+struct work_message
+{
+    base::daemon_id sender_;
+    relay::work_table work_;
+    std::chrono::milliseconds time_{0};
+};
+
+
+/// An upstream that is doubted or asked for answers the sender.
 struct trust_message
 {
     base::host_id host_;
@@ -64,7 +81,9 @@
     doubt_message,
     trust_message,
     loads_message,
-    crash_message>;
+    crash_message,
+    question_message,
+    work_message>;
 
 
 /// Returns the bytes of a datagram.
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::milliseconds tick_period{100};
 constexpr std::chrono::milliseconds load_period{150};
+constexpr std::chrono::milliseconds work_period{1000};
 constexpr std::size_t max_datagram_bytes = 65507;
 // A peer's configuration is fetched this long after its version was heard
 // of, unless the store delivers it before.
@@ -100,6 +101,8 @@
     }
     l.term_ = m.term_;
     l.leader_ = m.leader_;
+    // A leader that stops says so by a beat without a name.
+    l.resigned_ = m.leader_.value_.empty();
     l.heard_at_ = base::boot_clock::now();
 }
 
@@ -125,6 +128,8 @@
             [&](const loads_message& m) {
                 c.front_->set_peer_loads(m.sender_, m.loads_);
             },
+            [&](const question_message& m) { c.front_->ask_upstream(m.host_); },
+            [&](const work_message& m) { take_work(c, m); },
             [&](const crash_message& m) {
                 c.front_->add_crash(m.report_);
             }},
@@ -132,6 +137,41 @@
 }
 
 
+/// What peers were told of this daemon's activity.
+struct told_activity
+{
+    std::unordered_map<base::host_id, unsigned> loads_;
+    relay::work_table work_;
+    base::time_point work_since_;
+};
+
+
+void tell_activity(control& c, told_activity& told, const relay::activity& a)
+{
+    if (a.loads_ != told.loads_) {
+        told.loads_ = a.loads_;
+        broadcast(c, loads_message{c.config_.daemon_, a.loads_});
+    }
+    for (const auto& [of, work] : a.work_) {
+        auto& sum = told.work_[of];
+        sum.requests_ += work.requests_;
+        sum.prompt_tokens_ += work.prompt_tokens_;
+        sum.answer_tokens_ += work.answer_tokens_;
+    }
+    const base::time_point now = base::boot_clock::now();
+    if (now - told.work_since_ < work_period)
+        return;
+    const work_message m{
+        c.config_.daemon_,
+        std::exchange(told.work_, {}),
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - told.work_since_)};
+    told.work_since_ = now;
+    take_work(c, m);
+    broadcast(c, m);
+}
+
+
 asio::awaitable<void> receive_datagrams(control& c)
 {
     std::string buffer(max_datagram_bytes, '\0');
@@ -179,15 +219,13 @@
 
 asio::awaitable<void> run_load_reports(control& c)
 {
-    auto last = std::make_shared<std::unordered_map<base::host_id, unsigned>>();
+    auto told = std::make_shared<told_activity>();
+    told->work_since_ = base::boot_clock::now();
     for (;;) {
         co_await sleep_for(c, load_period);
-        c.front_->read_loads([&c, last](auto loads) {
-            asio::post(c.context_, [&c, last, loads = std::move(loads)] {
-                if (loads == *last)
-                    return;
-                *last = loads;
-                broadcast(c, loads_message{c.config_.daemon_, loads});
+        c.front_->read_activity([&c, told](relay::activity a) {
+            asio::post(c.context_, [&c, told, a = std::move(a)] {
+                tell_activity(c, *told, a);
             });
         });
     }
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds early_time{9500};
 // An answer this recent shows that a host serves whatever the list says.
 constexpr std::chrono::milliseconds recent_answer{2500};
+// A host that takes no connection for an order is left out for so long.
+constexpr std::chrono::milliseconds unreachable_time{3000};
 
 
 std::optional<asio::ip::tcp::endpoint>
@@ -62,6 +64,16 @@
 }
 
 
+void note_unreachable(
+    control& c, const base::host_id& id, const call_result& result)
+{
+    const auto* failure = std::get_if<call_failure>(&result);
+    if (failure != nullptr && *failure != call_failure::unanswered)
+        c.verdicts_[id].unreachable_until_ =
+            base::boot_clock::now() + unreachable_time;
+}
+
+
 asio::awaitable<void> send_order(
     control& c,
     base::deployment_id deployment,
@@ -78,6 +90,7 @@
             order_connect_time,
             order_time);
         outcome = outcome_of(c, result);
+        note_unreachable(c, o.host_, result);
         if (const auto* response = std::get_if<short_response>(&result))
             status = std::to_string(response->result_int());
     }
@@ -108,6 +121,7 @@
         if (f.now_ - v.answered_at_ < recent_answer)
             f.answering_.insert(id);
     }
+    f.needed_hosts_ = needed_hosts(c, d);
     f.before_traffic_ =
         c.config_.first_start_ && f.now_ - c.started_at_ < early_time;
     return f;
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -37,6 +37,8 @@
         .field("daemon", c.config_.daemon_)
         .field("active_requests", c.front_->active_requests());
     c.stopping_ = true;
+    if (c.leader_.leading_)
+        broadcast(c, leader_beat{{}, c.leader_.term_});
     c.leader_.leading_ = false;
     publish_status(c);
     publish_view(c);
@@ -122,11 +124,16 @@
     relay::front_events events;
     events.doubted_ = [&c](const relay::doubt& d) {
         asio::post(c.context_, [&c, d] {
-            const pvt::doubt_message m{d.host_, d.failed_host_};
+            const pvt::doubt_message m{d.host_, d.failed_address_};
             pvt::broadcast(c, m);
             pvt::check_group(c, m);
         });
     };
+    events.asked_ = [&c](const base::host_id& host) {
+        asio::post(c.context_, [&c, host] {
+            pvt::broadcast(c, pvt::question_message{host});
+        });
+    };
     events.crashed_ = [&c](const relay::crash_report& r) {
         asio::post(
             c.context_, [&c, r] { pvt::broadcast(c, pvt::crash_message{r}); });
--- a/src/libplacement/advance_formations.cpp
+++ b/src/libplacement/advance_formations.cpp
@@ -176,7 +176,7 @@
         same && (!is_in(*listed, f) ||
                  listed->role_->phase_ == fleet::group_phase::broken);
     const bool silent_for_long =
-        !same && p.f_.now_ - f.head_listed_ > p.s_.config_.silent_head_ &&
+        !same && p.f_.now_ - f.phase_start_ > p.s_.config_.silent_head_ &&
         !p.f_.answering_.contains(head);
     if (f.head_gone_ || reborn || gone_by_entry || silent_for_long) {
         log_phase(f, "group_dissolved", f.head_gone_ ? "left" : "entry");
@@ -189,8 +189,6 @@
 
 bool advance(planning& p, formation& f)
 {
-    if (find_host(p, f.members_.front()) != nullptr)
-        f.head_listed_ = p.f_.now_;
     const member_check m = check_members(p, f);
     switch (f.phase_) {
     case formation_phase::joining:
--- a/src/libplacement/form_groups.cpp
+++ b/src/libplacement/form_groups.cpp
@@ -1,6 +1,7 @@
 #include "planner_state.hpp"
 
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/placement/shortage.hpp>
 
 #include <algorithm>
 
@@ -11,9 +12,10 @@
 using host_list = std::vector<const fleet::host_fact*>;
 using free_by_domain = std::map<base::fabric_domain_id, host_list>;
 
-// A model is short when it has this much less capacity for its demand than
-// the best supplied one; it is then worth waiting for a load.
-constexpr double short_ratio = 0.8;
+// Use of all hosts that is expected before any request was measured.
+constexpr double expected_use = 0.5;
+// A group that closes for its hosts serves nobody for about this time.
+constexpr double closing_s = 1.5;
 
 
 bool counts_as_capacity(const formation& f)
@@ -35,32 +37,27 @@
 }
 
 
-double demand_of(const planning& p, const catalog::model& m)
+double needed_by(const planning& p, const catalog::model& m)
 {
-    constexpr double smallest = 0.02;
-    const auto found = p.f_.demand_.find(m.name_);
-    return std::max(
-        smallest,
-        found == p.f_.demand_.end() ? m.expected_share_ : found->second);
+    const auto measured = p.f_.needed_hosts_.find(m.name_);
+    if (measured != p.f_.needed_hosts_.end())
+        return measured->second;
+    return m.expected_share_ * expected_use * double(p.f_.hosts_->size());
 }
 
 
-// Hosts for each unit of demand.
-double supply(const planning& p, const catalog::model& m, double more = 0)
+// What more, or fewer, hosts in groups of a model are worth.
+double gain(const planning& p, const catalog::model& m, double more)
 {
-    return (hosts_of(p, m.name_) + more) / demand_of(p, m);
+    const double needed = needed_by(p, m);
+    const double hosts = hosts_of(p, m.name_);
+    return shortage(needed, hosts) - shortage(needed, hosts + more);
 }
 
 
-std::vector<const catalog::model*> neediest_first(const planning& p)
+double seconds(std::chrono::milliseconds time)
 {
-    std::vector<const catalog::model*> models;
-    for (const catalog::model& m : p.f_.engine_->models_)
-        models.push_back(&m);
-    std::stable_sort(models.begin(), models.end(), [&](auto* a, auto* b) {
-        return supply(p, *a) < supply(p, *b);
-    });
-    return models;
+    return std::chrono::duration<double>(time).count();
 }
 
 
@@ -129,7 +126,6 @@
         f.born_ms_.push_back(h->born_ms_);
     }
     f.phase_start_ = p.f_.now_;
-    f.head_listed_ = p.f_.now_;
     // Loads that run together slow each other down, by a factor of two at the
     // most under the load limit.
     const int slowdown = c.loads_ > 0 ? 2 : 1;
@@ -140,6 +136,8 @@
         .field("domain", f.domain_)
         .field("head", f.members_.front())
         .field("loads", c.loads_)
+        .field("needed", needed_by(p, m))
+        .field("hosts", hosts_of(p, m.name_))
         .field("expected", std::chrono::nanoseconds(c.time_));
     for (const base::host_id& id : f.members_)
         tell(p, f, id, order_kind::join);
@@ -165,29 +163,48 @@
 }
 
 
-// Returns the best group to form now: one of the neediest model, unless it
-// would wait for a load while another model's group could serve at once and
-// the neediest one is not short.
-std::optional<std::pair<const catalog::model*, candidate>>
+/// A group that could be formed, and what that is worth.
+struct proposal
+{
+    const catalog::model* model_ = nullptr;
+    candidate hosts_;
+    /// Gain over the horizon of the first of its hosts.
+    double value_ = 0;
+};
+
+
+// Time within the horizon in which the group would serve.
+double time_left(const planning& p, const candidate& c)
+{
+    // Times before traffic are a tenth and cost nothing.
+    const double wait = p.f_.before_traffic_ ? 0 : seconds(c.time_);
+    return std::max(0.0, seconds(p.s_.config_.horizon_) - wait);
+}
+
+
+double value_of(const planning& p, const catalog::model& m, const candidate& c)
+{
+
+    // The gain of the first host, so that sizes of groups do not matter.
+    return gain(p, m, 1) * time_left(p, c);
+}
+
+
+// Returns the group whose hosts are put to best use: by the need for its
+// model and by how soon it can serve.
+std::optional<proposal>
 choose_next(const planning& p, const free_by_domain& free)
 {
-    std::optional<std::pair<const catalog::model*, candidate>> chosen;
-    const auto models = neediest_first(p);
-    for (const catalog::model* m : models) {
-        auto c = best_candidate(p, free, *m);
+    std::optional<proposal> best;
+    for (const catalog::model& m : p.f_.engine_->models_) {
+        auto c = best_candidate(p, free, m);
         if (!c)
             continue;
-        if (!chosen) {
-            chosen = {m, std::move(*c)};
-            continue;
-        }
-        const bool is_short =
-            supply(p, *chosen->first) < short_ratio * supply(p, *models.back());
-        const bool quicker = chosen->second.loads_ > 0 && c->loads_ == 0;
-        if (quicker && !is_short && !p.f_.before_traffic_)
-            chosen = {m, std::move(*c)};
+        const double value = value_of(p, m, *c);
+        if (!best || value > best->value_)
+            best = proposal{&m, std::move(*c), value};
     }
-    return chosen;
+    return best;
 }
 
 
@@ -202,18 +219,6 @@
 }
 
 
-formation* find_donor(
-    planning& p, const base::fabric_domain_id& domain, const std::string& model)
-{
-    for (auto& [key, f] : p.s_.formations_) {
-        if (f.domain_ == domain && f.model_ == model &&
-            f.phase_ == formation_phase::serving)
-            return &f;
-    }
-    return nullptr;
-}
-
-
 // Hosts among the donor's and the free ones that could join without a load.
 std::size_t hosts_with_weights(
     const planning& p,
@@ -233,36 +238,83 @@
 }
 
 
-// Takes a group of a better supplied model apart when its hosts complete a
-// group of the neediest one and the worst supply gets better by it.
-void take_from_donor(planning& p, const free_by_domain& free)
+/// A group that could be taken apart for its hosts.
+struct donation
 {
-    const auto models = neediest_first(p);
-    const catalog::model& needy = *models.front();
+    formation* donor_ = nullptr;
+    const catalog::model* receiver_ = nullptr;
+    double value_ = 0;
+};
+
+
+// What it is worth to close the donor and to form a group of the receiving
+// model with its hosts and the free ones, against what the free ones can do
+// alone.
+double donation_value(
+    const planning& p,
+    const base::fabric_domain_id& domain,
+    const host_list& hosts,
+    const formation& donor,
+    const catalog::model& receiver)
+{
+    const catalog::model* given = find_model(p, donor.model_);
+    if (given == nullptr ||
+        hosts_with_weights(p, hosts, donor, receiver) < receiver.group_size_)
+        return 0;
+    const double horizon = seconds(p.s_.config_.horizon_);
+    const double wait = closing_s + seconds(receiver.warm_time_);
+    const double gained =
+        gain(p, receiver, receiver.group_size_) * (horizon - wait);
+    const double lost = -gain(p, *given, -double(given->group_size_)) * horizon;
+    double alone = 0;
+    for (const catalog::model& m : p.f_.engine_->models_) {
+        const auto c = best_of_domain(p, domain, hosts, m);
+        if (c)
+            alone =
+                std::max(alone, gain(p, m, m.group_size_) * time_left(p, *c));
+    }
+    return gained - lost - alone;
+}
+
+
+donation best_donation(planning& p, const free_by_domain& free)
+{
+    donation best;
     for (const auto& [domain, hosts] : free) {
-        if (hosts.empty() || hosts.size() >= needy.group_size_ ||
-            is_giving_up(p, domain))
+        if (hosts.empty() || is_giving_up(p, domain))
             continue;
-        for (const catalog::model* other : models) {
-            formation* donor =
-                other == &needy ? nullptr : find_donor(p, domain, other->name_);
-            if (donor == nullptr ||
-                hosts.size() + other->group_size_ < needy.group_size_)
+        for (auto& [key, f] : p.s_.formations_) {
+            if (f.domain_ != domain || f.phase_ != formation_phase::serving)
                 continue;
-            const double before = supply(p, needy);
-            const double after = supply(p, *other, -double(other->group_size_));
-            if (after <= before ||
-                hosts_with_weights(p, hosts, *donor, needy) < needy.group_size_)
-                continue;
-            base::event_line("group_closing")
-                .field("group", donor->key_.name_)
-                .field("reason", "hosts_for_other_model")
-                .field("model", needy.name_);
-            set_phase(p, *donor, formation_phase::closing);
-            tell(p, *donor, donor->members_.front(), order_kind::close);
-            return;
+            for (const catalog::model& m : p.f_.engine_->models_) {
+                if (m.name_ == f.model_ || hosts.size() >= m.group_size_ ||
+                    hosts.size() + f.members_.size() < m.group_size_)
+                    continue;
+                const double value = donation_value(p, domain, hosts, f, m);
+                if (value > best.value_)
+                    best = {&f, &m, value};
+            }
         }
     }
+    return best;
+}
+
+
+// Takes a group apart when its hosts complete a group that is needed more.
+void take_from_donor(planning& p, const free_by_domain& free)
+{
+    if (p.f_.before_traffic_)
+        return;
+    const donation d = best_donation(p, free);
+    if (d.donor_ == nullptr)
+        return;
+    base::event_line("group_closing")
+        .field("group", d.donor_->key_.name_)
+        .field("reason", "hosts_for_other_model")
+        .field("model", d.receiver_->name_)
+        .field("value", d.value_);
+    set_phase(p, *d.donor_, formation_phase::closing);
+    tell(p, *d.donor_, d.donor_->members_.front(), order_kind::close);
 }
 
 
@@ -297,10 +349,9 @@
     take_from_donor(p, free);
     hold_back_domains(p, free);
     while (const auto next = choose_next(p, free)) {
-        const auto& [model, c] = *next;
-        remove_hosts(free, c);
-        if (take_loads(p, c.loads_))
-            start_formation(p, c, *model);
+        remove_hosts(free, next->hosts_);
+        if (take_loads(p, next->hosts_.loads_))
+            start_formation(p, next->hosts_, *next->model_);
     }
 }
 
--- a/src/libplacement/planner_state.hpp
+++ b/src/libplacement/planner_state.hpp
@@ -47,8 +47,6 @@
     bool may_open_ = false;
     /// The head told that it has left or is not the host it was.
     bool head_gone_ = false;
-    /// When the head was last listed.
-    base::time_point head_listed_;
 };
 
 
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -177,8 +177,13 @@
 {
     const auto counts = e.request_[names.token_counts_];
     const std::string_view text(counts.data(), counts.size());
-    const auto prompt = to_number(text.substr(0, text.find(',')));
-    e.prompt_tokens_ = prompt ? double(*prompt) : 0.0;
+    const std::size_t comma = text.find(',');
+    e.prompt_tokens_ = double(to_number(text.substr(0, comma)).value_or(0));
+    const auto estimate = e.request_[names.answer_estimate_];
+    auto answer = to_number({estimate.data(), estimate.size()});
+    if (!answer && comma != std::string_view::npos)
+        answer = to_number(text.substr(comma + 1));
+    e.answer_tokens_ = double(answer.value_or(0));
 }
 
 
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -56,6 +56,8 @@
     std::string model_;
     unsigned priority_ = 0;
     double prompt_tokens_ = 0;
+    /// As the caller estimates it.
+    double answer_tokens_ = 0;
     std::uint64_t fingerprint_ = 0;
     base::time_point received_;
     /// Final answer is due: the earlier of the caller's deadline and the
@@ -73,6 +75,8 @@
     /// Tries so far.
     std::set<base::host_id> tried_;
     unsigned sends_ = 0;
+    /// Sends that reached an upstream.
+    unsigned arrivals_ = 0;
     /// Upstreams that may have run it.
     unsigned runs_ = 0;
 };
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -150,6 +150,8 @@
         return false;
     if (time_left(e).count() <= 0 || e.caller_->left_)
         return false;
+    if (e.arrivals_ == 0)
+        return true;
     const bool taken =
         attempts_of(c.t_, c.deployment_)
             .take_repeat(c.t_.view_->daemons_, base::boot_clock::now());
@@ -306,6 +308,17 @@
 }
 
 
+void note_work(forward_context& c)
+{
+    if (c.e_.model_.empty())
+        return;
+    model_work& work = c.t_.work_[{c.deployment_, c.e_.model_}];
+    ++work.requests_;
+    work.prompt_tokens_ += c.e_.prompt_tokens_;
+    work.answer_tokens_ += c.e_.answer_tokens_;
+}
+
+
 asio::awaitable<bool> serve(forward_context& c)
 {
     if (c.t_.refusing_)
@@ -329,6 +342,7 @@
              "overloaded",
              return_time(c, busy_return)});
     attempts_of(c.t_, c.deployment_).add_request(now);
+    note_work(c);
     const try_end end = co_await try_all(c);
     co_return co_await answer_caller(c, end);
 }
--- a/src/librelay/front.cpp
+++ b/src/librelay/front.cpp
@@ -69,16 +69,29 @@
 }
 
 
+bool is_heard(front_thread& t, const base::host_id& host)
+{
+    const upstream_state* s = t.board_.find(host);
+    return s != nullptr &&
+           base::boot_clock::now() - s->last_progress_ < recent_progress;
+}
+
+
 void take_doubt(front_thread& t, const base::host_id& host)
 {
-    const base::time_point now = base::boot_clock::now();
+    if (!is_heard(t, host))
+        t.board_.of(host).doubted_until_ =
+            base::boot_clock::now() + pvt::doubt_time;
+    else if (t.events_.answers_)
+        t.events_.answers_(host);
+}
+
+
+void take_trust(front_thread& t, const base::host_id& host)
+{
     upstream_state& s = t.board_.of(host);
-    if (now - s.last_progress_ < recent_progress) {
-        if (t.events_.answers_)
-            t.events_.answers_(host);
-        return;
-    }
-    s.doubted_until_ = now + pvt::doubt_time;
+    s.doubted_until_ = {};
+    s.heard_by_peer_ = base::boot_clock::now();
 }
 
 } // namespace
@@ -162,9 +175,8 @@
 void front::trust_upstream(base::host_id host)
 {
     front_thread& t = impl_->thread_state_;
-    asio::post(t.context_, [&t, host = std::move(host)] {
-        t.board_.of(host).doubted_until_ = {};
-    });
+    asio::post(
+        t.context_, [&t, host = std::move(host)] { take_trust(t, host); });
 }
 
 
@@ -177,12 +189,21 @@
 }
 
 
-void front::read_loads(
-    std::function<void(std::unordered_map<base::host_id, unsigned>)> done)
+void front::read_activity(std::function<void(activity)> done)
 {
     front_thread& t = impl_->thread_state_;
     asio::post(t.context_, [&t, done = std::move(done)] {
-        done(t.board_.own_loads());
+        done({t.board_.own_loads(), std::exchange(t.work_, {})});
+    });
+}
+
+
+void front::ask_upstream(base::host_id host)
+{
+    front_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, host = std::move(host)] {
+        if (is_heard(t, host) && t.events_.answers_)
+            t.events_.answers_(host);
     });
 }
 
--- a/src/librelay/front_thread.cpp
+++ b/src/librelay/front_thread.cpp
@@ -18,14 +18,8 @@
 constexpr std::chrono::milliseconds pool_check_period{500};
 // A caller that does not take its answer is cut this long after it was due.
 constexpr std::chrono::milliseconds write_grace{400};
-
-
-bool others_progress(
-    const front_thread& t, const exchange& e, base::time_point since)
-{
-    const upstream_state* state = t.board_.find(e.host_);
-    return state != nullptr && state->last_progress_ > since;
-}
+// Peers answer a question within a few milliseconds.
+constexpr std::chrono::milliseconds question_time{40};
 
 
 // Takes the exchange away from an upstream that waits for too long, when
@@ -46,17 +40,37 @@
 }
 
 
+// Returns true once no daemon has heard of the upstream for a while: the
+// peers were asked, and none has answered in time.
+bool is_silent(front_thread& t, const exchange& e, base::time_point now)
+{
+    const auto limit = wait_limit(e);
+    upstream_state& s = t.board_.of(e.host_);
+    if (s.doubted_until_ > now)
+        return true;
+    // Other answers from there show that it only works slowly.
+    const base::time_point heard = std::max(s.last_progress_, s.heard_by_peer_);
+    if (now - heard < limit)
+        return false;
+    if (s.asked_at_ <= heard) {
+        s.asked_at_ = now;
+        if (t.events_.asked_)
+            t.events_.asked_(e.host_);
+    }
+    return now - s.asked_at_ >= question_time;
+}
+
+
 void check_wait(front_thread& t, exchange& e, base::time_point now)
 {
     const auto limit = wait_limit(e);
     if (limit.count() == 0 || now - e.phase_start_ < limit)
         return;
-    const bool stream = catalog::is_stream(e.route_->kind_);
-    if (e.phase_ != wait_phase::connect) {
-        // Other answers from there show that it only works slowly.
-        if (others_progress(t, e, now - limit))
+    if (e.phase_ != wait_phase::connect &&
+        catalog::is_stream(e.route_->kind_)) {
+        if (!is_silent(t, e, now))
             return;
-        if (stream && t.board_.of(e.host_).doubted_until_ <= now)
+        if (t.board_.of(e.host_).doubted_until_ <= now)
             raise_doubt(t, {e.host_, doubt_reason::silent, {}});
     }
     move_if_allowed(e, now);
@@ -142,7 +156,7 @@
     base::event_line("upstream_doubted")
         .field("host", d.host_)
         .field("reason", to_string(d.reason_))
-        .field("failed_host", d.failed_host_);
+        .field("failed_address", d.failed_address_);
     if (t.events_.doubted_)
         t.events_.doubted_(d);
 }
--- a/src/librelay/front_thread.hpp
+++ b/src/librelay/front_thread.hpp
@@ -39,6 +39,7 @@
     crash_board crashes_;
     link_pool pool_;
     std::unordered_map<base::deployment_id, attempt_window> attempts_;
+    work_table work_;
     std::unordered_set<std::shared_ptr<caller_link>> callers_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     std::atomic<std::uint64_t> active_{0};
--- a/src/librelay/patience.cpp
+++ b/src/librelay/patience.cpp
@@ -10,8 +10,8 @@
 using std::chrono::nanoseconds;
 
 // A batch of prompts that is read between two events takes about this long.
-constexpr milliseconds event_limit{200};
-constexpr milliseconds first_event_base{300};
+constexpr milliseconds event_limit{150};
+constexpr milliseconds first_event_base{250};
 // Prompts that others read first, in multiples of the own one.
 constexpr double prefill_factor = 3.0;
 // Share of a plain answer's target after which another upstream can still
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -191,6 +191,12 @@
 }
 
 
+std::string address_text(const asio::ip::tcp::endpoint& address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+
 void note_rejection(try_context& c, const http_response& answer)
 {
     const auto failed = answer[c.t_.config_.headers_.failed_host_];
@@ -199,12 +205,11 @@
         .field("host", c.target_.host_)
         .field("status", answer.result_int())
         .field("failed_host", std::string_view(failed));
-    if (!failed.empty())
+    // An upstream that is only full names itself.
+    if (!failed.empty() && failed != address_text(c.target_.address_))
         raise_doubt(
             c.t_,
-            {c.target_.host_,
-             doubt_reason::group_failed,
-             {std::string(failed)}});
+            {c.target_.host_, doubt_reason::group_failed, std::string(failed)});
 }
 
 
@@ -314,6 +319,7 @@
     if (!co_await connect(c))
         co_return try_end::not_sent;
     ++e.runs_;
+    ++e.arrivals_;
     if (!co_await send_request(c))
         co_return try_end::lost;
     const auto parser = co_await read_head(c);
