placement: hosts kept for the group worth most, donors, peers asked about silent heads

Change: proposals include groups that wait for a load; up to two groups give their hosts, one donation at a time; a head that is unlisted, and that no peer reaches, is released after 2.5 s; hosts of a domain that return are awaited.

--- a/src/include/monsoondock/placement/planner_config.hpp
+++ b/src/include/monsoondock/placement/planner_config.hpp
@@ -17,7 +17,10 @@
     std::chrono::milliseconds longest_close_{9000};
     /// A head that can't be reached and is not listed any more counts as
     /// gone, or broken on its own, this long after it fell silent.
-    std::chrono::milliseconds silent_head_{4300};
+    std::chrono::milliseconds silent_head_{2500};
+    /// Hosts of a domain that come back together are listed within this time
+    /// of each other.
+    std::chrono::milliseconds gather_{500};
     /// Hosts are placed at a first start once the list has not grown for
     /// this time.
     std::chrono::milliseconds settle_{400};
--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -47,9 +47,10 @@
     const choice_weights& weights = {});
 
 
-/// Returns the free places of the upstreams of a model, less their load; below
-/// zero when requests wait. Doubted upstreams do not count.
-long spare_places(
+/// Returns the free places of the least loaded upstream of a model; below zero
+/// when requests wait there. Doubted upstreams do not count; nothing is
+/// returned when there are no others.
+std::optional<long> most_spare_places(
     const std::vector<upstream>& all,
     const upstream_board& board,
     const std::string& model,
--- a/src/libentry/control.cpp
+++ b/src/libentry/control.cpp
@@ -121,6 +121,19 @@
 }
 
 
+bool has_lost_member(const control& c, const fleet::replica_group& g)
+{
+    const base::time_point now = base::boot_clock::now();
+    for (const base::host_id& id : g.members_) {
+        const auto verdict = c.verdicts_.find(id);
+        if (verdict != c.verdicts_.end() &&
+            verdict->second.unreachable_until_ > now)
+            return true;
+    }
+    return false;
+}
+
+
 bool is_retiring(const control& c, const base::host_id& head)
 {
     for (const auto& [id, planner] : c.planners_) {
@@ -145,7 +158,8 @@
     std::vector<relay::upstream> result;
     for (const auto& [key, g] :
          fleet::derive_groups(c.hosts_.hosts_, d.id_, sizes)) {
-        if (!fleet::may_serve(g) || is_retiring(c, g.members_.front()))
+        if (!fleet::may_serve(g) || has_lost_member(c, g) ||
+            is_retiring(c, g.members_.front()))
             continue;
         const auto& head = c.hosts_.hosts_.at(g.members_.front());
         const auto address = parse_address(head.address_);
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -205,6 +205,14 @@
 boost::asio::awaitable<void> run_placement(control& c);
 
 
+/// A host was found to accept no connection: leaves it out for a while.
+void note_lost_host(control& c, const base::host_id& host);
+
+
+/// Tries to reach a host for the leader, and tells when that succeeds.
+void answer_reach(control& c, const reach_question& q);
+
+
 /// Checks the hosts of a group whose head is doubted.
 void check_group(control& c, const doubt_message& d);
 
--- a/src/libentry/group_checks.cpp
+++ b/src/libentry/group_checks.cpp
@@ -53,6 +53,22 @@
 }
 
 
+std::string address_text(const asio::ip::tcp::endpoint& address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+
+asio::awaitable<void>
+try_to_reach(control& c, base::host_id host, asio::ip::tcp::endpoint address)
+{
+    const bool reached =
+        co_await accepts_connections(c.context_, address, check_time);
+    if (reached)
+        broadcast(c, reached_message{host});
+}
+
+
 /// Checks under way for one group.
 struct group_check
 {
@@ -91,7 +107,9 @@
         if (!check->named_)
             verdict.unreachable_until_ = {};
     } else {
-        verdict.unreachable_until_ = now + unreachable_time;
+        note_lost_host(c, id);
+        broadcast(c, lost_host_message{id});
+        broadcast(c, reach_question{id, address_text(address)});
         check->any_lost_ = true;
         base::event_line("host_unreachable", base::severity::warning)
             .field("host", id)
@@ -104,6 +122,31 @@
 
 } // namespace
 
+void answer_reach(control& c, const reach_question& q)
+{
+    const auto address = settings::parse_socket_address(q.address_);
+    if (address)
+        asio::co_spawn(
+            c.context_,
+            try_to_reach(
+                c,
+                q.host_,
+                {asio::ip::make_address(address->ip_), address->port_}),
+            asio::detached);
+}
+
+
+void note_lost_host(control& c, const base::host_id& host)
+{
+    auto& verdict = c.verdicts_[host];
+    const base::time_point now = base::boot_clock::now();
+    const bool known = verdict.unreachable_until_ > now;
+    verdict.unreachable_until_ = now + unreachable_time;
+    if (!known)
+        publish_view(c);
+}
+
+
 void check_group(control& c, const doubt_message& d)
 {
     if (!c.leader_.leading_)
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -145,6 +145,44 @@
 }
 
 
+void put(wire::body_writer& out, const lost_host_message& m)
+{
+    wire::write_text(out, m.host_.value_);
+}
+
+
+void get(wire::body_reader& in, lost_host_message& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+}
+
+
+void put(wire::body_writer& out, const reach_question& m)
+{
+    wire::write_text(out, m.host_.value_);
+    wire::write_text(out, m.address_);
+}
+
+
+void get(wire::body_reader& in, reach_question& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+    wire::read_text(in, m.address_, max_name_bytes);
+}
+
+
+void put(wire::body_writer& out, const reached_message& m)
+{
+    wire::write_text(out, m.host_.value_);
+}
+
+
+void get(wire::body_reader& in, reached_message& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -44,6 +44,29 @@
 };
 
 
+/// The sender, who leads, can't reach a host: can anybody?
+struct reach_question
+{
+    base::host_id host_;
+    /// "ip:port".
+    std::string address_;
+};
+
+
+/// The sender reached a host that the leader can't reach.
+struct reached_message
+{
+    base::host_id host_;
+};
+
+
+/// The sender, who leads, found a host to accept no connection.
+struct lost_host_message
+{
+    base::host_id host_;
+};
+
+
 /// Work that callers asked the sender for, over some time.
 struct work_message
 {
@@ -83,7 +106,10 @@
     loads_message,
     crash_message,
     question_message,
-    work_message>;
+    work_message,
+    lost_host_message,
+    reach_question,
+    reached_message>;
 
 
 /// Returns the bytes of a datagram.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -29,3 +29,15 @@
         cr_assert_not(pvt::decode(bytes.substr(0, n)).has_value());
     cr_assert_not(pvt::decode(std::string("\x01\x7f", 2)).has_value());
 }
+
+
+Test(peer_message, questions_of_reach_come_back_as_they_were)
+{
+    const auto asked =
+        pvt::decode(pvt::encode(pvt::reach_question{{"h"}, "10.0.0.1:80"}));
+    cr_assert(std::get<pvt::reach_question>(*asked).address_ == "10.0.0.1:80");
+    const auto reached = pvt::decode(pvt::encode(pvt::reached_message{{"h"}}));
+    cr_assert(std::get<pvt::reached_message>(*reached).host_.value_ == "h");
+    const auto lost = pvt::decode(pvt::encode(pvt::lost_host_message{{"h"}}));
+    cr_assert(std::get<pvt::lost_host_message>(*lost).host_.value_ == "h");
+}
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -129,6 +129,11 @@
                 c.front_->set_peer_loads(m.sender_, m.loads_);
             },
             [&](const question_message& m) { c.front_->ask_upstream(m.host_); },
+            [&](const reach_question& m) { answer_reach(c, m); },
+            [&](const reached_message& m) {
+                c.verdicts_[m.host_].answered_at_ = now;
+            },
+            [&](const lost_host_message& m) { note_lost_host(c, m.host_); },
             [&](const work_message& m) { take_work(c, m); },
             [&](const crash_message& m) {
                 c.front_->add_crash(m.report_);
--- a/src/libplacement/planner.cpp
+++ b/src/libplacement/planner.cpp
@@ -23,8 +23,9 @@
         if (host.deployment_ != p.s_.deployment_)
             continue;
         auto& last = p.s_.last_models_[id];
-        if (last.born_ms_ != host.born_ms_)
-            last = {host.born_ms_, {}};
+        const bool is_new = last.listed_at_ == base::time_point();
+        if (is_new || last.born_ms_ != host.born_ms_)
+            last = {host.born_ms_, {}, p.f_.now_};
         if (host.role_ && !host.model_.empty() &&
             host.role_->phase_ != fleet::group_phase::joining)
             last.model_ = host.model_;
@@ -34,7 +35,8 @@
 
 bool has_settled(pvt::planning& p)
 {
-    if (p.s_.settled_)
+    // Only the placing of all hosts is better done when all are listed.
+    if (p.s_.settled_ || !p.f_.before_traffic_)
         return true;
     std::size_t listed = 0;
     for (const auto& [id, host] : *p.f_.hosts_)
--- a/src/libplacement/planner_state.hpp
+++ b/src/libplacement/planner_state.hpp
@@ -65,6 +65,8 @@
     {
         std::int64_t born_ms_ = 0;
         std::string model_;
+        /// When the process was first listed.
+        base::time_point listed_at_;
     };
     std::map<base::host_id, last_group> last_models_;
     /// Orders whose outcome is not known yet.
@@ -76,8 +78,21 @@
     };
     std::map<std::uint64_t, sent_order> sent_;
     std::uint64_t next_number_ = 1;
-    /// When hosts were last told to stage.
-    std::map<base::host_id, base::time_point> staging_;
+    /// What hosts were last told to load.
+    struct staging
+    {
+        std::string model_;
+        base::time_point told_at_;
+    };
+    std::map<base::host_id, staging> staging_;
+    /// Groups that are being closed for a group of another model.
+    struct pending_donation
+    {
+        base::fabric_domain_id domain_;
+        std::string model_;
+        base::time_point since_;
+    };
+    std::optional<pending_donation> donation_;
     /// Starts of loads from the weight store in the present window.
     std::deque<base::time_point> loads_;
     /// Hosts that were listed at the last step, and since when.
@@ -87,6 +102,10 @@
 };
 
 
+using host_list = std::vector<const fleet::host_fact*>;
+using free_by_domain = std::map<base::fabric_domain_id, host_list>;
+
+
 /// One step in the making.
 struct planning
 {
@@ -132,22 +151,24 @@
 
 
 /// Returns the usable hosts that belong to no formation, by domain.
-std::map<base::fabric_domain_id, std::vector<const fleet::host_fact*>>
-free_hosts(const planning& p);
+free_by_domain free_hosts(const planning& p);
 
 
-/// Forms new groups from free hosts, and takes hosts from models that can
-/// spare them.
+/// Forms new groups from free hosts, keeps hosts for groups that wait for
+/// weights, and takes hosts from models that can spare them.
 void form_groups(planning& p);
 
 
-/// Has spare hosts load weights ahead of their use.
+/// Has hosts load weights ahead of their use.
 void stage_spares(planning& p);
 
 
-/// Returns where the host has the weights of a model.
-weights_source weights_of(
-    const planning& p, const fleet::host_fact& h, const catalog::model& m);
+/// Returns true while a host loads weights that it was told to load.
+bool is_loading(const planning& p, const base::host_id& id);
+
+
+/// Tells a host to load the weights of a model.
+void stage(planning& p, const fleet::host_fact& host, const catalog::model& m);
 
 
 /// Takes one load out of the limit. Returns false when it is used up.
--- a/src/libplacement/planning.cpp
+++ b/src/libplacement/planning.cpp
@@ -57,16 +57,6 @@
 }
 
 
-weights_source weights_of(
-    const planning& p, const fleet::host_fact& h, const catalog::model& m)
-{
-    const auto last = p.s_.last_models_.find(h.id_);
-    const std::string& model =
-        last == p.s_.last_models_.end() ? std::string() : last->second.model_;
-    return find_weights(h, model, m);
-}
-
-
 bool take_load(planning& p)
 {
     if (p.f_.before_traffic_)
--- a/src/libplacement/stage_spares.cpp
+++ b/src/libplacement/stage_spares.cpp
@@ -1,4 +1,5 @@
-#include "planner_state.hpp"
+#include "candidates.hpp"
+#include "supply.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 
@@ -11,85 +12,128 @@
 // A stage order that shows no effect is repeated after this time, which is
 // longer than any load.
 constexpr std::chrono::milliseconds repeat_stage{40000};
-// While callers are served, no more than this share of the load limit goes
-// to weights that are not needed yet.
-constexpr std::size_t most_at_once = 4;
 
 
-bool is_being_staged(const planning& p, const base::host_id& id)
+std::size_t loads_under_way(const planning& p)
 {
-    const auto told = p.s_.staging_.find(id);
-    return told != p.s_.staging_.end() &&
-           p.f_.now_ - told->second < repeat_stage;
+    std::size_t count = 0;
+    for (const auto& [id, told] : p.s_.staging_)
+        count += is_loading(p, id) ? 1 : 0;
+    return count;
 }
 
 
-// A host joins a group of the model that it last ran at once, so the weights
-// that it keeps are best those of another model.
-const catalog::model*
-model_to_stage(const planning& p, const fleet::host_fact& host)
+/// A host that could load the weights of a model that it does not run.
+struct possible_load
 {
-    const auto last = p.s_.last_models_.find(host.id_);
-    if (last == p.s_.last_models_.end() || last->second.model_.empty())
-        return nullptr;
-    const catalog::model* chosen = nullptr;
-    for (const catalog::model& m : p.f_.engine_->models_) {
-        if (m.name_ == last->second.model_)
+    const fleet::host_fact* host_ = nullptr;
+    const catalog::model* model_ = nullptr;
+    double value_ = 0;
+};
+
+
+// Hosts outside of groups of the model, by domain, that could form one.
+std::map<base::fabric_domain_id, unsigned>
+hosts_at_hand(const planning& p, const catalog::model& m)
+{
+    std::map<base::fabric_domain_id, unsigned> count;
+    std::set<base::host_id> inside;
+    for (const auto& [key, f] : p.s_.formations_) {
+        if (f.model_ == m.name_)
+            inside.insert(f.members_.begin(), f.members_.end());
+    }
+    for (const auto& [id, host] : *p.f_.hosts_) {
+        if (host.deployment_ != p.s_.deployment_ || inside.contains(id) ||
+            !is_usable(p, id))
             continue;
-        if (chosen == nullptr || m.group_size_ > chosen->group_size_)
-            chosen = &m;
+        const host_readiness r = readiness_of(p, host, m);
+        count[host.domain_] +=
+            r.source_ != weights_source::weight_store || r.loading_ ? 1 : 0;
     }
-    if (chosen == nullptr ||
-        std::find(host.staged_.begin(), host.staged_.end(), chosen->name_) !=
-            host.staged_.end())
-        return nullptr;
-    return chosen;
+    return count;
 }
 
 
-// Hosts that are about to join may still need the weights that they have.
-std::set<base::host_id> joining_hosts(const planning& p)
+// Hosts in groups keep their own model in memory, so the weights that they
+// hold are best those of another one. Hosts of groups that are about to form
+// may still need what they have.
+std::set<base::host_id> hosts_to_leave(const planning& p)
 {
     std::set<base::host_id> result;
     for (const auto& [key, f] : p.s_.formations_) {
-        if (f.phase_ == formation_phase::joining)
+        if (f.phase_ != formation_phase::serving)
             result.insert(f.members_.begin(), f.members_.end());
     }
     return result;
 }
 
 
-std::size_t stages_under_way(const planning& p)
+std::vector<possible_load> possible_loads(const planning& p)
 {
-    std::size_t count = 0;
-    for (const auto& [id, told] : p.s_.staging_) {
-        const fleet::host_fact* host = find_host(p, id);
-        if (host == nullptr || !is_being_staged(p, id))
-            continue;
-        count += model_to_stage(p, *host) != nullptr ? 1 : 0;
+    const auto leave = hosts_to_leave(p);
+    std::vector<possible_load> loads;
+    for (const catalog::model& m : p.f_.engine_->models_) {
+        const auto at_hand = hosts_at_hand(p, m);
+        for (const auto& [id, host] : *p.f_.hosts_) {
+            if (host.deployment_ != p.s_.deployment_ || leave.contains(id) ||
+                !host.role_ || !is_usable(p, id) || is_loading(p, id) ||
+                has_weights(p, host, m))
+                continue;
+            const auto have = at_hand.find(host.domain_);
+            const unsigned near = have == at_hand.end() ? 0 : have->second;
+            // Domains that are close to a whole group come first; beyond one
+            // whole group a host more is worth little.
+            const double closeness = near < m.group_size_ ? 1.0 + near : 0.5;
+            loads.push_back({&host, &m, gain(p, m, 1) * closeness});
+        }
     }
-    return count;
+    std::stable_sort(loads.begin(), loads.end(), [](auto& a, auto& b) {
+        return a.value_ > b.value_;
+    });
+    return loads;
 }
 
 } // namespace
 
+bool is_loading(const planning& p, const base::host_id& id)
+{
+    const auto told = p.s_.staging_.find(id);
+    if (told == p.s_.staging_.end() ||
+        p.f_.now_ - told->second.told_at_ > repeat_stage)
+        return false;
+    const fleet::host_fact* host = find_host(p, id);
+    const catalog::model* m = find_model(p, told->second.model_);
+    return host != nullptr && m != nullptr && !has_weights(p, *host, *m);
+}
+
+
+void stage(planning& p, const fleet::host_fact& host, const catalog::model& m)
+{
+    p.s_.staging_[host.id_] = {m.name_, p.f_.now_};
+    base::event_line("staging")
+        .field("host", host.id_)
+        .field("model", m.name_)
+        .field("domain", host.domain_);
+    send(p, {0, order_kind::stage, host.id_, {}, m.name_, {}});
+}
+
+
 void stage_spares(planning& p)
 {
-    std::size_t under_way = stages_under_way(p);
-    const auto joining = joining_hosts(p);
-    for (const auto& [id, host] : *p.f_.hosts_) {
-        if (!p.f_.before_traffic_ && under_way >= most_at_once)
+    const std::size_t limit = p.f_.before_traffic_
+                                  ? p.f_.hosts_->size()
+                                  : p.f_.engine_->parallel_loads_;
+    std::size_t under_way = loads_under_way(p);
+    std::set<base::host_id> chosen;
+    for (const possible_load& load : possible_loads(p)) {
+        if (under_way >= limit)
             return;
-        if (host.deployment_ != p.s_.deployment_ || joining.contains(id) ||
-            !is_usable(p, id) || is_being_staged(p, id))
-            continue;
-        const catalog::model* m = model_to_stage(p, host);
-        if (m == nullptr || !take_load(p))
+        if (!chosen.insert(load.host_->id_).second)
             continue;
+        if (!take_load(p))
+            return;
         ++under_way;
-        p.s_.staging_[id] = p.f_.now_;
-        base::event_line("staging").field("host", id).field("model", m->name_);
-        send(p, {0, order_kind::stage, id, {}, m->name_, {}});
+        stage(p, *load.host_, *load.model_);
     }
 }
 
--- a/src/librelay/choose_upstream.cpp
+++ b/src/librelay/choose_upstream.cpp
@@ -88,19 +88,21 @@
 }
 
 
-long spare_places(
+std::optional<long> most_spare_places(
     const std::vector<upstream>& all,
     const upstream_board& board,
     const std::string& model,
     base::time_point now)
 {
-    long places = 0;
+    std::optional<long> most;
     for (const upstream& u : all) {
         const upstream_state& s = state_of(board, u);
-        if (u.model_ == model && !is_doubted(s, now))
-            places += long{u.slots_} - long{total_load(s)};
+        if (u.model_ != model || is_doubted(s, now))
+            continue;
+        const long spare = long{u.slots_} - long{total_load(s)};
+        most = std::max(most.value_or(spare), spare);
     }
-    return places;
+    return most;
 }
 
 } // namespace monsoondock::relay
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -29,8 +29,9 @@
 constexpr milliseconds repair_return{1000};
 // Places become free after about the time of one answer.
 constexpr milliseconds busy_return{500};
-// Requests that may wait at an upstream, as a share of its places.
-constexpr double waiting_share = 1.0;
+// Requests that may wait at a group for a place: they begin within the
+// latency that callers aim at.
+constexpr long max_waiting = 3;
 
 
 /// How a request ended, for its log line.
@@ -187,16 +188,11 @@
 bool is_overloaded(const forward_context& c)
 {
     const auto found = c.t_.view_->upstreams_.find(c.deployment_);
-    if (found == c.t_.view_->upstreams_.end())
+    if (found == c.t_.view_->upstreams_.end() || c.e_.model_.empty())
         return false;
-    long places = 0;
-    for (const upstream& u : found->second) {
-        if (u.model_ == c.e_.model_)
-            places += u.slots_;
-    }
-    const long spare = spare_places(
+    const auto most = most_spare_places(
         found->second, c.t_.board_, c.e_.model_, base::boot_clock::now());
-    return places > 0 && double(-spare) > waiting_share * double(places);
+    return most && *most <= -max_waiting;
 }
 
 
@@ -321,6 +317,7 @@
 
 asio::awaitable<bool> serve(forward_context& c)
 {
+    note_work(c);
     if (c.t_.refusing_)
         co_return co_await finish_own(
             c,
@@ -342,7 +339,6 @@
              "overloaded",
              return_time(c, busy_return)});
     attempts_of(c.t_, c.deployment_).add_request(now);
-    note_work(c);
     const try_end end = co_await try_all(c);
     co_return co_await answer_caller(c, end);
 }
