placement: members leave their group before they go elsewhere; watches are checked

Ruled out: waiting for longer, since such a head stays open for good. Change: every member that can be reached leaves a group that is given up, and is free once that is confirmed; no wait for the head. The leader compares the store with its watches every 0.7 s and has all daemons read again.

--- a/src/include/monsoondock/placement/facts.hpp
+++ b/src/include/monsoondock/placement/facts.hpp
@@ -18,8 +18,6 @@
     const catalog::engine* engine_ = nullptr;
     /// Hosts that were found to be unreachable though they may be listed.
     std::set<base::host_id> unreachable_;
-    /// Heads that answer some daemon, whatever the list says.
-    std::set<base::host_id> answering_;
     /// Hosts that each model's requests keep busy, as measured. Empty: nothing
     /// was measured, and operators' expected shares count.
     std::map<std::string, double> needed_hosts_;
--- a/src/include/monsoondock/placement/planner_config.hpp
+++ b/src/include/monsoondock/placement/planner_config.hpp
@@ -15,9 +15,6 @@
     /// A closing group that still has requests is told to leave after this
     /// time.
     std::chrono::milliseconds longest_close_{9000};
-    /// A head that can't be reached and is not listed any more counts as
-    /// gone, or broken on its own, this long after it fell silent.
-    std::chrono::milliseconds silent_head_{2500};
     /// Hosts of a domain that come back together are listed within this time
     /// of each other.
     std::chrono::milliseconds gather_{500};
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -36,6 +36,10 @@
 struct host_state
 {
     fleet::host_table hosts_;
+    /// Version of each host's entry in the store; an older one is ignored.
+    std::map<base::host_id, platform::version> versions_;
+    /// The store's version up to which changes were taken.
+    platform::version seen_;
     bool known_ = false;
     /// Hosts whose entries vanished right after an outage of the store; they
     /// count as gone only when they do not come back by this time.
@@ -176,6 +180,19 @@
 boost::asio::awaitable<void> run_host_feed(control& c);
 
 
+/// Reads the entries of upstream hosts again, besides the watch.
+boost::asio::awaitable<void> reread_hosts(control& c);
+
+
+/// Returns true when a list holds changes that the watch has not told.
+bool misses_changes(const control& c, const platform::listing& list);
+
+
+/// While this daemon leads, compares what the watches told with the store, and
+/// has all daemons read again when a watch has gone deaf.
+boost::asio::awaitable<void> run_store_checks(control& c);
+
+
 /// Takes part in membership and takes messages of peers.
 boost::asio::awaitable<void> run_peers(control& c);
 
--- a/src/libentry/host_feed.cpp
+++ b/src/libentry/host_feed.cpp
@@ -44,6 +44,10 @@
 void take_entry(control& c, const platform::object& o)
 {
     const std::string id = id_of(c, o.key_);
+    auto& version = c.hosts_.versions_[{id}];
+    if (o.version_ < version)
+        return;
+    version = o.version_;
     auto read = c.adapter_.read_host_(id, o.value_);
     if (!base::ok(read)) {
         base::event_line("host_entry_unreadable", base::severity::warning)
@@ -71,6 +75,7 @@
         return;
     base::event_line("host_gone").field("host", id).field("reason", reason);
     c.hosts_.hosts_.erase(found);
+    c.hosts_.versions_.erase(id);
     c.hosts_.lapsed_.erase(id);
 }
 
@@ -120,19 +125,14 @@
 }
 
 
-// Reads all entries; returns the version to watch from.
-asio::awaitable<std::optional<platform::version>> read_hosts(control& c)
+void take_list(control& c, const platform::listing& list)
 {
-    const base::time_point last_answer = c.store_answered_at_;
-    const bool failed_before = c.store_failed_;
-    const auto listed = co_await c.store_.list(c.adapter_.hosts_prefix_);
-    note_store(c, base::ok(listed));
-    if (!base::ok(listed))
-        co_return std::nullopt;
-    if (failed_before)
-        note_return(c, last_answer);
+    // A watch may have told more by now.
+    if (list.version_ < c.hosts_.seen_)
+        return;
+    c.hosts_.seen_ = list.version_;
     std::set<base::host_id> present;
-    for (const platform::object& o : base::value(listed).objects_) {
+    for (const platform::object& o : list.objects_) {
         present.insert({id_of(c, o.key_)});
         take_entry(c, o);
     }
@@ -143,6 +143,21 @@
     }
     for (const base::host_id& id : missing)
         take_removal(c, id);
+}
+
+
+// Reads all entries; returns the version to watch from.
+asio::awaitable<std::optional<platform::version>> read_hosts(control& c)
+{
+    const base::time_point last_answer = c.store_answered_at_;
+    const bool failed_before = c.store_failed_;
+    const auto listed = co_await c.store_.list(c.adapter_.hosts_prefix_);
+    note_store(c, base::ok(listed));
+    if (!base::ok(listed))
+        co_return std::nullopt;
+    if (failed_before)
+        note_return(c, last_answer);
+    take_list(c, base::value(listed));
     if (!c.hosts_.known_) {
         c.hosts_.known_ = true;
         publish_status(c);
@@ -167,6 +182,7 @@
                 take_entry(c, change.object_);
         }
         from = base::value(batch).next_;
+        c.hosts_.seen_ = std::max(c.hosts_.seen_, from);
         if (!base::value(batch).changes_.empty())
             after_change(c);
         expire_lapsed(c);
@@ -176,6 +192,27 @@
 
 } // namespace
 
+asio::awaitable<void> reread_hosts(control& c)
+{
+    co_await read_hosts(c);
+}
+
+
+bool misses_changes(const control& c, const platform::listing& list)
+{
+    if (list.version_ < c.hosts_.seen_)
+        return false;
+    std::size_t listed = 0;
+    for (const platform::object& o : list.objects_) {
+        const auto known = c.hosts_.versions_.find({id_of(c, o.key_)});
+        if (known == c.hosts_.versions_.end() || known->second < o.version_)
+            return true;
+        ++listed;
+    }
+    return listed < c.hosts_.versions_.size();
+}
+
+
 asio::awaitable<void> run_host_feed(control& c)
 {
     for (;;) {
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -183,6 +183,12 @@
 }
 
 
+void put(wire::body_writer&, const read_again_message&) {}
+
+
+void get(wire::body_reader&, read_again_message&) {}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -60,6 +60,11 @@
 };
 
 
+/// The sender, who leads, found that watches miss changes of hosts.
+struct read_again_message
+{};
+
+
 /// The sender, who leads, found a host to accept no connection.
 struct lost_host_message
 {
@@ -109,7 +114,8 @@
     work_message,
     lost_host_message,
     reach_question,
-    reached_message>;
+    reached_message,
+    read_again_message>;
 
 
 /// Returns the bytes of a datagram.
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -133,6 +133,9 @@
             [&](const reached_message& m) {
                 c.verdicts_[m.host_].answered_at_ = now;
             },
+            [&](const read_again_message&) {
+                asio::co_spawn(c.context_, reread_hosts(c), asio::detached);
+            },
             [&](const lost_host_message& m) { note_lost_host(c, m.host_); },
             [&](const work_message& m) { take_work(c, m); },
             [&](const crash_message& m) {
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -21,8 +21,6 @@
 constexpr std::chrono::milliseconds order_time{700};
 // Callers' traffic begins this long after the daemons at the very first start.
 constexpr std::chrono::milliseconds early_time{9500};
-// An answer this recent shows that a host serves whatever the list says.
-constexpr std::chrono::milliseconds recent_answer{2500};
 // A host that takes no connection for an order is left out for so long.
 constexpr std::chrono::milliseconds unreachable_time{3000};
 
@@ -118,8 +116,6 @@
     for (const auto& [id, v] : c.verdicts_) {
         if (v.unreachable_until_ > f.now_)
             f.unreachable_.insert(id);
-        if (f.now_ - v.answered_at_ < recent_answer)
-            f.answering_.insert(id);
     }
     f.needed_hosts_ = needed_hosts(c, d);
     f.before_traffic_ =
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -164,6 +164,7 @@
     asio::co_spawn(context, pvt::run_signals(c), asio::detached);
     asio::co_spawn(context, pvt::run_catalog_feed(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_feed(c), asio::detached);
+    asio::co_spawn(context, pvt::run_store_checks(c), asio::detached);
     asio::co_spawn(context, pvt::run_peers(c), asio::detached);
     asio::co_spawn(context, pvt::run_load_reports(c), asio::detached);
     asio::co_spawn(context, pvt::run_leadership(c), asio::detached);
--- a/src/libplacement/adopt_groups.cpp
+++ b/src/libplacement/adopt_groups.cpp
@@ -4,13 +4,6 @@
 
 namespace {
 
-bool head_may_serve(const fleet::replica_group& g)
-{
-    return g.head_phase_ == fleet::group_phase::open ||
-           g.head_phase_ == fleet::group_phase::closing;
-}
-
-
 formation make_formation(const planning& p, const fleet::replica_group& g)
 {
     formation f;
@@ -32,6 +25,8 @@
 
 formation_phase phase_of(const fleet::replica_group& g)
 {
+    // Members that are not seen may come back, and the head may be open
+    // though it is not listed, so the others leave before they go elsewhere.
     if (!g.complete_)
         return formation_phase::dissolving;
     switch (*g.head_phase_) {
@@ -49,31 +44,12 @@
 }
 
 
-bool belongs_elsewhere(const planning& p, const fleet::replica_group& g)
-{
-    for (const auto& [key, f] : p.s_.formations_) {
-        for (const base::host_id& id : f.members_) {
-            for (const base::host_id& member : g.members_) {
-                if (id == member)
-                    return true;
-            }
-        }
-    }
-    return false;
-}
-
 } // namespace
 
 void adopt_groups(planning& p)
 {
     for (const auto& [key, g] : p.groups_) {
-        if (p.s_.formations_.contains(key) || p.s_.ended_.contains(key))
-            continue;
-        // Without an open head the hosts are as good as free: the next join
-        // has a higher epoch.
-        if (!g.head_phase_ || (!g.complete_ && !head_may_serve(g)))
-            continue;
-        if (!head_may_serve(g) && belongs_elsewhere(p, g))
+        if (p.s_.formations_.contains(key))
             continue;
         formation f = make_formation(p, g);
         f.phase_ = phase_of(g);
--- a/src/libplacement/advance_formations.cpp
+++ b/src/libplacement/advance_formations.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-// Entries are updated within a second; a late order may show after this.
-constexpr std::chrono::seconds ended_retention{60};
-
-
 /// What the list says of a formation's members.
 struct member_check
 {
@@ -164,26 +160,36 @@
 }
 
 
-// A group whose head may still take requests keeps its hosts until the head
-// has left, is a new process, or must have broken by itself.
+// Each member that can be reached leaves the group before it goes elsewhere: a
+// head that can't be reached may be open all the same, but stands still
+// without its members.
 bool advance_dissolving(planning& p, formation& f)
 {
-    const base::host_id& head = f.members_.front();
-    const fleet::host_fact* listed = find_host(p, head);
-    const bool same = listed != nullptr && listed->born_ms_ == f.born_ms_[0];
-    const bool reborn = listed != nullptr && !same;
-    const bool gone_by_entry =
-        same && (!is_in(*listed, f) ||
-                 listed->role_->phase_ == fleet::group_phase::broken);
-    const bool silent_for_long =
-        !same && p.f_.now_ - f.phase_start_ > p.s_.config_.silent_head_ &&
-        !p.f_.answering_.contains(head);
-    if (f.head_gone_ || reborn || gone_by_entry || silent_for_long) {
-        log_phase(f, "group_dissolved", f.head_gone_ ? "left" : "entry");
-        return true;
+    bool all_left = true;
+    for (std::size_t i = 0; i < f.members_.size(); ++i) {
+        const base::host_id& id = f.members_[i];
+        const fleet::host_fact* host = find_host(p, id);
+        const bool same = host != nullptr && host->born_ms_ == f.born_ms_[i];
+        if (!same || has_left(p.s_, id, f.born_ms_[i], f.key_) ||
+            p.f_.unreachable_.contains(id))
+            continue;
+        all_left = false;
+        tell(p, f, id, order_kind::leave);
     }
-    tell(p, f, head, order_kind::leave);
-    return false;
+    if (all_left)
+        log_phase(f, "group_dissolved", "members_left");
+    return all_left;
+}
+
+
+// The members of a group that is over are free; entries that still show it
+// are out of date.
+void release_members(planning& p, const formation& f)
+{
+    if (f.phase_ == formation_phase::dissolving)
+        return;
+    for (std::size_t i = 0; i < f.members_.size(); ++i)
+        note_left(p.s_, f.members_[i], f.born_ms_[i], f.key_);
 }
 
 
@@ -217,13 +223,9 @@
             ++entry;
             continue;
         }
-        p.s_.ended_[entry->first] = p.f_.now_;
+        release_members(p, entry->second);
         entry = formations.erase(entry);
     }
-    std::erase_if(p.s_.ended_, [&](const auto& entry) {
-        return p.f_.now_ - entry.second > ended_retention &&
-               !p.groups_.contains(entry.first);
-    });
 }
 
 } // namespace monsoondock::placement::pvt
--- a/src/libplacement/fake_hosts_test.hpp
+++ b/src/libplacement/fake_hosts_test.hpp
@@ -24,6 +24,14 @@
     void silence(const std::string& id);
 
 
+    /// No order reaches the host, but it goes on as it was.
+    void cut_off(const std::string& id);
+
+
+    /// Orders reach the host again.
+    void reconnect(const std::string& id);
+
+
     /// The entry of a host vanishes; a silent one is gone for good.
     void unlist(const std::string& id);
 
@@ -70,6 +78,9 @@
     std::map<base::host_id, std::string> last_models_;
     std::map<base::host_id, std::vector<base::host_id>> member_lists_;
     std::set<base::host_id> silent_;
+    std::set<base::host_id> cut_off_;
+    /// Groups whose heads are open, listed or not.
+    std::map<fleet::group_key, base::host_id> open_heads_;
 };
 
 
--- a/src/libplacement/form_groups.cpp
+++ b/src/libplacement/form_groups.cpp
@@ -130,10 +130,14 @@
 free_by_domain free_hosts(const planning& p)
 {
     std::set<base::host_id> taken;
-    for (const auto& [key, f] : p.s_.formations_)
-        taken.insert(f.members_.begin(), f.members_.end());
+    for (const auto& [key, f] : p.s_.formations_) {
+        for (std::size_t i = 0; i < f.members_.size(); ++i) {
+            if (!has_left(p.s_, f.members_[i], f.born_ms_[i], f.key_))
+                taken.insert(f.members_[i]);
+        }
+    }
     free_by_domain free;
-    for (const auto& [id, host] : *p.f_.hosts_) {
+    for (const auto& [id, host] : p.hosts_) {
         if (host.deployment_ != p.s_.deployment_ || taken.contains(id) ||
             !is_usable(p, id))
             continue;
--- a/src/libplacement/planner.cpp
+++ b/src/libplacement/planner.cpp
@@ -15,11 +15,24 @@
 }
 
 
+// Returns the listed hosts, without the groups that their entries still show
+// though they have left them.
+fleet::host_table present_hosts(const pvt::planner_state& s, const facts& f)
+{
+    fleet::host_table hosts = *f.hosts_;
+    for (auto& [id, host] : hosts) {
+        if (host.role_ && pvt::has_left(s, id, host.born_ms_, host.role_->key_))
+            host.role_.reset();
+    }
+    return hosts;
+}
+
+
 // Remembers the models of groups, since a host's entry tells them only while
 // it is in one.
 void remember_models(pvt::planning& p)
 {
-    for (const auto& [id, host] : *p.f_.hosts_) {
+    for (const auto& [id, host] : p.hosts_) {
         if (host.deployment_ != p.s_.deployment_)
             continue;
         auto& last = p.s_.last_models_[id];
@@ -39,7 +52,7 @@
     if (p.s_.settled_ || !p.f_.before_traffic_)
         return true;
     std::size_t listed = 0;
-    for (const auto& [id, host] : *p.f_.hosts_)
+    for (const auto& [id, host] : p.hosts_)
         listed += host.deployment_ == p.s_.deployment_ ? 1 : 0;
     if (listed != p.s_.listed_) {
         p.s_.listed_ = listed;
@@ -69,11 +82,13 @@
 
 std::vector<order> planner::step(const facts& f)
 {
+    const fleet::host_table hosts = present_hosts(*state_, f);
     pvt::planning p{
         *state_,
         f,
+        hosts,
         fleet::derive_groups(
-            *f.hosts_, state_->deployment_, group_sizes(*f.engine_)),
+            hosts, state_->deployment_, group_sizes(*f.engine_)),
         {}};
     remember_models(p);
     if (!has_settled(p))
@@ -94,18 +109,11 @@
         return;
     const pvt::planner_state::sent_order sent = found->second;
     state_->sent_.erase(found);
-    const auto formed = state_->formations_.find(sent.group_);
-    if (formed == state_->formations_.end())
-        return;
-    pvt::formation& f = formed->second;
-    if (f.members_.front() != sent.host_ || sent.kind_ == order_kind::join)
-        return;
-    // A refused leave tells that the head is not in this group any more.
-    const bool left = sent.kind_ == order_kind::leave &&
-                      (outcome == order_outcome::accepted ||
-                       outcome == order_outcome::refused);
-    if (left || outcome == order_outcome::no_such_host)
-        f.head_gone_ = true;
+    // A refused leave tells that the host is not in this group any more.
+    if (sent.kind_ == order_kind::leave &&
+        (outcome == order_outcome::accepted ||
+         outcome == order_outcome::refused))
+        pvt::note_left(*state_, sent.host_, sent.born_ms_, sent.group_);
 }
 
 
--- a/src/libplacement/planner_state.hpp
+++ b/src/libplacement/planner_state.hpp
@@ -45,8 +45,6 @@
     std::map<base::host_id, base::time_point> told_;
     /// An open was sent, so the head may open at any time.
     bool may_open_ = false;
-    /// The head told that it has left or is not the host it was.
-    bool head_gone_ = false;
 };
 
 
@@ -57,9 +55,14 @@
     planner_config config_;
     epoch_source epochs_;
     std::map<fleet::group_key, formation> formations_;
-    /// Groups that are over, and since when. Entries that still show them are
-    /// out of date.
-    std::map<fleet::group_key, base::time_point> ended_;
+    /// Group that each host was last known to have left, or whose head was
+    /// known to be closed. Entries that still show it are out of date.
+    struct left_group
+    {
+        fleet::group_key key_;
+        std::int64_t born_ms_ = 0;
+    };
+    std::map<base::host_id, left_group> left_;
     /// Model of each host's last group since the start of its process.
     struct last_group
     {
@@ -74,6 +77,7 @@
     {
         order_kind kind_;
         base::host_id host_;
+        std::int64_t born_ms_ = 0;
         fleet::group_key group_;
     };
     std::map<std::uint64_t, sent_order> sent_;
@@ -111,6 +115,8 @@
 {
     planner_state& s_;
     const facts& f_;
+    /// The listed hosts, without the groups that they have left.
+    const fleet::host_table& hosts_;
     fleet::group_map groups_;
     std::vector<order> orders_;
 };
@@ -128,6 +134,22 @@
 const catalog::model* find_model(const planning& p, const std::string& name);
 
 
+/// Notes that a host is in a group no more, or that its head is closed.
+void note_left(
+    planner_state& s,
+    const base::host_id& host,
+    std::int64_t born_ms,
+    const fleet::group_key& key);
+
+
+/// Returns true when the host is known to be out of the group.
+bool has_left(
+    const planner_state& s,
+    const base::host_id& host,
+    std::int64_t born_ms,
+    const fleet::group_key& key);
+
+
 /// Adds an order to the step.
 void send(planning& p, order o);
 
--- a/src/libplacement/planning.cpp
+++ b/src/libplacement/planning.cpp
@@ -4,8 +4,8 @@
 
 const fleet::host_fact* find_host(const planning& p, const base::host_id& id)
 {
-    const auto found = p.f_.hosts_->find(id);
-    return found == p.f_.hosts_->end() ? nullptr : &found->second;
+    const auto found = p.hosts_.find(id);
+    return found == p.hosts_.end() ? nullptr : &found->second;
 }
 
 
@@ -27,10 +27,34 @@
 }
 
 
+void note_left(
+    planner_state& s,
+    const base::host_id& host,
+    std::int64_t born_ms,
+    const fleet::group_key& key)
+{
+    s.left_[host] = {key, born_ms};
+}
+
+
+bool has_left(
+    const planner_state& s,
+    const base::host_id& host,
+    std::int64_t born_ms,
+    const fleet::group_key& key)
+{
+    const auto left = s.left_.find(host);
+    return left != s.left_.end() && left->second.key_ == key &&
+           left->second.born_ms_ == born_ms;
+}
+
+
 void send(planning& p, order o)
 {
     o.number_ = p.s_.next_number_++;
-    p.s_.sent_[o.number_] = {o.kind_, o.host_, o.group_};
+    const fleet::host_fact* host = find_host(p, o.host_);
+    p.s_.sent_[o.number_] = {
+        o.kind_, o.host_, host == nullptr ? 0 : host->born_ms_, o.group_};
     p.orders_.push_back(std::move(o));
 }
 
--- a/src/libplacement/stage_spares.cpp
+++ b/src/libplacement/stage_spares.cpp
@@ -42,7 +42,7 @@
         if (f.model_ == m.name_)
             inside.insert(f.members_.begin(), f.members_.end());
     }
-    for (const auto& [id, host] : *p.f_.hosts_) {
+    for (const auto& [id, host] : p.hosts_) {
         if (host.deployment_ != p.s_.deployment_ || inside.contains(id) ||
             !is_usable(p, id))
             continue;
@@ -74,7 +74,7 @@
     std::vector<possible_load> loads;
     for (const catalog::model& m : p.f_.engine_->models_) {
         const auto at_hand = hosts_at_hand(p, m);
-        for (const auto& [id, host] : *p.f_.hosts_) {
+        for (const auto& [id, host] : p.hosts_) {
             if (host.deployment_ != p.s_.deployment_ || leave.contains(id) ||
                 !host.role_ || !is_usable(p, id) || is_loading(p, id) ||
                 has_weights(p, host, m))
@@ -120,9 +120,8 @@
 
 void stage_spares(planning& p)
 {
-    const std::size_t limit = p.f_.before_traffic_
-                                  ? p.f_.hosts_->size()
-                                  : p.f_.engine_->parallel_loads_;
+    const std::size_t limit =
+        p.f_.before_traffic_ ? p.hosts_.size() : p.f_.engine_->parallel_loads_;
     std::size_t under_way = loads_under_way(p);
     std::set<base::host_id> chosen;
     for (const possible_load& load : possible_loads(p)) {
--- a/src/libplacement/supply.cpp
+++ b/src/libplacement/supply.cpp
@@ -26,7 +26,7 @@
     const auto measured = p.f_.needed_hosts_.find(m.name_);
     if (measured != p.f_.needed_hosts_.end())
         return measured->second;
-    return m.expected_share_ * expected_use * double(p.f_.hosts_->size());
+    return m.expected_share_ * expected_use * double(p.hosts_.size());
 }
 
 
