--- a/src/include/monsoondock/catalog/engine.hpp
+++ b/src/include/monsoondock/catalog/engine.hpp
@@ -23,6 +23,10 @@
     double step_per_1000_tokens_ms_ = 0;
     /// Prompt tokens that are read in a millisecond.
     double prefill_tokens_per_ms_ = 1;
+    /// Prompt tokens that are read at most within one step.
+    double prefill_chunk_tokens_ = 0;
+    /// Steps between two looks at what waits; events leave in between.
+    double steps_per_pass_ = 1;
     /// Mean tokens of a prompt and of an answer.
     double usual_prompt_tokens_ = 0;
     double usual_answer_tokens_ = 0;
--- a/src/libplacement/adopt_groups.cpp
+++ b/src/libplacement/adopt_groups.cpp
@@ -1,5 +1,7 @@
 #include "planner_state.hpp"
 
+#include <algorithm>
+
 namespace monsoondock::placement::pvt {
 
 namespace {
@@ -49,7 +51,11 @@
 void adopt_groups(planning& p)
 {
     for (const auto& [key, g] : p.groups_) {
-        if (p.s_.formations_.contains(key))
+        const bool any_usable = std::any_of(
+            g.members_.begin(), g.members_.end(), [&](const auto& id) {
+                return is_usable(p, id);
+            });
+        if (p.s_.formations_.contains(key) || !any_usable)
             continue;
         formation f = make_formation(p, g);
         f.phase_ = phase_of(g);
--- a/src/libplacement/donations.cpp
+++ b/src/libplacement/donations.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds longest_donation{6000};
 // Gains below this are not worth the requests that a close disturbs.
 constexpr double least_value = 5;
+// Two groups at once are closed only for a model that is clearly short.
+constexpr double least_value_of_two = 40;
 
 
 /// Groups that could be taken apart for a group of another model.
@@ -119,27 +121,37 @@
                           seconds_left(p, closing_time + m.warm_time_);
     const double lost = loss_of(p, donors) * seconds_left(p, {});
     const double value = gained - lost - value_alone(p, domain, hosts);
-    if (value > std::max(best.value_, least_value))
+    const double least = donors.size() > 1 ? least_value_of_two : least_value;
+    if (value > std::max(best.value_, least))
         best = {std::move(donors), &m, value};
 }
 
-// One donation at a time: the need for the next one shows when the receiving
-// group forms.
-bool is_pending(planning& p)
+// Hosts of a group that is given up are free in a moment.
+void add_survivors(const planning& p, const formation& f, host_list& hosts)
 {
-    auto& pending = p.s_.donation_;
-    if (pending && p.f_.now_ - pending->since_ > longest_donation)
-        pending.reset();
-    if (!pending)
-        return false;
-    for (const auto& [key, f] : p.s_.formations_) {
-        if (f.domain_ == pending->domain_ && f.model_ == pending->model_ &&
-            f.phase_ == formation_phase::joining) {
-            pending.reset();
-            return false;
-        }
+    for (std::size_t i = 0; i < f.members_.size(); ++i) {
+        const base::host_id& id = f.members_[i];
+        if (is_usable(p, id) && !has_left(p.s_, id, f.born_ms_[i], f.key_))
+            hosts.push_back(find_host(p, id));
     }
-    return true;
+}
+
+
+// A donation is over when the receiving group forms, or has failed.
+void forget_ended(planning& p)
+{
+    std::erase_if(p.s_.donations_, [&](const auto& d) {
+        if (p.f_.now_ - d.since_ > longest_donation)
+            return true;
+        return std::any_of(
+            p.s_.formations_.begin(),
+            p.s_.formations_.end(),
+            [&](const auto& e) {
+                return e.second.domain_ == d.domain_ &&
+                       e.second.model_ == d.model_ &&
+                       e.second.phase_ == formation_phase::joining;
+            });
+    });
 }
 
 } // namespace
@@ -154,13 +166,29 @@
 }
 
 
+bool is_kept_for_other(
+    const planning& p,
+    const base::fabric_domain_id& domain,
+    const catalog::model& m)
+{
+    return std::any_of(
+        p.s_.donations_.begin(), p.s_.donations_.end(), [&](const auto& d) {
+            return d.domain_ == domain && d.model_ != m.name_;
+        });
+}
+
+
 void take_from_donors(planning& p, const free_by_domain& free)
 {
-    if (p.f_.before_traffic_ || is_pending(p))
+    if (p.f_.before_traffic_)
         return;
+    forget_ended(p);
     free_by_domain domains = free;
-    for (const auto& [key, f] : p.s_.formations_)
-        domains.try_emplace(f.domain_);
+    for (const auto& [key, f] : p.s_.formations_) {
+        host_list& hosts = domains[f.domain_];
+        if (f.phase_ == formation_phase::dissolving)
+            add_survivors(p, f, hosts);
+    }
     donation best;
     for (const auto& [domain, hosts] : domains) {
         if (is_giving_up(p, domain))
@@ -169,8 +197,8 @@
             consider(p, domain, hosts, m, best);
     }
     if (!best.donors_.empty())
-        p.s_.donation_ = planner_state::pending_donation{
-            best.donors_.front()->domain_, best.receiver_->name_, p.f_.now_};
+        p.s_.donations_.push_back(
+            {best.donors_.front()->domain_, best.receiver_->name_, p.f_.now_});
     for (formation* donor : best.donors_) {
         base::event_line("group_closing")
             .field("group", donor->key_.name_)
--- a/src/libplacement/fake_hosts_test.cpp
+++ b/src/libplacement/fake_hosts_test.cpp
@@ -3,11 +3,15 @@
 #include <monsoondock/fleet/replica_group.hpp>
 #include <monsoondock/placement/join_time.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::placement {
 
 namespace {
 
 constexpr std::chrono::milliseconds step_time{100};
+// Times of loads before traffic are a tenth.
+constexpr int early_factor = 10;
 
 } // namespace
 
@@ -19,6 +23,8 @@
         {"large", 4, 1.0, 0.5, 16000ms, 1600ms},
         {"small", 2, 0.6, 0.5, 12000ms, 1100ms}};
     e.loads_per_second_ = 5;
+    e.parallel_loads_ = 7;
+    e.open_time_ = 300ms;
     return e;
 }
 
@@ -45,6 +51,34 @@
 void fake_hosts::silence(const std::string& id)
 {
     silent_.insert({id});
+    jobs_.erase({id});
+}
+
+
+void fake_hosts::restart(const std::string& id)
+{
+    silent_.erase({id});
+    jobs_.erase({id});
+    last_models_.erase({id});
+    seen_epochs_.erase({id});
+    std::erase_if(
+        open_heads_, [&](const auto& e) { return e.second.value_ == id; });
+    fleet::host_fact& h = hosts_.at({id});
+    ++h.born_ms_;
+    h.role_.reset();
+    h.model_.clear();
+}
+
+
+void fake_hosts::cut_off(const std::string& id)
+{
+    cut_off_.insert({id});
+}
+
+
+void fake_hosts::reconnect(const std::string& id)
+{
+    cut_off_.erase({id});
 }
 
 
@@ -76,15 +110,12 @@
 }
 
 
-void fake_hosts::cut_off(const std::string& id)
+const catalog::model& fake_hosts::model_named(const std::string& name) const
 {
-    cut_off_.insert({id});
-}
-
-
-void fake_hosts::reconnect(const std::string& id)
-{
-    cut_off_.erase({id});
+    return *std::find_if(
+        engine_.models_.begin(), engine_.models_.end(), [&](const auto& m) {
+            return m.name_ == name;
+        });
 }
 
 
@@ -93,18 +124,20 @@
     fleet::host_fact& h = hosts_.at(o.host_);
     if (o.group_.epoch_ < seen_epochs_[o.host_])
         return order_outcome::refused;
-    const bool same = h.role_ && h.role_->key_ == o.group_;
-    if (same)
+    if (h.role_ && h.role_->key_ == o.group_)
         return member_lists_[o.host_] == o.members_ ? order_outcome::accepted
                                                     : order_outcome::refused;
     if (has_open_head(o.host_))
         ++joins_of_open_groups_;
-    const catalog::model* m = nullptr;
-    for (const catalog::model& each : engine_.models_)
-        m = each.name_ == o.model_ ? &each : m;
-    const auto source = find_weights(h, last_models_[o.host_], *m);
-    if (source == weights_source::weight_store)
-        h.staged_ = {o.model_};
+    const catalog::model& m = model_named(o.model_);
+    const auto source = find_weights(h, last_models_[o.host_], m);
+    job j{join_time(source, m), {}, o.group_, fleet::group_phase::ready};
+    if (source == weights_source::weight_store) {
+        j.load_ = o.model_;
+        ++loads_begun_;
+        if (facts_.before_traffic_)
+            j.left_ /= early_factor;
+    }
     const auto rank = std::find(o.members_.begin(), o.members_.end(), o.host_) -
                       o.members_.begin();
     h.role_ = fleet::group_role{
@@ -113,60 +146,108 @@
     last_models_[o.host_] = o.model_;
     seen_epochs_[o.host_] = o.group_.epoch_;
     member_lists_[o.host_] = o.members_;
-    joining_[o.host_] = {facts_.now_ + join_time(source, *m), o.group_};
+    jobs_[o.host_].push_back(j);
+    return order_outcome::accepted;
+}
+
+
+order_outcome fake_hosts::stage(const order& o)
+{
+    job j{model_named(o.model_).load_time_, o.model_, {}, {}};
+    ++loads_begun_;
+    if (facts_.before_traffic_)
+        j.left_ /= early_factor;
+    jobs_[o.host_].push_back(j);
+    return order_outcome::accepted;
+}
+
+
+order_outcome fake_hosts::open(const order& o)
+{
+    for (const base::host_id& id : member_lists_[o.host_]) {
+        const auto& role =
+            hosts_.contains(id) ? hosts_.at(id).role_ : std::nullopt;
+        if (!role || role->key_ != o.group_ ||
+            role->phase_ == fleet::group_phase::joining)
+            ++early_opens_;
+    }
+    open_heads_[o.group_] = o.host_;
+    jobs_[o.host_].push_back(
+        {engine_.open_time_, {}, o.group_, fleet::group_phase::open});
     return order_outcome::accepted;
 }
 
 
 order_outcome fake_hosts::apply(const order& o)
 {
+    ++orders_;
     if (is_silent(o.host_) || cut_off_.contains(o.host_))
         return order_outcome::unanswered;
-    fleet::host_fact& h = hosts_.at(o.host_);
     if (o.kind_ == order_kind::join)
         return join(o);
-    if (o.kind_ == order_kind::stage) {
-        h.staged_ = {o.model_};
-        return order_outcome::accepted;
-    }
+    if (o.kind_ == order_kind::stage)
+        return stage(o);
+    fleet::host_fact& h = hosts_.at(o.host_);
     if (!h.role_ || h.role_->key_ != o.group_)
         return order_outcome::refused;
     if (o.kind_ == order_kind::leave) {
         if (h.role_->rank_ == 0)
             open_heads_.erase(o.group_);
         h.role_.reset();
-    } else if (o.kind_ == order_kind::close) {
-        open_heads_.erase(o.group_);
-        h.role_->phase_ = fleet::group_phase::ready;
-    } else if (h.role_->phase_ == fleet::group_phase::joining)
-        return order_outcome::refused;
-    else {
-        for (const base::host_id& id : member_lists_[o.host_]) {
-            const auto& role =
-                hosts_.contains(id) ? hosts_.at(id).role_ : std::nullopt;
-            if (!role || role->key_ != o.group_ ||
-                role->phase_ == fleet::group_phase::joining)
-                ++early_opens_;
-        }
-        h.role_->phase_ = fleet::group_phase::open;
-        open_heads_[o.group_] = o.host_;
+        return order_outcome::accepted;
     }
+    if (h.role_->phase_ == fleet::group_phase::joining)
+        return order_outcome::refused;
+    if (o.kind_ == order_kind::open)
+        return open(o);
+    h.role_->phase_ = fleet::group_phase::closing;
+    jobs_[o.host_].push_back(
+        {close_time_, {}, o.group_, fleet::group_phase::ready});
     return order_outcome::accepted;
 }
 
 
+void fake_hosts::finish(const base::host_id& id, const job& j)
+{
+    fleet::host_fact& h = hosts_.at(id);
+    if (!j.load_.empty())
+        h.staged_ = {j.load_};
+    if (j.group_.epoch_ == 0 || !h.role_ || h.role_->key_ != j.group_)
+        return;
+    if (h.role_->phase_ == fleet::group_phase::closing)
+        open_heads_.erase(j.group_);
+    h.role_->phase_ = j.becomes_;
+}
+
+
 void fake_hosts::advance()
 {
     facts_.now_ += step_time;
-    std::erase_if(joining_, [&](const auto& entry) {
-        const auto& [id, join] = entry;
-        if (is_silent(id) || facts_.now_ < join.ready_at_)
-            return is_silent(id);
-        auto& role = hosts_.at(id).role_;
-        if (role && role->key_ == join.key_)
-            role->phase_ = fleet::group_phase::ready;
-        return true;
-    });
+    double loading = 0;
+    for (const auto& [id, jobs] : jobs_) {
+        for (const job& j : jobs)
+            loading += j.load_.empty() || is_silent(id) ? 0 : 1;
+    }
+    // Loads beyond the limit share what the weight store gives.
+    const double speed = facts_.before_traffic_ || loading == 0
+                             ? 1.0
+                             : std::min(1.0, engine_.parallel_loads_ / loading);
+    const std::chrono::milliseconds loaded(
+        static_cast<std::int64_t>(double(step_time.count()) * speed));
+    for (auto& [id, jobs] : jobs_) {
+        if (is_silent(id))
+            continue;
+        std::vector<job> done;
+        std::erase_if(jobs, [&](job& j) {
+            j.left_ -= j.load_.empty() ? step_time : loaded;
+            if (j.left_.count() > 0)
+                return false;
+            done.push_back(j);
+            return true;
+        });
+        for (const job& j : done)
+            finish(id, j);
+    }
 }
 
 
--- a/src/libplacement/fake_hosts_test.hpp
+++ b/src/libplacement/fake_hosts_test.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/placement/planner.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,10 +21,14 @@
     void add(const std::string& id, const std::string& domain);
 
 
-    /// The host falls silent; its entry stays for a while.
+    /// The host falls silent for good; its entry stays until unlist.
     void silence(const std::string& id);
 
 
+    /// The host is back as a new process that holds its weights.
+    void restart(const std::string& id);
+
+
     /// No order reaches the host, but it goes on as it was.
     void cut_off(const std::string& id);
 
@@ -32,7 +37,7 @@
     void reconnect(const std::string& id);
 
 
-    /// The entry of a host vanishes; a silent one is gone for good.
+    /// The entry of a host vanishes.
     void unlist(const std::string& id);
 
 
@@ -44,11 +49,8 @@
     void run(planner& p, std::chrono::milliseconds time);
 
 
-    /// Carries out an order; answers as the host would.
-    order_outcome apply(const order& o);
-
-
-    /// Returns the number of groups of a model that are whole and open.
+    /// Returns the number of groups of a model that are whole and open, and
+    /// whose hosts all live.
     unsigned open_groups(const std::string& model) const;
 
     facts facts_;
@@ -57,23 +59,38 @@
     unsigned joins_of_open_groups_ = 0;
     /// Opens of a group whose members were not all ready.
     unsigned early_opens_ = 0;
+    /// Orders and loads so far.
+    unsigned orders_ = 0;
+    unsigned loads_begun_ = 0;
     /// Answer of the next orders; the order is carried out all the same.
     unsigned lost_answers_ = 0;
+    /// Time from the order to close until the head is ready.
+    std::chrono::milliseconds close_time_{0};
 
 private:
-    struct pending_join
+    /// Something that a host does, done when no time is left.
+    struct job
     {
-        base::time_point ready_at_;
-        fleet::group_key key_;
+        std::chrono::milliseconds left_{0};
+        /// Model that is loaded, or empty.
+        std::string load_;
+        /// Group that the host joins, opens or closes; empty for a stage.
+        fleet::group_key group_;
+        fleet::group_phase becomes_ = fleet::group_phase::ready;
     };
 
     bool is_silent(const base::host_id& id) const;
     bool has_open_head(const base::host_id& id) const;
+    const catalog::model& model_named(const std::string& name) const;
+    order_outcome apply(const order& o);
     order_outcome join(const order& o);
+    order_outcome stage(const order& o);
+    order_outcome open(const order& o);
+    void finish(const base::host_id& id, const job& j);
     void advance();
 
     catalog::engine engine_;
-    std::map<base::host_id, pending_join> joining_;
+    std::map<base::host_id, std::vector<job>> jobs_;
     std::map<base::host_id, std::uint64_t> seen_epochs_;
     std::map<base::host_id, std::string> last_models_;
     std::map<base::host_id, std::vector<base::host_id>> member_lists_;
--- a/src/libplacement/form_groups.cpp
+++ b/src/libplacement/form_groups.cpp
@@ -21,6 +21,47 @@
 };
 
 
+std::size_t groups_in(
+    const planning& p,
+    const base::fabric_domain_id& domain,
+    const catalog::model& m)
+{
+    return static_cast<std::size_t>(std::count_if(
+        p.s_.formations_.begin(), p.s_.formations_.end(), [&](const auto& e) {
+            return e.second.domain_ == domain && e.second.model_ == m.name_;
+        }));
+}
+
+
+bool is_largest(const planning& p, const catalog::model& m)
+{
+    return std::all_of(
+        p.f_.engine_->models_.begin(),
+        p.f_.engine_->models_.end(),
+        [&](const auto& other) { return other.group_size_ <= m.group_size_; });
+}
+
+
+// Large groups are spread over the domains, so that the loss of one takes as
+// few as possible. Small ones fill the domains where fewest hosts are free,
+// which leaves room for large ones elsewhere.
+bool is_better_domain(
+    const planning& p,
+    const free_by_domain& free,
+    const base::fabric_domain_id& a,
+    const base::fabric_domain_id& b,
+    const catalog::model& m)
+{
+    if (!is_largest(p, m))
+        return free.at(a).size() < free.at(b).size();
+    const std::size_t in_a = groups_in(p, a, m);
+    const std::size_t in_b = groups_in(p, b, m);
+    if (in_a != in_b)
+        return in_a < in_b;
+    return free.at(a).size() > free.at(b).size();
+}
+
+
 // Returns the group whose hosts are put to best use: by the need for its
 // model and by how soon it can serve, a load included.
 std::optional<proposal>
@@ -29,14 +70,16 @@
     std::optional<proposal> best;
     for (const catalog::model& m : p.f_.engine_->models_) {
         for (const auto& [domain, hosts] : free) {
+            if (is_kept_for_other(p, domain, m))
+                continue;
             auto c = best_of_domain(p, domain, hosts, m);
             if (!c)
                 continue;
             const double value = gain(p, m, 1) * seconds_left(p, c->time_);
             const bool better =
                 !best || value > best->value_ ||
-                (value == best->value_ &&
-                 hosts.size() > free.at(best->hosts_.domain_).size());
+                (value == best->value_ && best->model_ == &m &&
+                 is_better_domain(p, free, domain, best->hosts_.domain_, m));
             if (better)
                 best = proposal{&m, std::move(*c), value};
         }
@@ -91,7 +134,8 @@
     for (const fleet::host_fact* h : c.hosts_) {
         const host_readiness r = readiness_of(p, *h, m);
         if (r.source_ == weights_source::weight_store && !r.loading_ &&
-            !is_loading(p, h->id_) && take_load(p))
+            !is_loading(p, h->id_) &&
+            loads_under_way(p) < p.f_.engine_->parallel_loads_ && take_load(p))
             stage(p, *h, m);
     }
 }
--- a/src/libplacement/planner_state.hpp
+++ b/src/libplacement/planner_state.hpp
@@ -96,7 +96,7 @@
         std::string model_;
         base::time_point since_;
     };
-    std::optional<pending_donation> donation_;
+    std::vector<pending_donation> donations_;
     /// Starts of loads from the weight store in the present window.
     std::deque<base::time_point> loads_;
     /// Hosts that were listed at the last step, and since when.
@@ -185,6 +185,10 @@
 void stage_spares(planning& p);
 
 
+/// Returns the number of hosts that load weights now.
+std::size_t loads_under_way(const planning& p);
+
+
 /// Returns true while a host loads weights that it was told to load.
 bool is_loading(const planning& p, const base::host_id& id);
 
--- a/src/libplacement/stage_spares.cpp
+++ b/src/libplacement/stage_spares.cpp
@@ -12,15 +12,9 @@
 // A stage order that shows no effect is repeated after this time, which is
 // longer than any load.
 constexpr std::chrono::milliseconds repeat_stage{40000};
-
-
-std::size_t loads_under_way(const planning& p)
-{
-    std::size_t count = 0;
-    for (const auto& [id, told] : p.s_.staging_)
-        count += is_loading(p, id) ? 1 : 0;
-    return count;
-}
+// Loads for hosts that serve nobody come first: others begin only while less
+// than this part of the parallel loads is in use.
+constexpr unsigned spare_divisor = 2;
 
 
 /// A host that could load the weights of a model that it does not run.
@@ -68,6 +62,16 @@
 }
 
 
+// A host that has run another model keeps that one in memory.
+bool runs_or_ran(
+    const planning& p, const fleet::host_fact& host, const catalog::model& m)
+{
+    const auto last = p.s_.last_models_.find(host.id_);
+    return last != p.s_.last_models_.end() && !last->second.model_.empty() &&
+           last->second.model_ != m.name_;
+}
+
+
 std::vector<possible_load> possible_loads(const planning& p)
 {
     const auto leave = hosts_to_leave(p);
@@ -76,8 +80,8 @@
         const auto at_hand = hosts_at_hand(p, m);
         for (const auto& [id, host] : p.hosts_) {
             if (host.deployment_ != p.s_.deployment_ || leave.contains(id) ||
-                !host.role_ || !is_usable(p, id) || is_loading(p, id) ||
-                has_weights(p, host, m))
+                !runs_or_ran(p, host, m) || !is_usable(p, id) ||
+                is_loading(p, id) || has_weights(p, host, m))
                 continue;
             const auto have = at_hand.find(host.domain_);
             const unsigned near = have == at_hand.end() ? 0 : have->second;
@@ -107,6 +111,15 @@
 }
 
 
+std::size_t loads_under_way(const planning& p)
+{
+    std::size_t count = 0;
+    for (const auto& [id, told] : p.s_.staging_)
+        count += is_loading(p, id) ? 1 : 0;
+    return count;
+}
+
+
 void stage(planning& p, const fleet::host_fact& host, const catalog::model& m)
 {
     p.s_.staging_[host.id_] = {m.name_, p.f_.now_};
--- a/src/libplacement/supply.cpp
+++ b/src/libplacement/supply.cpp
@@ -37,6 +37,11 @@
         if (f.model_ == model && counts_as_capacity(f))
             hosts += double(f.members_.size());
     }
+    const catalog::model* m = find_model(p, model);
+    for (const auto& d : p.s_.donations_) {
+        if (d.model_ == model && m != nullptr)
+            hosts += m->group_size_;
+    }
     return hosts;
 }
 
--- a/src/libplacement/supply.hpp
+++ b/src/libplacement/supply.hpp
@@ -8,7 +8,8 @@
 double needed_by(const planning& p, const catalog::model& m);
 
 
-/// Returns the hosts in groups of a model that serve or soon will.
+/// Returns the hosts in groups of a model that serve or soon will, those that
+/// donations are to bring included.
 double hosts_of(const planning& p, const std::string& model);
 
 
--- a/src/librelay/patience.cpp
+++ b/src/librelay/patience.cpp
@@ -9,17 +9,34 @@
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
-// A batch of prompts that is read between two events takes about this long.
-constexpr milliseconds event_limit{150};
+// Silence is judged against the longest pass of an engine, with some room.
+constexpr double pass_factor = 1.3;
+// Least time that a stream may be silent; links and timers take some of it.
+constexpr milliseconds least_event_limit{150};
+// A first event takes this much longer than a pass and the own prompt.
 constexpr milliseconds first_event_base{250};
 // Prompts that others read first, in multiples of the own one.
-constexpr double prefill_factor = 3.0;
+constexpr double prefill_factor = 2.0;
 // Share of a plain answer's target after which another upstream can still
 // answer in time.
 constexpr double plain_share = 0.6;
 
 
-nanoseconds prefill_time(const exchange& e)
+nanoseconds from_ms(double ms)
+{
+    return nanoseconds(static_cast<std::int64_t>(ms * 1e6));
+}
+
+
+/// The engine that serves a request, and the pace of its model.
+struct serving_engine
+{
+    const catalog::engine* engine_ = nullptr;
+    double pace_ = 1.0;
+};
+
+
+serving_engine find_engine(const exchange& e)
 {
     for (const auto& d : e.route_->deployments_) {
         const auto* target =
@@ -27,14 +44,42 @@
         if (target == nullptr || !target->engine_)
             continue;
         for (const catalog::model& m : target->engine_->models_) {
-            if (m.name_ != e.model_)
-                continue;
-            const double ms = e.prompt_tokens_ /
-                              target->engine_->prefill_tokens_per_ms_ * m.pace_;
-            return nanoseconds(static_cast<std::int64_t>(ms * 1e6));
+            if (m.name_ == e.model_)
+                return {&*target->engine_, m.pace_};
         }
     }
-    return nanoseconds{0};
+    return {};
+}
+
+
+// A pass in which every step reads a whole piece of a prompt.
+nanoseconds longest_pass(const serving_engine& s)
+{
+    if (s.engine_ == nullptr)
+        return nanoseconds{0};
+    const catalog::engine& e = *s.engine_;
+    const double step = e.step_ms_ + e.step_per_request_ms_ * e.slots_ +
+                        e.prefill_chunk_tokens_ / e.prefill_tokens_per_ms_;
+    return from_ms(e.steps_per_pass_ * step * s.pace_);
+}
+
+
+nanoseconds event_limit(const serving_engine& s)
+{
+    const auto pass = longest_pass(s);
+    return std::max<nanoseconds>(
+        least_event_limit, from_ms(double(pass.count()) / 1e6 * pass_factor));
+}
+
+
+nanoseconds first_event_limit(const exchange& e, const serving_engine& s)
+{
+    if (s.engine_ == nullptr)
+        return first_event_base;
+    const double prefill =
+        e.prompt_tokens_ / s.engine_->prefill_tokens_per_ms_ * s.pace_;
+    return first_event_base + longest_pass(s) +
+           from_ms(prefill * prefill_factor);
 }
 
 } // namespace
@@ -47,16 +92,12 @@
     case wait_phase::connect:
         return connect_limit;
     case wait_phase::next_event:
-        return event_limit;
+        return event_limit(find_engine(e));
     case wait_phase::first_answer:
         break;
     }
-    if (catalog::is_stream(e.route_->kind_)) {
-        const auto prefill = prefill_time(e);
-        return first_event_base +
-               nanoseconds(static_cast<std::int64_t>(
-                   double(prefill.count()) * prefill_factor));
-    }
+    if (catalog::is_stream(e.route_->kind_))
+        return first_event_limit(e, find_engine(e));
     if (!catalog::may_repeat(e.route_->kind_))
         return nanoseconds{0};
     const nanoseconds target = e.route_->target_latency_;
