--- a/src/libentry/catalog_feed.cpp
+++ b/src/libentry/catalog_feed.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds watch_time{20000};
 constexpr std::chrono::milliseconds retry_pause{150};
 constexpr std::chrono::milliseconds peer_timeout{500};
+// The store's own watch delivers within this time when it works.
+constexpr std::chrono::milliseconds catch_up_period{200};
 
 
 void take_object(control& c, const platform::object& o)
@@ -53,6 +55,29 @@
     }
 }
 
+std::uint64_t version_in_force(const control& c)
+{
+    return c.catalog_.catalog_ == nullptr ? 0 : c.catalog_.catalog_->version_;
+}
+
+
+// Returns a live peer that has the newest configuration, when it is newer
+// than the own one.
+std::optional<membership::endpoint> newer_peer(const control& c)
+{
+    std::uint64_t best = version_in_force(c);
+    std::optional<membership::endpoint> peer;
+    for (const auto& [id, member] : c.node_.members()) {
+        const membership::member_record& r = member.record_;
+        if (r.state_ == membership::member_state::dead ||
+            r.status_.settings_revision_ <= best)
+            continue;
+        best = r.status_.settings_revision_;
+        peer = r.peer_;
+    }
+    return peer;
+}
+
 } // namespace
 
 bool take_catalog(control& c, const std::string& text, std::string_view source)
@@ -66,8 +91,7 @@
     }
     auto next =
         std::make_shared<catalog::catalog>(base::value(std::move(read)));
-    const std::uint64_t have =
-        c.catalog_.catalog_ == nullptr ? 0 : c.catalog_.catalog_->version_;
+    const std::uint64_t have = version_in_force(c);
     if (next->version_ <= have)
         return false;
     base::event_line("settings_in_force")
@@ -93,19 +117,24 @@
 }
 
 
-asio::awaitable<void> fetch_catalog(control& c, membership::endpoint peer)
+asio::awaitable<void> run_catalog_catch_up(control& c)
 {
-    const auto text = co_await get_page(
-        c.context_,
-        {asio::ip::address_v4(peer.address_), peer.port_},
-        "/settings",
-        peer_timeout);
-    if (!text) {
-        base::event_line("peer_settings_failed", base::severity::warning)
-            .field("peer", membership::to_string(peer));
-        co_return;
+    for (;;) {
+        co_await sleep_for(c, catch_up_period);
+        const auto peer = newer_peer(c);
+        if (!peer)
+            continue;
+        const auto text = co_await get_page(
+            c.context_,
+            {asio::ip::address_v4(peer->address_), peer->port_},
+            settings_page,
+            peer_timeout);
+        if (text)
+            take_catalog(c, *text, "peer");
+        else
+            base::event_line("peer_settings_failed", base::severity::warning)
+                .field("peer", membership::to_string(*peer));
     }
-    take_catalog(c, *text, "peer");
 }
 
 } // namespace monsoondock::entry::pvt
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -36,8 +36,8 @@
 struct host_state
 {
     fleet::host_table hosts_;
-    /// Version of each host's entry in the store; an older one is ignored.
-    std::map<base::host_id, platform::version> versions_;
+    /// Each host's entry as the store has it; an older one is ignored.
+    std::map<base::host_id, platform::object> entries_;
     /// The store's version up to which changes were taken.
     platform::version seen_;
     bool known_ = false;
@@ -125,9 +125,6 @@
     bool stopping_ = false;
     /// Wakes the placement loop before its period is over.
     boost::asio::steady_timer placement_wake_;
-    /// Wakes the catalog feed when a peer has a newer configuration.
-    std::optional<membership::endpoint> newer_at_;
-    std::uint64_t newer_version_ = 0;
 };
 
 
@@ -171,15 +168,29 @@
 boost::asio::awaitable<void> run_catalog_feed(control& c);
 
 
-/// Fetches a newer configuration from a peer.
-boost::asio::awaitable<void>
-fetch_catalog(control& c, membership::endpoint peer);
+/// Fetches the configuration from peers as long as some have a newer one than
+/// this daemon, which then may not hear the store.
+boost::asio::awaitable<void> run_catalog_catch_up(control& c);
 
 
 /// Follows the entries of upstream hosts until the process ends.
 boost::asio::awaitable<void> run_host_feed(control& c);
 
 
+/// While this daemon does not reach the store, takes the entries of upstream
+/// hosts from a peer.
+boost::asio::awaitable<void> run_host_catch_up(control& c);
+
+
+/// Returns the entries of upstream hosts for a peer.
+std::string write_hosts(const control& c);
+
+
+/// Takes a list of all entries of upstream hosts, unless it is older than what
+/// was taken before.
+void take_hosts(control& c, const platform::listing& list);
+
+
 /// Reads the entries of upstream hosts again, besides the watch.
 boost::asio::awaitable<void> reread_hosts(control& c);
 
--- a/src/libentry/host_feed.cpp
+++ b/src/libentry/host_feed.cpp
@@ -44,10 +44,10 @@
 void take_entry(control& c, const platform::object& o)
 {
     const std::string id = id_of(c, o.key_);
-    auto& version = c.hosts_.versions_[{id}];
-    if (o.version_ < version)
+    auto& entry = c.hosts_.entries_[{id}];
+    if (o.version_ < entry.version_)
         return;
-    version = o.version_;
+    entry = o;
     auto read = c.adapter_.read_host_(id, o.value_);
     if (!base::ok(read)) {
         base::event_line("host_entry_unreadable", base::severity::warning)
@@ -75,7 +75,7 @@
         return;
     base::event_line("host_gone").field("host", id).field("reason", reason);
     c.hosts_.hosts_.erase(found);
-    c.hosts_.versions_.erase(id);
+    c.hosts_.entries_.erase(id);
     c.hosts_.lapsed_.erase(id);
 }
 
@@ -125,27 +125,6 @@
 }
 
 
-void take_list(control& c, const platform::listing& list)
-{
-    // A watch may have told more by now.
-    if (list.version_ < c.hosts_.seen_)
-        return;
-    c.hosts_.seen_ = list.version_;
-    std::set<base::host_id> present;
-    for (const platform::object& o : list.objects_) {
-        present.insert({id_of(c, o.key_)});
-        take_entry(c, o);
-    }
-    std::vector<base::host_id> missing;
-    for (const auto& [id, host] : c.hosts_.hosts_) {
-        if (!present.contains(id))
-            missing.push_back(id);
-    }
-    for (const base::host_id& id : missing)
-        take_removal(c, id);
-}
-
-
 // Reads all entries; returns the version to watch from.
 asio::awaitable<std::optional<platform::version>> read_hosts(control& c)
 {
@@ -157,12 +136,7 @@
         co_return std::nullopt;
     if (failed_before)
         note_return(c, last_answer);
-    take_list(c, base::value(listed));
-    if (!c.hosts_.known_) {
-        c.hosts_.known_ = true;
-        publish_status(c);
-    }
-    after_change(c);
+    take_hosts(c, base::value(listed));
     co_return base::value(listed).version_;
 }
 
@@ -192,6 +166,32 @@
 
 } // namespace
 
+void take_hosts(control& c, const platform::listing& list)
+{
+    // A watch may have told more by now.
+    if (list.version_ < c.hosts_.seen_)
+        return;
+    c.hosts_.seen_ = list.version_;
+    std::set<base::host_id> present;
+    for (const platform::object& o : list.objects_) {
+        present.insert({id_of(c, o.key_)});
+        take_entry(c, o);
+    }
+    std::vector<base::host_id> missing;
+    for (const auto& [id, host] : c.hosts_.hosts_) {
+        if (!present.contains(id))
+            missing.push_back(id);
+    }
+    for (const base::host_id& id : missing)
+        take_removal(c, id);
+    if (!c.hosts_.known_) {
+        c.hosts_.known_ = true;
+        publish_status(c);
+    }
+    after_change(c);
+}
+
+
 asio::awaitable<void> reread_hosts(control& c)
 {
     co_await read_hosts(c);
@@ -204,12 +204,13 @@
         return false;
     std::size_t listed = 0;
     for (const platform::object& o : list.objects_) {
-        const auto known = c.hosts_.versions_.find({id_of(c, o.key_)});
-        if (known == c.hosts_.versions_.end() || known->second < o.version_)
+        const auto known = c.hosts_.entries_.find({id_of(c, o.key_)});
+        if (known == c.hosts_.entries_.end() ||
+            known->second.version_ < o.version_)
             return true;
         ++listed;
     }
-    return listed < c.hosts_.versions_.size();
+    return listed < c.hosts_.entries_.size();
 }
 
 
--- a/src/libentry/page_client.hpp
+++ b/src/libentry/page_client.hpp
@@ -13,6 +13,11 @@
 
 namespace monsoondock::entry::pvt {
 
+/// Pages that daemons serve each other at their peer addresses.
+inline constexpr const char* settings_page = "/settings";
+inline constexpr const char* hosts_page = "/hosts";
+
+
 /// How a short call by HTTP ended without an answer.
 enum class call_failure
 {
--- a/src/libentry/pages.cpp
+++ b/src/libentry/pages.cpp
@@ -1,5 +1,6 @@
 #include "await_tuple.hpp"
 #include "control.hpp"
+#include "page_client.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 
@@ -175,9 +176,11 @@
 
 page peer_page(const control& c, const std::string& target)
 {
-    if (target != "/settings" || c.catalog_.catalog_ == nullptr)
-        return {};
-    return {http::status::ok, c.catalog_.text_};
+    if (target == settings_page && c.catalog_.catalog_ != nullptr)
+        return {http::status::ok, c.catalog_.text_};
+    if (target == hosts_page && c.hosts_.known_ && !c.store_failed_)
+        return {http::status::ok, write_hosts(c)};
+    return {};
 }
 
 
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -20,9 +20,6 @@
 constexpr std::chrono::milliseconds load_period{150};
 constexpr std::chrono::milliseconds work_period{1000};
 constexpr std::size_t max_datagram_bytes = 65507;
-// A peer's configuration is fetched this long after its version was heard
-// of, unless the store delivers it before.
-constexpr std::chrono::milliseconds fetch_delay{250};
 
 
 template <class... Functions>
@@ -49,16 +46,6 @@
 }
 
 
-asio::awaitable<void>
-fetch_later(control& c, membership::endpoint from, std::uint64_t version)
-{
-    co_await sleep_for(c, fetch_delay);
-    const auto& have = c.catalog_.catalog_;
-    if (have == nullptr || have->version_ < version)
-        co_await fetch_catalog(c, from);
-}
-
-
 void take_event(control& c, const membership::member_event& event)
 {
     if (const auto* changed = std::get_if<membership::member_changed>(&event)) {
@@ -67,11 +54,6 @@
             .field("state", to_string(changed->record_.state_));
         publish_view(c);
     }
-    if (const auto* seen = std::get_if<membership::revision_seen>(&event))
-        asio::co_spawn(
-            c.context_,
-            fetch_later(c, seen->from_, seen->settings_revision_),
-            asio::detached);
     if (const auto* pause = std::get_if<membership::pause_noticed>(&event))
         base::event_line("paused", base::severity::warning)
             .field("gap", pause->gap_);
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -163,7 +163,9 @@
     auto& context = c.context_;
     asio::co_spawn(context, pvt::run_signals(c), asio::detached);
     asio::co_spawn(context, pvt::run_catalog_feed(c), asio::detached);
+    asio::co_spawn(context, pvt::run_catalog_catch_up(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_feed(c), asio::detached);
+    asio::co_spawn(context, pvt::run_host_catch_up(c), asio::detached);
     asio::co_spawn(context, pvt::run_store_checks(c), asio::detached);
     asio::co_spawn(context, pvt::run_peers(c), asio::detached);
     asio::co_spawn(context, pvt::run_load_reports(c), asio::detached);
