entry: followers take hosts from the leader

Change: daemons that hear a leader that heard the store within a second fetch changes from its log; without it they watch by themselves. Each daemon goes on watching the configuration, whose changes are few.

--- a/src/libentry/control.cpp
+++ b/src/libentry/control.cpp
@@ -202,7 +202,8 @@
                                   make_record(config),
                                   make_seeds(config),
                                   random_()),
-      started_at_(base::boot_clock::now()), placement_wake_(context_)
+      started_at_(base::boot_clock::now()), life_(random_()),
+      placement_wake_(context_), follow_wake_(context_)
 {}
 
 
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "host_log.hpp"
 #include "peer_message.hpp"
 
 #include <monsoondock/entry/site_adapter.hpp>
@@ -46,6 +47,12 @@
     std::map<base::host_id, base::time_point> lapsed_;
     /// Until this time a vanished entry may be one that lapsed in an outage.
     base::time_point lapse_until_;
+    /// Changes as this daemon took them, for the peers that follow it.
+    host_log log_;
+    /// Position in the leader's log up to which changes were taken.
+    feed_position followed_;
+    /// Newest position in the leader's log that was heard of.
+    feed_position announced_;
 };
 
 
@@ -65,6 +72,8 @@
     base::time_point orders_from_;
     /// Last beat of another leader.
     base::time_point heard_at_;
+    /// When the leader last heard the store, by its beats.
+    base::time_point store_heard_at_;
     base::daemon_id leader_;
     /// The leader said that it stops.
     bool resigned_ = false;
@@ -119,12 +128,16 @@
     std::map<base::host_id, host_verdict> verdicts_;
     work_rates work_;
     base::time_point started_at_;
+    /// Number that tells this life of the daemon from others.
+    std::uint64_t life_ = 0;
     /// When the store last answered a call.
     base::time_point store_answered_at_;
     bool store_failed_ = false;
     bool stopping_ = false;
     /// Wakes the placement loop before its period is over.
     boost::asio::steady_timer placement_wake_;
+    /// Wakes the loop that follows the leader.
+    boost::asio::steady_timer follow_wake_;
 };
 
 
@@ -177,13 +190,30 @@
 boost::asio::awaitable<void> run_host_feed(control& c);
 
 
-/// While this daemon does not reach the store, takes the entries of upstream
-/// hosts from a peer.
-boost::asio::awaitable<void> run_host_catch_up(control& c);
+/// Returns true while this daemon takes the entries of upstream hosts from the
+/// leader, which heard the store a moment ago, and needs no watch of its own.
+bool follows_leader(const control& c);
 
 
-/// Returns the entries of upstream hosts for a peer.
-std::string write_hosts(const control& c);
+/// While this daemon follows the leader, or does not reach the store, takes
+/// the entries of upstream hosts from a peer.
+boost::asio::awaitable<void> run_host_follow(control& c);
+
+
+/// Takes the position of the leader's feed; fetches what is missing.
+void note_feed(control& c, const feed_position& p);
+
+
+/// Returns this daemon's position in its own log of changes.
+feed_position own_position(const control& c);
+
+
+/// Returns what a peer that follows this daemon has not taken yet.
+feed_answer answer_feed(const control& c, const feed_position& from);
+
+
+/// Applies changes of entries that a peer told.
+void take_changes(control& c, const std::vector<platform::change>& changes);
 
 
 /// Takes a list of all entries of upstream hosts, unless it is older than what
--- a/src/libentry/host_feed.cpp
+++ b/src/libentry/host_feed.cpp
@@ -41,6 +41,13 @@
 }
 
 
+// Tells the peers that follow this daemon.
+void log_change(control& c, platform::change change)
+{
+    c.hosts_.log_.add(std::move(change));
+}
+
+
 void take_entry(control& c, const platform::object& o)
 {
     const std::string id = id_of(c, o.key_);
@@ -54,6 +61,7 @@
             .field("host", id)
             .field("reason", base::to_string(base::error(read)));
         c.hosts_.hosts_.erase({id});
+        log_change(c, {o, false});
         return;
     }
     fleet::host_fact host = base::value(std::move(read));
@@ -61,6 +69,7 @@
     auto& known = c.hosts_.hosts_[host.id_];
     if (known == host)
         return;
+    log_change(c, {o, false});
     if (known.born_ms_ != host.born_ms_)
         c.verdicts_.erase(host.id_);
     known = std::move(host);
@@ -70,12 +79,13 @@
 
 void drop_host(control& c, const base::host_id& id, const char* reason)
 {
-    const auto found = c.hosts_.hosts_.find(id);
-    if (found == c.hosts_.hosts_.end())
+    const auto entry = c.hosts_.entries_.find(id);
+    if (entry == c.hosts_.entries_.end())
         return;
+    log_change(c, {{entry->second.key_, entry->second.version_, {}}, true});
     base::event_line("host_gone").field("host", id).field("reason", reason);
-    c.hosts_.hosts_.erase(found);
-    c.hosts_.entries_.erase(id);
+    c.hosts_.hosts_.erase(id);
+    c.hosts_.entries_.erase(entry);
     c.hosts_.lapsed_.erase(id);
 }
 
@@ -84,10 +94,9 @@
 {
     const base::time_point now = base::boot_clock::now();
     const auto found = c.hosts_.hosts_.find(id);
-    if (found == c.hosts_.hosts_.end())
-        return;
     // A host that was leaving does not come back.
-    if (now < c.hosts_.lapse_until_ && !found->second.draining_) {
+    if (now < c.hosts_.lapse_until_ && found != c.hosts_.hosts_.end() &&
+        !found->second.draining_) {
         c.hosts_.lapsed_.try_emplace(id, c.hosts_.lapse_until_);
         return;
     }
@@ -112,6 +121,8 @@
 
 void after_change(control& c)
 {
+    if (c.leader_.leading_)
+        broadcast(c, feed_message{own_position(c)});
     publish_view(c);
     c.placement_wake_.cancel();
 }
@@ -160,6 +171,8 @@
         if (!base::value(batch).changes_.empty())
             after_change(c);
         expire_lapsed(c);
+        if (follows_leader(c))
+            co_return;
         co_await sleep_for(c, batch_pause);
     }
 }
@@ -178,7 +191,7 @@
         take_entry(c, o);
     }
     std::vector<base::host_id> missing;
-    for (const auto& [id, host] : c.hosts_.hosts_) {
+    for (const auto& [id, entry] : c.hosts_.entries_) {
         if (!present.contains(id))
             missing.push_back(id);
     }
@@ -214,9 +227,53 @@
 }
 
 
+void take_changes(control& c, const std::vector<platform::change>& changes)
+{
+    for (const platform::change& change : changes) {
+        if (change.deleted_)
+            drop_host(c, {id_of(c, change.object_.key_)}, "peer_told");
+        else
+            take_entry(c, change.object_);
+    }
+    if (!changes.empty())
+        after_change(c);
+}
+
+
+feed_position own_position(const control& c)
+{
+    const auto& self = c.node_.self();
+    return {
+        self.id_.value_ + "." + std::to_string(c.life_),
+        c.hosts_.log_.sequence()};
+}
+
+
+feed_answer answer_feed(const control& c, const feed_position& from)
+{
+    feed_answer a{own_position(c), false, {}};
+    auto changes = from.source_ == a.position_.source_
+                       ? c.hosts_.log_.after(from.sequence_)
+                       : std::nullopt;
+    if (changes) {
+        a.changes_ = std::move(*changes);
+        return a;
+    }
+    a.complete_ = true;
+    for (const auto& [id, entry] : c.hosts_.entries_)
+        a.changes_.push_back({entry, false});
+    return a;
+}
+
+
 asio::awaitable<void> run_host_feed(control& c)
 {
     for (;;) {
+        if (follows_leader(c)) {
+            expire_lapsed(c);
+            co_await sleep_for(c, retry_pause);
+            continue;
+        }
         const auto from = co_await read_hosts(c);
         if (from)
             co_await watch_hosts(c, *from);
--- /dev/null
+++ b/src/libentry/host_log_test.cpp
@@ -0,0 +1,49 @@
+#include "host_log.hpp"
+
+#include <criterion/criterion.h>
+
+namespace pvt = monsoondock::entry::pvt;
+namespace platform = monsoondock::platform;
+
+namespace {
+
+platform::change make_change(const std::string& key, std::uint64_t version)
+{
+    return {{key, {version}, "{}"}, false};
+}
+
+} // namespace
+
+Test(host_log, tells_what_came_after_a_number)
+{
+    pvt::host_log log;
+    log.add(make_change("a", 1));
+    log.add(make_change("b", 2));
+    cr_assert_eq(log.after(0)->size(), 2);
+    cr_assert(log.after(1)->front().object_.key_ == "b");
+    cr_assert(log.after(2)->empty());
+}
+
+
+Test(host_log, does_not_tell_what_it_has_not_kept)
+{
+    pvt::host_log log;
+    for (std::size_t i = 0; i <= pvt::host_log::max_changes; ++i)
+        log.add(make_change("a", i));
+    cr_assert_not(log.after(0).has_value());
+    cr_assert(log.after(1).has_value());
+    cr_assert_not(log.after(log.sequence() + 1).has_value());
+}
+
+
+Test(host_log, an_answer_comes_back_as_it_was)
+{
+    const pvt::feed_answer sent{
+        {"heredia-1/7", 12}, true, {make_change("a", 3)}};
+    const auto got = pvt::parse_feed_answer(pvt::to_text(sent));
+    cr_assert(got.has_value());
+    cr_assert(got->position_ == sent.position_);
+    cr_assert(got->complete_);
+    cr_assert(got->changes_ == sent.changes_);
+    cr_assert_not(pvt::parse_feed_answer("{}").has_value());
+}
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -112,6 +112,17 @@
 }
 
 
+leader_beat make_beat(const control& c)
+{
+    return {
+        c.config_.daemon_,
+        c.leader_.term_,
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            base::boot_clock::now() - c.store_answered_at_),
+        own_position(c)};
+}
+
+
 void begin_to_lead(
     control& c, const leader_record& r, platform::version v, bool first)
 {
@@ -131,7 +142,7 @@
         .field("daemon", c.config_.daemon_)
         .field("term", r.term_)
         .field("epochs_from", l.next_epoch_);
-    broadcast(c, leader_beat{c.config_.daemon_, l.term_});
+    broadcast(c, make_beat(c));
 }
 
 
@@ -199,7 +210,7 @@
     if (now - c.store_answered_at_ > store_silence && c.store_failed_)
         return;
     last = now;
-    broadcast(c, leader_beat{c.config_.daemon_, c.leader_.term_});
+    broadcast(c, make_beat(c));
 }
 
 } // namespace
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -17,10 +17,25 @@
 }
 
 
+void put(wire::body_writer& out, const feed_position& p)
+{
+    wire::write_text(out, p.source_);
+    out(p.sequence_);
+}
+
+
+void get(wire::body_reader& in, feed_position& p)
+{
+    wire::read_text(in, p.source_, max_name_bytes);
+    in(p.sequence_);
+}
+
+
 void put(wire::body_writer& out, const leader_beat& m)
 {
     wire::write_text(out, m.leader_.value_);
-    out(m.term_);
+    out(m.term_, static_cast<std::int64_t>(m.store_silence_.count()));
+    put(out, m.position_);
 }
 
 
@@ -83,7 +98,10 @@
 void get(wire::body_reader& in, leader_beat& m)
 {
     wire::read_text(in, m.leader_.value_, max_name_bytes);
-    in(m.term_);
+    std::int64_t silence = 0;
+    in(m.term_, silence);
+    m.store_silence_ = std::chrono::milliseconds(silence);
+    get(in, m.position_);
 }
 
 
@@ -189,6 +207,18 @@
 void get(wire::body_reader&, read_again_message&) {}
 
 
+void put(wire::body_writer& out, const feed_message& m)
+{
+    put(out, m.position_);
+}
+
+
+void get(wire::body_reader& in, feed_message& m)
+{
+    get(in, m.position_);
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "host_log.hpp"
+
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/relay/front_events.hpp>
 #include <monsoondock/wire/body_codec.hpp>
@@ -25,6 +27,10 @@
 {
     base::daemon_id leader_;
     std::uint64_t term_ = 0;
+    /// Time since the leader last heard the store.
+    std::chrono::milliseconds store_silence_{0};
+    /// How far the leader has taken changes of hosts.
+    feed_position position_;
 };
 
 
@@ -60,6 +66,13 @@
 };
 
 
+/// The sender, who leads, has taken changes of hosts.
+struct feed_message
+{
+    feed_position position_;
+};
+
+
 /// The sender, who leads, found that watches miss changes of hosts.
 struct read_again_message
 {};
@@ -115,7 +128,8 @@
     lost_host_message,
     reach_question,
     reached_message,
-    read_again_message>;
+    read_again_message,
+    feed_message>;
 
 
 /// Returns the bytes of a datagram.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -17,7 +17,8 @@
 
 Test(peer_message, a_beat_keeps_its_term)
 {
-    const auto got = pvt::decode(pvt::encode(pvt::leader_beat{{"x"}, 7}));
+    const auto got =
+        pvt::decode(pvt::encode(pvt::leader_beat{{"x"}, 7, {}, {}}));
     cr_assert_eq(std::get<pvt::leader_beat>(*got).term_, 7);
 }
 
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -86,6 +86,8 @@
     // A leader that stops says so by a beat without a name.
     l.resigned_ = m.leader_.value_.empty();
     l.heard_at_ = base::boot_clock::now();
+    l.store_heard_at_ = l.heard_at_ - m.store_silence_;
+    note_feed(c, m.position_);
 }
 
 
@@ -118,6 +120,7 @@
             [&](const read_again_message&) {
                 asio::co_spawn(c.context_, reread_hosts(c), asio::detached);
             },
+            [&](const feed_message& m) { note_feed(c, m.position_); },
             [&](const lost_host_message& m) { note_lost_host(c, m.host_); },
             [&](const work_message& m) { take_work(c, m); },
             [&](const crash_message& m) {
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -38,7 +38,7 @@
         .field("active_requests", c.front_->active_requests());
     c.stopping_ = true;
     if (c.leader_.leading_)
-        broadcast(c, leader_beat{{}, c.leader_.term_});
+        broadcast(c, leader_beat{{}, c.leader_.term_, {}, {}});
     c.leader_.leading_ = false;
     publish_status(c);
     publish_view(c);
@@ -165,7 +165,7 @@
     asio::co_spawn(context, pvt::run_catalog_feed(c), asio::detached);
     asio::co_spawn(context, pvt::run_catalog_catch_up(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_feed(c), asio::detached);
-    asio::co_spawn(context, pvt::run_host_catch_up(c), asio::detached);
+    asio::co_spawn(context, pvt::run_host_follow(c), asio::detached);
     asio::co_spawn(context, pvt::run_store_checks(c), asio::detached);
     asio::co_spawn(context, pvt::run_peers(c), asio::detached);
     asio::co_spawn(context, pvt::run_load_reports(c), asio::detached);
