relay: a stream that alone stands still is moved

Ruled out: a lost group; all other streams of the head went on. Change: after three times the wait that a silent upstream is given, a stream goes on elsewhere without a doubt about its upstream.

--- a/src/librelay/front_thread.cpp
+++ b/src/librelay/front_thread.cpp
@@ -68,9 +68,10 @@
         return;
     if (e.phase_ != wait_phase::connect &&
         catalog::is_stream(e.route_->kind_)) {
-        if (!is_silent(t, e, now))
+        const bool silent = is_silent(t, e, now);
+        if (!silent && now - e.phase_start_ < hang_limit(e))
             return;
-        if (t.board_.of(e.host_).doubted_until_ <= now)
+        if (silent && t.board_.of(e.host_).doubted_until_ <= now)
             raise_doubt(t, {e.host_, doubt_reason::silent, {}});
     }
     move_if_allowed(e, now);
--- a/src/librelay/patience.cpp
+++ b/src/librelay/patience.cpp
@@ -82,8 +82,22 @@
            from_ms(prefill * prefill_factor);
 }
 
+// A stream that gets nothing in so many times the wait that a silent upstream
+// is given has been dropped by it.
+constexpr int hang_factor = 3;
+
 } // namespace
 
+nanoseconds hang_limit(const exchange& e)
+{
+    const bool waits = e.phase_ == wait_phase::next_event ||
+                       e.phase_ == wait_phase::first_answer;
+    if (!waits || !catalog::is_stream(e.route_->kind_))
+        return nanoseconds{0};
+    return hang_factor * wait_limit(e);
+}
+
+
 nanoseconds wait_limit(const exchange& e)
 {
     switch (e.phase_) {
--- a/src/librelay/patience.hpp
+++ b/src/librelay/patience.hpp
@@ -19,4 +19,8 @@
 /// before the answer is due.
 std::chrono::nanoseconds wait_limit(const exchange& e);
 
+/// Returns how long a stream may stand still though its upstream serves
+/// others; by then its answer is lost. Zero for other phases and answers.
+std::chrono::nanoseconds hang_limit(const exchange& e);
+
 } // namespace monsoondock::relay::pvt
--- /dev/null
+++ b/src/librelay/patience_test.cpp
@@ -0,0 +1,92 @@
+#include "patience.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace monsoondock;
+using namespace monsoondock::relay::pvt;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An exchange with an engine whose longest pass takes 271 ms at pace 1.
+struct sample
+{
+    explicit sample(catalog::request_kind kind, double pace = 1.0)
+    {
+        catalog::deployment d;
+        d.id_ = {"llm"};
+        d.engine_.emplace();
+        d.engine_->models_ = {{"m", 4, pace, 1.0, 16000ms, 1600ms}};
+        d.engine_->slots_ = 17;
+        d.engine_->step_ms_ = 7.8;
+        d.engine_->step_per_request_ms_ = 0.0947;
+        d.engine_->prefill_tokens_per_ms_ = 45.9;
+        d.engine_->prefill_chunk_tokens_ = 2048;
+        d.engine_->steps_per_pass_ = 5;
+        auto c = std::make_shared<catalog::catalog>();
+        c->deployments_[d.id_] = d;
+        route_.kind_ = kind;
+        route_.deployments_ = {{{"llm"}, 1.0}};
+        route_.target_latency_ = 300ms;
+        auto view = std::make_shared<relay::serving_view>();
+        view->catalog_ = c;
+        exchange_.view_ = view;
+        exchange_.route_ = &route_;
+        exchange_.model_ = "m";
+        exchange_.prompt_tokens_ = 1420;
+    }
+
+    catalog::route route_;
+    exchange exchange_;
+};
+
+} // namespace
+
+Test(patience, a_pass_full_of_prompts_is_no_silence)
+{
+    sample s(catalog::request_kind::resumable_stream);
+    s.exchange_.phase_ = wait_phase::next_event;
+    cr_assert(wait_limit(s.exchange_) > 271ms);
+    cr_assert(wait_limit(s.exchange_) < 400ms);
+}
+
+
+Test(patience, a_quicker_model_is_given_less_time)
+{
+    sample large(catalog::request_kind::resumable_stream);
+    sample small(catalog::request_kind::resumable_stream, 0.6);
+    large.exchange_.phase_ = wait_phase::next_event;
+    small.exchange_.phase_ = wait_phase::next_event;
+    cr_assert(wait_limit(small.exchange_) < wait_limit(large.exchange_));
+}
+
+
+Test(patience, a_first_event_waits_for_the_own_prompt_too)
+{
+    sample s(catalog::request_kind::resumable_stream);
+    s.exchange_.phase_ = wait_phase::first_answer;
+    const auto usual = wait_limit(s.exchange_);
+    s.exchange_.prompt_tokens_ = 5880;
+    cr_assert(wait_limit(s.exchange_) > usual + 150ms);
+}
+
+
+// A worker that drops one answer goes on serving others (inc-6b7f).
+Test(patience, a_stream_that_alone_stands_still_is_given_up)
+{
+    sample s(catalog::request_kind::resumable_stream);
+    s.exchange_.phase_ = wait_phase::next_event;
+    cr_assert(hang_limit(s.exchange_) > wait_limit(s.exchange_));
+    cr_assert(hang_limit(s.exchange_) < 2000ms);
+    s.exchange_.phase_ = wait_phase::none;
+    cr_assert(hang_limit(s.exchange_) == 0ns);
+}
+
+
+Test(patience, a_request_that_runs_once_waits_to_the_end)
+{
+    sample s(catalog::request_kind::at_most_once);
+    s.exchange_.phase_ = wait_phase::first_answer;
+    cr_assert(wait_limit(s.exchange_) == 0ns);
+    cr_assert(hang_limit(s.exchange_) == 0ns);
+}
