--- a/src/include/monsoondock/base/event_line.hpp
+++ b/src/include/monsoondock/base/event_line.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <sstream>
+#include <string>
 #include <string_view>
 
 namespace monsoondock::base {
@@ -14,8 +15,10 @@
     error
 };
 
-/// Builds one log line of key=value pairs and writes it to glog when it goes
-/// out of scope. Values with spaces, quotes or line breaks are quoted.
+/// Builds one log line of key=value pairs and writes it when it goes out of
+/// scope: to the installed event_writer, with its time of day and level in
+/// front, or else to glog. Values with spaces, quotes or line breaks are
+/// quoted.
 class event_line
 {
 public:
@@ -47,6 +50,7 @@
     event_line& field(std::string_view key, std::chrono::nanoseconds value);
 
 private:
+    std::string name_;
     std::ostringstream line_;
     severity severity_;
 };
--- a/src/libbase/event_line.cpp
+++ b/src/libbase/event_line.cpp
@@ -1,7 +1,12 @@
+#include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/event_writer.hpp>
 
 #include <glog/logging.h>
 
+#include <array>
+#include <cstdio>
+#include <ctime>
 #include <iomanip>
 
 namespace monsoondock::base {
@@ -26,9 +31,46 @@
     return text;
 }
 
+// Returns the time of day in UTC with milliseconds.
+std::string time_of_day()
+{
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        now.time_since_epoch())
+                        .count() %
+                    1000;
+    std::tm parts{};
+    ::gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    const std::size_t length =
+        std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(
+        text.data() + length,
+        text.size() - length,
+        ".%03dZ",
+        static_cast<int>(ms));
+    return text.data();
+}
+
+
+const char* level_name(severity s)
+{
+    switch (s) {
+    case severity::info:
+        return "info";
+    case severity::warning:
+        return "warning";
+    case severity::error:
+        return "error";
+    }
+    return "unknown";
+}
+
 } // namespace
 
-event_line::event_line(std::string_view name, severity s) : severity_(s)
+event_line::event_line(std::string_view name, severity s)
+    : name_(name), severity_(s)
 {
     line_ << "event=" << name;
 }
@@ -36,6 +78,14 @@
 
 event_line::~event_line()
 {
+    if (event_writer* writer = installed_event_writer()) {
+        writer->write(
+            name_,
+            "time=" + time_of_day() + " level=" + level_name(severity_) + " " +
+                line_.str(),
+            boot_clock::now());
+        return;
+    }
     switch (severity_) {
     case severity::info:
         LOG(INFO) << line_.str();
--- a/src/libentry/host_feed.cpp
+++ b/src/libentry/host_feed.cpp
@@ -73,7 +73,8 @@
     if (known.born_ms_ != host.born_ms_)
         c.verdicts_.erase(host.id_);
     known = std::move(host);
-    log_host(known, "host_changed");
+    if (c.leader_.leading_ || known.draining_)
+        log_host(known, "host_changed");
 }
 
 
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -2,6 +2,7 @@
 #include "control.hpp"
 
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/event_writer.hpp>
 #include <monsoondock/entry/run_entry.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <unistd.h>
 
 namespace monsoondock::entry {
 
@@ -173,12 +175,9 @@
     asio::co_spawn(context, pvt::run_placement(c), asio::detached);
 }
 
-} // namespace
-
 base::result<base::done>
-run_entry(const settings::entry_config& config, const site_adapter& adapter)
+run_logged(const settings::entry_config& config, const site_adapter& adapter)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     metrics::registry metrics;
     pvt::control c(config, adapter, metrics);
     c.front_ = std::make_unique<relay::front>(
@@ -208,4 +207,17 @@
     return base::done{};
 }
 
+} // namespace
+
+base::result<base::done>
+run_entry(const settings::entry_config& config, const site_adapter& adapter)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    base::event_writer log(STDOUT_FILENO);
+    base::install_event_writer(&log);
+    const base::result<base::done> ended = run_logged(config, adapter);
+    base::install_event_writer(nullptr);
+    return ended;
+}
+
 } // namespace monsoondock::entry
--- a/src/monsoondockctl/all_commands.cpp
+++ b/src/monsoondockctl/all_commands.cpp
@@ -2,6 +2,12 @@
 
 namespace monsoondockctl {
 
+namespace {
+
+constexpr std::size_t max_log_files = 1000;
+
+} // namespace
+
 const std::vector<command>& all_commands()
 {
     static const std::vector<command> all{
@@ -92,6 +98,13 @@
          0,
          0,
          explain},
+        {"explain-request",
+         "ID FILE...",
+         "Tells what logs of daemons say of one request; - reads standard "
+         "input.",
+         2,
+         max_log_files,
+         explain_request},
         {"entry-hosts",
          "",
          "Asks the daemon at --daemon which entry hosts it names to the "
--- /dev/null
+++ b/src/monsoondockctl/request_story.cpp
@@ -0,0 +1,131 @@
+#include "request_story.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace monsoondockctl {
+
+namespace {
+
+// Lines about a host are of interest this long before and after the request,
+// in characters of the time of day: to the minute.
+constexpr std::size_t minute_prefix = 16;
+
+
+std::string take_value(const std::string& text, std::size_t& at)
+{
+    std::string value;
+    if (at >= text.size() || text[at] != '"') {
+        while (at < text.size() && text[at] != ' ')
+            value += text[at++];
+        return value;
+    }
+    for (++at; at < text.size() && text[at] != '"'; ++at) {
+        if (text[at] == '\\' && at + 1 < text.size())
+            ++at;
+        value += text[at];
+    }
+    ++at;
+    return value;
+}
+
+
+std::string field(const log_line& line, const std::string& name)
+{
+    const auto found = line.fields_.find(name);
+    return found == line.fields_.end() ? std::string() : found->second;
+}
+
+
+bool is_about_hosts(const log_line& line, const std::set<std::string>& hosts)
+{
+    return hosts.contains(field(line, "host")) ||
+           hosts.contains(field(line, "head"));
+}
+
+
+std::vector<std::string> find_missing(const std::vector<log_line>& lines)
+{
+    std::vector<std::string> missing;
+    if (lines.empty()) {
+        missing.emplace_back(
+            "no line names this request: give the logs of all daemons, and "
+            "look for log_suppressed and log_dropped lines");
+        return missing;
+    }
+    const bool ended =
+        std::any_of(lines.begin(), lines.end(), [](const auto& line) {
+            const std::string event = field(line, "event");
+            return event == "request" || event == "refused";
+        });
+    if (!ended)
+        missing.emplace_back(
+            "no end: the daemon was still serving it, or stopped before it "
+            "ended; look for its started line");
+    return missing;
+}
+
+} // namespace
+
+log_line parse_log_line(const std::string& text, const std::string& source)
+{
+    log_line line;
+    line.source_ = source;
+    std::size_t at = text.find("time=");
+    if (at == std::string::npos)
+        return line;
+    line.text_ = text.substr(at);
+    while (at < text.size()) {
+        const std::size_t equals = text.find('=', at);
+        if (equals == std::string::npos)
+            break;
+        const std::string name = text.substr(at, equals - at);
+        at = equals + 1;
+        line.fields_[name] = take_value(text, at);
+        while (at < text.size() && text[at] == ' ')
+            ++at;
+    }
+    line.time_ = field(line, "time");
+    return line;
+}
+
+
+void read_log(
+    std::istream& in, const std::string& source, std::vector<log_line>& all)
+{
+    std::string text;
+    while (std::getline(in, text)) {
+        log_line line = parse_log_line(text, source);
+        if (!line.fields_.empty())
+            all.push_back(std::move(line));
+    }
+}
+
+
+request_story
+tell_story(std::vector<log_line> all, const std::string& request_id)
+{
+    std::stable_sort(all.begin(), all.end(), [](auto& a, auto& b) {
+        return a.time_ < b.time_;
+    });
+    request_story story;
+    std::set<std::string> hosts;
+    std::set<std::string> minutes;
+    for (const log_line& line : all) {
+        if (field(line, "request") != request_id)
+            continue;
+        story.lines_.push_back(line);
+        hosts.insert(field(line, "host"));
+        minutes.insert(line.time_.substr(0, minute_prefix));
+    }
+    hosts.erase("");
+    for (const log_line& line : all) {
+        if (field(line, "request").empty() && is_about_hosts(line, hosts) &&
+            minutes.contains(line.time_.substr(0, minute_prefix)))
+            story.around_.push_back(line);
+    }
+    story.missing_ = find_missing(story.lines_);
+    return story;
+}
+
+} // namespace monsoondockctl
