testsuite: golden session of the whole path on the users' platform

Stand-ins of the store and of workers by their published protocol, in Python; two entry daemons serve streams, a payout whose answer is lost (502, run once), a caller that leaves, a fallen engine (events 1 to 12 without a gap), a dropped route, a revoked key, a planned stop; explain-request tells the story of the stream.

--- /dev/null
+++ b/testsuite/users_platform.py
@@ -0,0 +1,369 @@
+"""Stand-ins of the users' platform for golden sessions: the store of objects
+and workers, met by their published protocol. Small and single-purpose: they
+answer what the entry daemon asks and inject the faults of a session."""
+
+import collections
+import http.server
+import json
+import pathlib
+import socket
+import struct
+import subprocess
+import threading
+import time
+import urllib.parse
+
+from session import free_port
+
+JOIN_SECONDS = 0.05
+EVENT_SECONDS = 0.02
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """One HTTP server on a thread of its own."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, handler):
+        self.port = free_port()
+        self.address = f"127.0.0.1:{self.port}"
+        super().__init__(("127.0.0.1", self.port), handler)
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, *_):
+        pass
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status, body=b"", headers=()):
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Store:
+    """Objects by kind and name with one revision counter, and watches."""
+
+    def __init__(self):
+        self.revision = 1
+        self.objects = collections.defaultdict(dict)
+        self.events = []
+        self.changed = threading.Condition()
+        store = self
+
+        class StoreHandler(Handler):
+            def do_GET(self):
+                store.get(self)
+
+            def do_POST(self):
+                store.write(self, create=True)
+
+            def do_PUT(self):
+                store.write(self, create=False)
+
+        self.server = Server(StoreHandler)
+
+    def put(self, kind, name, spec):
+        with self.changed:
+            self.revision += 1
+            item = {"metadata": {"name": name, "revision": self.revision},
+                    "spec": spec}
+            self.objects[kind][name] = item
+            self.events.append((self.revision, kind, item, False))
+            self.changed.notify_all()
+            return item
+
+    def remove(self, kind, name):
+        with self.changed:
+            item = self.objects[kind].pop(name, None)
+            if item is None:
+                return
+            self.revision += 1
+            self.events.append((self.revision, kind, item, True))
+            self.changed.notify_all()
+
+    def get(self, handler):
+        url = urllib.parse.urlsplit(handler.path)
+        query = urllib.parse.parse_qs(url.query)
+        parts = url.path.strip("/").split("/")
+        kind = parts[1]
+        if "watch" in query:
+            handler.answer(200, self.watch(
+                kind, int(query["watch"][0]), int(query["wait_ms"][0])))
+            return
+        with self.changed:
+            if len(parts) == 3:
+                item = self.objects[kind].get(parts[2])
+                handler.answer(200 if item else 404, item or {})
+                return
+            items = [self.objects[kind][n] for n in sorted(self.objects[kind])]
+            handler.answer(200, {"items": items, "has_more": False,
+                                 "store_revision": self.revision})
+
+    def watch(self, kind, since, wait_ms):
+        end = time.monotonic() + wait_ms / 1000
+        with self.changed:
+            while True:
+                events = [{"object": item, "removed": removed}
+                          for revision, k, item, removed in self.events
+                          if k == kind and revision > since]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    return {"events": events, "store_revision": self.revision}
+                self.changed.wait(left)
+
+    def write(self, handler, create):
+        parts = handler.path.split("?")[0].strip("/").split("/")
+        body = json.loads(handler.body())
+        metadata = body["metadata"]
+        name = metadata["name"]
+        with self.changed:
+            present = self.objects[parts[1]].get(name)
+            expected = metadata.get("revision")
+            stale = present and expected not in (
+                None, present["metadata"]["revision"])
+            if (create and present) or (not create and not present) or stale:
+                handler.answer(409, present or {})
+                return
+            handler.answer(200, self.put(parts[1], name, body["spec"]))
+
+
+class Worker:
+    """A worker that writes its own entry into the store."""
+
+    def __init__(self, store, name, service, zone, **more):
+        self.store = store
+        self.name = name
+        self.entry = {"service": service, "zone": zone, "version": "v1",
+                      "slots": 4, "state": "ready", "seq_no": 0,
+                      "born": int(time.time() * 1000), **more}
+        self.lock = threading.RLock()
+        worker = self
+
+        class WorkerHandler(Handler):
+            def do_GET(self):
+                worker.handle(self)
+
+            def do_POST(self):
+                worker.handle(self)
+
+        self.server = Server(WorkerHandler)
+        self.entry["address"] = self.server.address
+        self.publish()
+
+    def publish(self):
+        self.store.put("servers", self.name, dict(self.entry))
+
+    def drain(self):
+        self.entry["state"] = "draining"
+        self.publish()
+
+    def handle(self, handler):
+        body = handler.body()
+        if handler.headers.get("X-Target-Instance") != self.name:
+            handler.answer(421, {}, [("X-Instance-Id", self.name)])
+        elif handler.path == "/order":
+            self.order(handler, json.loads(body))
+        else:
+            self.serve(handler, body)
+
+    def seal(self, handler):
+        return [("X-Request-Id", handler.headers["X-Request-Id"]),
+                ("X-Response-Seal", f"seal-{self.name}")]
+
+
+class PlainWorker(Worker):
+    """Counts each run; can lose the answers of its next runs."""
+
+    def __init__(self, store, name, service, zone):
+        self.runs = collections.Counter()
+        self.seen = []
+        self.lose = 0
+        super().__init__(store, name, service, zone)
+
+    def serve(self, handler, body):
+        with self.lock:
+            self.runs[handler.headers["X-Request-Id"]] += 1
+            self.seen.append((handler.command, handler.path, body.decode(),
+                              handler.headers.get("X-Tenant-Id"),
+                              handler.headers.get("Authorization")))
+            lost = self.lose > 0
+            self.lose -= 1 if lost else 0
+        if lost:
+            handler.close_connection = True
+            handler.connection.shutdown(socket.SHUT_RDWR)
+            return
+        handler.answer(200, b"done " + body, self.seal(handler))
+
+
+class EngineWorker(Worker):
+    """A member of replica groups; its streams have events 1 to 12."""
+
+    EVENTS = 12
+
+    def __init__(self, store, name, service, zone, domain):
+        self.fall_after = None
+        self.left = []
+        self.timers = []
+        super().__init__(store, name, service, zone, domain=domain,
+                         staged=[], models=[], stage="both")
+
+    def order(self, handler, order):
+        with self.lock:
+            handler.answer(self.carry_out(order), {})
+
+    def carry_out(self, order):
+        kind = order["op"]
+        if kind == "stage":
+            self.entry["staged"] = [order["model"]]
+            self.publish()
+            return 202
+        key = (order["group"], order["epoch"])
+        group = self.entry.get("group")
+        if kind == "join":
+            if group and (group["name"], group["epoch"]) == key:
+                return 200
+            self.entry["models"] = [{"name": order["model"], "version": 1}]
+            self.entry["group"] = {
+                "name": key[0], "epoch": key[1], "state": "joining",
+                "rank": order["members"].index(self.name)}
+            self.publish()
+            threading.Timer(JOIN_SECONDS, self.become, (key, "ready")).start()
+            return 202
+        if not group or (group["name"], group["epoch"]) != key:
+            return 409
+        if kind == "leave":
+            self.entry.pop("group")
+            self.publish()
+            return 200
+        if kind == "open" and group["state"] == "joining":
+            return 409
+        self.become(key, {"open": "open", "close": "ready"}[kind])
+        return 202
+
+    def become(self, key, state):
+        with self.lock:
+            group = self.entry.get("group")
+            if group and (group["name"], group["epoch"]) == key:
+                self.entry["group"] = {**group, "state": state}
+                self.publish()
+
+    def is_open_head(self):
+        group = self.entry.get("group")
+        return bool(group) and group["rank"] == 0 and group["state"] == "open"
+
+    def serve(self, handler, _body):
+        if not self.is_open_head():
+            handler.answer(503, {}, [("X-Not-Executed", "1")])
+            return
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        handler.send_response(200)
+        for name, value in self.seal(handler):
+            handler.send_header(name, value)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        try:
+            for number in range(first, self.EVENTS + 1):
+                if number == self.fall_after:
+                    self.fall(handler)
+                    return
+                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                time.sleep(EVENT_SECONDS)
+            handler.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            self.left.append(handler.headers["X-Request-Id"])
+            handler.close_connection = True
+
+    def fall(self, handler):
+        """The worker ends in the middle of an event."""
+        handler.wfile.write(b"a\r\nid: ")
+        handler.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        handler.close_connection = True
+        handler.connection.close()
+        self.server.socket.close()
+        self.store.remove("servers", self.name)
+
+
+def daemon_ports():
+    """Returns ports for all daemons of a session: they are the same on each
+    host, and a loopback address stands for a host."""
+    return {key: free_port() for key in (
+        "caller", "ready", "directory", "peer", "metrics")}
+
+
+class EntryDaemon:
+    """One monsoondockd --entry; its log is kept in a file."""
+
+    def __init__(self, session, store, name, zone, ip, ports, seeds=(),
+                 first=True):
+        self.name = name
+        self.ip = ip
+        self.ports = ports
+        addresses = "".join(
+            f'{key}_address = "{ip}:{port}"\n'
+            for key, port in self.ports.items())
+        listed = ", ".join(f'"{s}"' for s in seeds)
+        config = session.write_file(f"{name}.toml", (
+            f'daemon = "{name}"\nregion = "r"\ndata_centre = "{zone}"\n'
+            f"{addresses}seed_hosts = [{listed}]\n"
+            f'platform_address = "{store.server.address}"\n'
+            f"first_start = {str(first).lower()}\ngrace = \"6s\"\n"
+            'directory_ttl = "500ms"\n[retries]\nratio = 0.2\nslack = 100\n'))
+        self.stdout = session.path_of(f"{name}.stdout")
+        self.log = pathlib.Path(session.path_of(f"{name}.stderr"))
+        self.popen = subprocess.Popen(
+            [str(session.bin / "monsoondockd"), "--entry", "--config",
+             str(config)],
+            stdout=open(self.stdout, "wb"), stderr=open(self.log, "wb"))
+        session.processes[f"{name}.{self.popen.pid}"] = self
+
+    def address(self, key):
+        return f"{self.ip}:{self.ports[key]}"
+
+
+def configuration(version, keys, routes=("chat", "payout", "status")):
+    """Returns what operators write: three routes and two services."""
+    shapes = {
+        "chat": {"path_prefix": "/chat/", "route_type": "streaming",
+                 "stream_resume": True, "service": "llm",
+                 "gap_aim_ms": 200},
+        "payout": {"path_prefix": "/payout/", "route_type": "non_idempotent",
+                   "service": "ledger", "attempts": 1},
+        "status": {"path_prefix": "/status/", "route_type": "idempotent",
+                   "service": "ledger"}}
+    return {
+        "version": version,
+        "routes": [{"name": name, "host": "sheds.example", "priority": 1,
+                    "timeout_ms": 4000, "target_latency_ms": 400,
+                    "attempts": 2, "public": False, **shapes[name]}
+                   for name in routes],
+        "services": [
+            {"name": "llm", "health_path": "/health", "max_conns": 50,
+             "engine": {
+                 "slots": 4, "kv_capacity_tokens": 100000, "step_ms": 4.0,
+                 "per_seq_ms": 0.1, "read_per_s": 45900.0, "chunk": 2048,
+                 "stride": 5, "loads_per_s": 5.0, "loads_at_once": 7,
+                 "keeps": 1, "form_ms": 50.0,
+                 "models": [{"name": "m1", "size": 2, "share": 1.0,
+                             "pace": 0.6, "load_s": 1.0, "warm_s": 0.1}]}},
+            {"name": "ledger", "health_path": "/health", "max_conns": 50}],
+        "limits": {"idle_timeout_ms": 15000},
+        "tenants": [{"name": "shed-1", "api_keys": list(keys)}]}
