--- a/src/include/monsoondock/platform/store_dialect.hpp
+++ b/src/include/monsoondock/platform/store_dialect.hpp
@@ -39,7 +39,9 @@
     http_request (*list_)(std::string_view prefix, std::string_view after);
     /// Builds a conditional write of JSON text.
     http_request (*put_)(
-        std::string_view key, std::string value, write_condition condition);
+        std::string_view key,
+        std::string_view value,
+        write_condition condition);
     /// Builds a conditional delete.
     http_request (*erase_)(std::string_view key, version expected);
     /// Builds a watch of the changes after a version.
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -193,7 +193,7 @@
 asio::awaitable<write_outcome>
 http_client::put(std::string key, std::string value, write_condition condition)
 {
-    auto request = impl_->dialect_->put_(key, std::move(value), condition);
+    auto request = impl_->dialect_->put_(key, value, condition);
     // A kept connection may be closed unseen, which would make the outcome of
     // the write unknown; a fresh one keeps "not reached" certain.
     co_return to_write_outcome(
--- a/src/libplatform/native_dialect.cpp
+++ b/src/libplatform/native_dialect.cpp
@@ -41,8 +41,8 @@
 }
 
 
-http_request
-make_put(std::string_view key, std::string value, write_condition condition)
+http_request make_put(
+    std::string_view key, std::string_view value, write_condition condition)
 {
     auto request =
         make_request(http::verb::put, "/v1/objects/" + percent_encode(key));
@@ -51,7 +51,7 @@
     else
         request.set(http::field::if_none_match, "*");
     request.set(http::field::content_type, "application/json");
-    request.body() = std::move(value);
+    request.body() = std::string(value);
     request.prepare_payload();
     return request;
 }
--- /dev/null
+++ b/src/librelay/attempt_window_test.cpp
@@ -0,0 +1,48 @@
+#include <monsoondock/relay/attempt_window.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace monsoondock;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start{1000s};
+
+
+unsigned
+take_all(relay::attempt_window& w, unsigned daemons, base::time_point now)
+{
+    unsigned taken = 0;
+    while (taken < 1000 && w.take_repeat(daemons, now))
+        ++taken;
+    return taken;
+}
+
+} // namespace
+
+Test(attempt_window, repeats_follow_the_requests_of_the_window)
+{
+    relay::attempt_window w({10s, 0.2, 0});
+    for (int i = 0; i < 100; ++i)
+        w.add_request(start);
+    cr_assert_eq(take_all(w, 8, start), 20);
+}
+
+
+Test(attempt_window, the_slack_is_shared_by_the_daemons)
+{
+    relay::attempt_window w({10s, 0.2, 104});
+    cr_assert_eq(take_all(w, 8, start), 13);
+    relay::attempt_window alone({10s, 0.2, 104});
+    cr_assert_eq(take_all(alone, 0, start), 104);
+}
+
+
+Test(attempt_window, what_is_older_than_the_window_counts_no_more)
+{
+    relay::attempt_window w({10s, 0.2, 10});
+    cr_assert_eq(take_all(w, 1, start), 10);
+    cr_assert_eq(take_all(w, 1, start + 8s), 0);
+    cr_assert_eq(take_all(w, 1, start + 11s), 10);
+}
