--- a/src/include/monsoondock/relay/front.hpp
+++ b/src/include/monsoondock/relay/front.hpp
@@ -43,7 +43,8 @@
 
     /// Listens and begins. Problem code unavailable: the address can't be
     /// bound.
-    base::result<base::done> start(boost::asio::ip::tcp::endpoint address);
+    base::result<base::done>
+    start(const boost::asio::ip::tcp::endpoint& address);
 
 
     /// Replaces what requests are decided from.
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -186,7 +186,8 @@
             co_return;
         }
         if (!old) {
-            base::event_line("leader_record_unreadable", base::severity::error);
+            base::event_line("leader_record_unreadable", base::severity::error)
+                .field("daemon", c.config_.daemon_);
             co_return;
         }
         next = *old;
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -146,6 +146,7 @@
         co_return;
     // Addresses are taken before the wait: hosts may vanish meanwhile.
     std::vector<std::optional<asio::ip::tcp::endpoint>> addresses;
+    addresses.reserve(orders.size());
     for (const placement::order& o : orders)
         addresses.push_back(address_of(c, o.host_));
     const std::uint64_t term = c.leader_.term_;
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -215,7 +215,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     base::event_writer log(STDOUT_FILENO);
     base::install_event_writer(&log);
-    const base::result<base::done> ended = run_logged(config, adapter);
+    base::result<base::done> ended = run_logged(config, adapter);
     base::install_event_writer(nullptr);
     return ended;
 }
--- a/src/librelay/attempt_window.cpp
+++ b/src/librelay/attempt_window.cpp
@@ -4,7 +4,7 @@
 
 attempt_window::slice& attempt_window::current(base::time_point now)
 {
-    const auto width = limit_.window_ / slice_count;
+    const auto width = limit_.window_ / static_cast<int>(slice_count);
     const std::int64_t number = now.time_since_epoch() / width;
     slice& s = slices_[static_cast<std::size_t>(number) % slice_count];
     if (s.number_ != number)
--- a/src/librelay/front.cpp
+++ b/src/librelay/front.cpp
@@ -120,7 +120,7 @@
 }
 
 
-base::result<base::done> front::start(asio::ip::tcp::endpoint address)
+base::result<base::done> front::start(const asio::ip::tcp::endpoint& address)
 {
     front_thread& t = impl_->thread_state_;
     try {
