--- a/src/libentry/await_tuple.hpp
+++ b/src/include/monsoondock/base/await_tuple.hpp
@@ -3,10 +3,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace monsoondock::entry::pvt {
+namespace monsoondock::base {
 
-/// Completion token that returns the error code instead of throwing it.
+/// Completion token of Asio that returns the error code instead of throwing
+/// it.
 inline constexpr auto await_tuple =
     boost::asio::as_tuple(boost::asio::use_awaitable);
 
-} // namespace monsoondock::entry::pvt
+} // namespace monsoondock::base
--- a/src/libentry/catalog_feed.cpp
+++ b/src/libentry/catalog_feed.cpp
@@ -1,7 +1,7 @@
-#include "await_tuple.hpp"
 #include "control.hpp"
 #include "page_client.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 namespace monsoondock::entry::pvt {
--- a/src/libentry/control.cpp
+++ b/src/libentry/control.cpp
@@ -1,7 +1,6 @@
 #include "control.hpp"
 
-#include "await_tuple.hpp"
-
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/fleet/replica_group.hpp>
 
@@ -265,7 +264,7 @@
 asio::awaitable<void> sleep_for(control& c, std::chrono::milliseconds time)
 {
     asio::steady_timer timer(c.context_, time);
-    co_await timer.async_wait(await_tuple);
+    co_await timer.async_wait(base::await_tuple);
 }
 
 } // namespace monsoondock::entry::pvt
--- a/src/libentry/host_follow.cpp
+++ b/src/libentry/host_follow.cpp
@@ -1,7 +1,7 @@
-#include "await_tuple.hpp"
 #include "control.hpp"
 #include "page_client.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 namespace monsoondock::entry::pvt {
@@ -114,7 +114,7 @@
 {
     for (;;) {
         c.follow_wake_.expires_after(idle_period);
-        co_await c.follow_wake_.async_wait(await_tuple);
+        co_await c.follow_wake_.async_wait(base::await_tuple);
         while (is_behind(c)) {
             const auto peer = choose_peer(c);
             if (!peer)
--- a/src/libentry/page_client.cpp
+++ b/src/libentry/page_client.cpp
@@ -1,6 +1,6 @@
 #include "page_client.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -23,20 +23,20 @@
     beast::tcp_stream stream(context);
     stream.expires_after(connect_time);
     const auto [connect_failure] =
-        co_await stream.async_connect(address, await_tuple);
+        co_await stream.async_connect(address, base::await_tuple);
     if (connect_failure == asio::error::connection_refused)
         co_return call_failure::refused;
     if (connect_failure)
         co_return call_failure::unreachable;
     stream.expires_after(total_time);
     const auto [write_failure, sent] =
-        co_await http::async_write(stream, request, await_tuple);
+        co_await http::async_write(stream, request, base::await_tuple);
     if (write_failure)
         co_return call_failure::unanswered;
     beast::flat_buffer buffer;
     short_response response;
     const auto [failure, received] =
-        co_await http::async_read(stream, buffer, response, await_tuple);
+        co_await http::async_read(stream, buffer, response, base::await_tuple);
     if (failure)
         co_return call_failure::unanswered;
     co_return response;
@@ -67,7 +67,8 @@
 {
     beast::tcp_stream stream(context);
     stream.expires_after(timeout);
-    const auto [failure] = co_await stream.async_connect(address, await_tuple);
+    const auto [failure] =
+        co_await stream.async_connect(address, base::await_tuple);
     co_return !failure;
 }
 
--- a/src/libentry/pages.cpp
+++ b/src/libentry/pages.cpp
@@ -1,7 +1,7 @@
-#include "await_tuple.hpp"
 #include "control.hpp"
 #include "page_client.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,8 +52,8 @@
     while (keep) {
         stream.expires_after(page_idle);
         http::request_parser<http::string_body> parser;
-        const auto [read_failure, size] =
-            co_await http::async_read(stream, buffer, parser, await_tuple);
+        const auto [read_failure, size] = co_await http::async_read(
+            stream, buffer, parser, base::await_tuple);
         if (read_failure)
             break;
         page p = read(std::string(parser.get().target()));
@@ -65,7 +65,7 @@
         response.prepare_payload();
         keep = response.keep_alive();
         const auto [write_failure, sent] =
-            co_await http::async_write(stream, response, await_tuple);
+            co_await http::async_write(stream, response, base::await_tuple);
         keep = keep && !write_failure;
     }
     --*open;
@@ -79,7 +79,8 @@
 {
     const auto open = std::make_shared<std::size_t>(0);
     for (;;) {
-        auto [failure, socket] = co_await acceptor->async_accept(await_tuple);
+        auto [failure, socket] =
+            co_await acceptor->async_accept(base::await_tuple);
         if (failure == asio::error::operation_aborted)
             co_return;
         if (failure) {
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -1,6 +1,6 @@
-#include "await_tuple.hpp"
 #include "control.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -171,7 +171,7 @@
     asio::ip::udp::endpoint from;
     for (;;) {
         const auto [failure, size] = co_await c.peer_socket_.async_receive_from(
-            asio::buffer(buffer), from, await_tuple);
+            asio::buffer(buffer), from, base::await_tuple);
         if (failure == asio::error::operation_aborted)
             co_return;
         // A peer that is gone shows as a refused connection; go on.
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -1,7 +1,7 @@
-#include "await_tuple.hpp"
 #include "control.hpp"
 #include "page_client.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -185,7 +185,7 @@
             base::boot_clock::now() >= l.orders_from_)
             co_await step_all(c);
         c.placement_wake_.expires_after(step_period);
-        co_await c.placement_wake_.async_wait(await_tuple);
+        co_await c.placement_wake_.async_wait(base::await_tuple);
     }
 }
 
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -1,6 +1,6 @@
-#include "await_tuple.hpp"
 #include "control.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/event_writer.hpp>
 #include <monsoondock/entry/run_entry.hpp>
@@ -85,7 +85,8 @@
     signals.add(SIGHUP);
     bool asked = false;
     for (;;) {
-        const auto [failure, number] = co_await signals.async_wait(await_tuple);
+        const auto [failure, number] =
+            co_await signals.async_wait(base::await_tuple);
         if (failure)
             co_return;
         if (number == SIGHUP) {
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -1,11 +1,11 @@
 #include "caller_session.hpp"
 
-#include "await_tuple.hpp"
 #include "forward.hpp"
 #include "http_text.hpp"
-#include "socket_options.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/silence_bounds.hpp>
 #include <monsoondock/base/stable_hash.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -81,7 +81,7 @@
         co_return true;
     enter(link, link_phase::idle, limit);
     const auto [failure] = co_await link.socket_.async_wait(
-        asio::ip::tcp::socket::wait_read, await_tuple);
+        asio::ip::tcp::socket::wait_read, base::await_tuple);
     co_return !failure && !link.timed_out_ && !link.left_;
 }
 
@@ -96,18 +96,18 @@
     parser.body_limit(limits.max_body_bytes_);
     enter(link, link_phase::header, limits.header_timeout_);
     const auto [head_failure, head_size] = co_await http::async_read_header(
-        link.socket_, link.buffer_, parser, await_tuple);
+        link.socket_, link.buffer_, parser, base::await_tuple);
     if (head_failure)
         co_return to_result(link, head_failure);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on =
             "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(
-            link.socket_, asio::buffer(go_on), await_tuple);
+            link.socket_, asio::buffer(go_on), base::await_tuple);
     }
     enter(link, link_phase::body, body_timeout);
     const auto [failure, size] = co_await http::async_read(
-        link.socket_, link.buffer_, parser, await_tuple);
+        link.socket_, link.buffer_, parser, base::await_tuple);
     if (failure)
         co_return to_result(link, failure);
     link.phase_ = link_phase::exchange;
@@ -267,7 +267,7 @@
     std::array<char, 4096> rest{};
     while (!link.timed_out_) {
         const auto [failure, size] = co_await link.socket_.async_read_some(
-            asio::buffer(rest), await_tuple);
+            asio::buffer(rest), base::await_tuple);
         if (failure)
             co_return;
     }
@@ -305,7 +305,7 @@
 
 asio::awaitable<void> run_session(front_thread& t, asio::ip::tcp::socket socket)
 {
-    set_connection_options(socket);
+    base::detect_silence(socket, connection_bounds);
     const auto link = std::make_shared<caller_link>(std::move(socket));
     t.callers_.insert(link);
     co_await run_requests(t, link);
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -1,8 +1,8 @@
 #include "forward.hpp"
 
-#include "await_tuple.hpp"
 #include "try_upstream.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/relay/choose_upstream.hpp>
 
@@ -117,7 +117,7 @@
     c.state_.first_answer_ = base::boot_clock::now();
     const std::string text = caller_answer(answer, keep);
     const auto [failure, sent] = co_await asio::async_write(
-        c.e_.caller_->socket_, asio::buffer(text), await_tuple);
+        c.e_.caller_->socket_, asio::buffer(text), base::await_tuple);
     co_return !failure && keep;
 }
 
@@ -372,7 +372,7 @@
 asio::awaitable<bool> write_own_answer(caller_link& link, std::string text)
 {
     const auto [failure, sent] = co_await asio::async_write(
-        link.socket_, asio::buffer(text), await_tuple);
+        link.socket_, asio::buffer(text), base::await_tuple);
     co_return !failure;
 }
 
--- a/src/librelay/front.cpp
+++ b/src/librelay/front.cpp
@@ -1,8 +1,8 @@
-#include "await_tuple.hpp"
 #include "caller_session.hpp"
 #include "front_thread.hpp"
 #include "patience.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/relay/front.hpp>
 
@@ -34,14 +34,14 @@
     asio::steady_timer pause(t.context_);
     for (;;) {
         auto [failure, socket] =
-            co_await t.acceptor_.async_accept(pvt::await_tuple);
+            co_await t.acceptor_.async_accept(base::await_tuple);
         if (failure == asio::error::operation_aborted)
             co_return;
         if (failure) {
             base::event_line("accept_failed", base::severity::warning)
                 .field("reason", failure.message());
             pause.expires_after(accept_pause);
-            co_await pause.async_wait(pvt::await_tuple);
+            co_await pause.async_wait(base::await_tuple);
             continue;
         }
         if (t.callers_.size() >= t.config_.max_connections_) {
--- a/src/librelay/front_thread.cpp
+++ b/src/librelay/front_thread.cpp
@@ -1,8 +1,8 @@
 #include "front_thread.hpp"
 
-#include "await_tuple.hpp"
 #include "patience.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -116,7 +116,8 @@
     base::time_point next_pool_check;
     for (;;) {
         t.sweep_timer_.expires_after(sweep_period);
-        const auto [failure] = co_await t.sweep_timer_.async_wait(await_tuple);
+        const auto [failure] =
+            co_await t.sweep_timer_.async_wait(base::await_tuple);
         if (failure)
             co_return;
         const base::time_point now = base::boot_clock::now();
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,9 +1,8 @@
 #include "try_upstream.hpp"
 
-#include "await_tuple.hpp"
-#include "socket_options.hpp"
-
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/silence_bounds.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -80,9 +79,9 @@
     auto& socket = e.upstream_->socket_;
     boost::system::error_code ignored;
     socket.open(asio::ip::tcp::v4(), ignored);
-    set_connection_options(socket);
+    base::detect_silence(socket, connection_bounds);
     const auto [failure] =
-        co_await socket.async_connect(c.target_.address_, await_tuple);
+        co_await socket.async_connect(c.target_.address_, base::await_tuple);
     co_return !failure && e.stopped_ == stop_reason::none;
 }
 
@@ -101,7 +100,7 @@
     const std::string text = upstream_request(e, c.t_.config_.headers_, fields);
     enter(e, wait_phase::first_answer);
     const auto [failure, sent] = co_await asio::async_write(
-        e.upstream_->socket_, asio::buffer(text), await_tuple);
+        e.upstream_->socket_, asio::buffer(text), base::await_tuple);
     co_return !failure;
 }
 
@@ -120,7 +119,10 @@
         if (e.request_.method() == http::verb::head)
             parser->skip(true);
         const auto [failure, size] = co_await http::async_read_header(
-            e.upstream_->socket_, e.upstream_->buffer_, *parser, await_tuple);
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            *parser,
+            base::await_tuple);
         if (failure)
             co_return nullptr;
         if (http::to_status_class(parser->get().result()) ==
@@ -136,7 +138,10 @@
         if (parser->need_eof())
             co_return nullptr;
         const auto [body_failure, body_size] = co_await http::async_read(
-            e.upstream_->socket_, e.upstream_->buffer_, *parser, await_tuple);
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            *parser,
+            base::await_tuple);
         if (body_failure)
             co_return nullptr;
         ++skipped;
@@ -219,7 +224,10 @@
     exchange& e = c.e_;
     if (!parser.is_done()) {
         const auto [failure, size] = co_await http::async_read(
-            e.upstream_->socket_, e.upstream_->buffer_, parser, await_tuple);
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            parser,
+            base::await_tuple);
         if (failure)
             co_return try_end::lost;
     }
@@ -244,7 +252,7 @@
 asio::awaitable<bool> write_caller(try_context& c, const std::string& text)
 {
     const auto [failure, sent] = co_await asio::async_write(
-        c.e_.caller_->socket_, asio::buffer(text), await_tuple);
+        c.e_.caller_->socket_, asio::buffer(text), base::await_tuple);
     co_return !failure;
 }
 
@@ -298,7 +306,10 @@
         if (e.stopped_ != stop_reason::none)
             co_return try_end::lost;
         const auto [failure, size] = co_await http::async_read_some(
-            e.upstream_->socket_, e.upstream_->buffer_, parser, await_tuple);
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            parser,
+            base::await_tuple);
         if (failure == http::error::end_of_stream && parser.need_eof()) {
             boost::system::error_code ended;
             parser.put_eof(ended);
--- a/src/librelay/upstream_link.hpp
+++ b/src/librelay/upstream_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/base/silence_bounds.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,6 +13,15 @@
 
 namespace monsoondock::relay::pvt {
 
+/// Connections of callers and to upstreams that are silent for longer count as
+/// lost.
+inline constexpr base::silence_bounds connection_bounds{
+    std::chrono::seconds(2),
+    std::chrono::seconds(1),
+    3,
+    std::chrono::milliseconds(3000)};
+
+
 /// One connection to an upstream. It carries one exchange at a time and is
 /// kept only after a whole answer.
 struct upstream_link
--- a/src/libsettings/daemon_config.cpp
+++ b/src/libsettings/daemon_config.cpp
@@ -1,9 +1,8 @@
 #include "table_reader.hpp"
+#include "text_file.hpp"
 
 #include <monsoondock/settings/daemon_config.hpp>
 
-#include <fstream>
-#include <sstream>
 
 namespace monsoondock::settings {
 
@@ -143,17 +142,6 @@
 }
 
 
-std::optional<std::string> read_file(const std::filesystem::path& path)
-{
-    std::ifstream in(path, std::ios::binary);
-    if (!in || std::filesystem::is_directory(path))
-        return std::nullopt;
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
-
 std::optional<finding>
 load_secret(daemon_config& c, const std::filesystem::path& config_file)
 {
@@ -162,7 +150,7 @@
                                 std::to_string(MAX_SECRET_BYTES) + " bytes";
     c.peer_secret_file_ = config_file.parent_path() / c.peer_secret_file_;
     const std::string name = c.peer_secret_file_.string();
-    auto secret = read_file(c.peer_secret_file_);
+    auto secret = pvt::read_text_file(c.peer_secret_file_);
     if (!secret)
         return finding{
             {}, 0, "peer_secret_file", name + " cannot be read", allowed};
@@ -217,7 +205,7 @@
 
 checked<daemon_config> load_daemon_config(const std::filesystem::path& path)
 {
-    const auto text = read_file(path);
+    const auto text = pvt::read_text_file(path);
     if (!text)
         return findings{
             {path.string(), 0, {}, "cannot be read", "a readable TOML file"}};
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -1,9 +1,8 @@
 #include "table_reader.hpp"
+#include "text_file.hpp"
 
 #include <monsoondock/settings/entry_config.hpp>
 
-#include <fstream>
-#include <sstream>
 
 namespace monsoondock::settings {
 
@@ -89,13 +88,11 @@
 
 checked<entry_config> load_entry_config(const std::filesystem::path& path)
 {
-    std::ifstream in(path, std::ios::binary);
-    if (!in || std::filesystem::is_directory(path))
+    const auto text = pvt::read_text_file(path);
+    if (!text)
         return findings{
             {path.string(), 0, {}, "cannot be read", "a readable TOML file"}};
-    std::ostringstream text;
-    text << in.rdbuf();
-    return parse_entry_config(text.str(), path.string());
+    return parse_entry_config(*text, path.string());
 }
 
 
--- a/src/libsettings/tree_file.cpp
+++ b/src/libsettings/tree_file.cpp
@@ -1,12 +1,11 @@
 #include "assign.hpp"
 #include "table_reader.hpp"
+#include "text_file.hpp"
 
 #include <monsoondock/settings/shown_value.hpp>
 #include <monsoondock/settings/tree_file.hpp>
 #include <monsoondock/settings/validate.hpp>
 
-#include <fstream>
-#include <sstream>
 
 namespace monsoondock::settings {
 
@@ -142,13 +141,11 @@
 
 checked<settings_tree> load_tree_file(const std::filesystem::path& path)
 {
-    std::ifstream in(path, std::ios::binary);
-    if (!in || std::filesystem::is_directory(path))
+    const auto text = pvt::read_text_file(path);
+    if (!text)
         return findings{
             {path.string(), 0, {}, "cannot be read", "a readable TOML file"}};
-    std::ostringstream text;
-    text << in.rdbuf();
-    return parse_tree(text.str(), path.string());
+    return parse_tree(*text, path.string());
 }
 
 
--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -1,10 +1,10 @@
 #include "caller_session.hpp"
 
-#include "await_tuple.hpp"
 #include "count_guard.hpp"
 #include "front.hpp"
 #include "refusals.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -84,7 +84,7 @@
         co_return true;
     caller.stream_.expires_after(bounds.idle_);
     const auto [failure, size] = co_await caller.stream_.async_read_some(
-        caller.buffer_.prepare(first_read_bytes), await_tuple);
+        caller.buffer_.prepare(first_read_bytes), base::await_tuple);
     caller.buffer_.commit(size);
     co_return !failure;
 }
@@ -96,7 +96,7 @@
 asio::awaitable<void> wait_for(std::chrono::milliseconds time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(await_tuple);
+    co_await timer.async_wait(base::await_tuple);
 }
 
 
@@ -125,16 +125,17 @@
     caller.stream_.expires_never();
     const auto head_failure = co_await within(
         http::async_read_header(
-            caller.stream_, caller.buffer_, parser, await_tuple),
+            caller.stream_, caller.buffer_, parser, base::await_tuple),
         bounds.header_);
     if (head_failure)
         co_return to_read_result(head_failure);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> go_on(http::status::continue_, 11);
-        co_await http::async_write(caller.stream_, go_on, await_tuple);
+        co_await http::async_write(caller.stream_, go_on, base::await_tuple);
     }
     const auto body_failure = co_await within(
-        http::async_read(caller.stream_, caller.buffer_, parser, await_tuple),
+        http::async_read(
+            caller.stream_, caller.buffer_, parser, base::await_tuple),
         bounds.body_);
     if (body_failure)
         co_return to_read_result(body_failure);
@@ -225,7 +226,7 @@
     response.prepare_payload();
     caller.stream_.expires_after(thread.parts_.limits_.idle_);
     const auto [failure, sent] =
-        co_await http::async_write(caller.stream_, response, await_tuple);
+        co_await http::async_write(caller.stream_, response, base::await_tuple);
     co_return keep && !failure;
 }
 
@@ -284,7 +285,7 @@
     std::array<char, discard_bytes> bytes{};
     for (;;) {
         const auto [failure, size] = co_await caller.stream_.async_read_some(
-            asio::buffer(bytes), await_tuple);
+            asio::buffer(bytes), base::await_tuple);
         if (failure)
             co_return;
     }
--- a/src/libtraffic/caller_writer.cpp
+++ b/src/libtraffic/caller_writer.cpp
@@ -1,6 +1,6 @@
 #include "caller_writer.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -34,7 +34,7 @@
     http::response_serializer<http::empty_body> serializer(head);
     caller.stream_.expires_after(bounds.idle_);
     const auto [failure, sent] = co_await http::async_write_header(
-        caller.stream_, serializer, await_tuple);
+        caller.stream_, serializer, base::await_tuple);
     co_return !failure;
 }
 
@@ -44,7 +44,9 @@
 {
     caller.stream_.expires_after(bounds.idle_);
     const auto [failure, sent] = co_await asio::async_write(
-        caller.stream_, http::make_chunk(asio::buffer(events)), await_tuple);
+        caller.stream_,
+        http::make_chunk(asio::buffer(events)),
+        base::await_tuple);
     co_return !failure;
 }
 
@@ -54,7 +56,7 @@
 {
     caller.stream_.expires_after(bounds.idle_);
     const auto [failure, sent] = co_await asio::async_write(
-        caller.stream_, http::make_chunk_last(), await_tuple);
+        caller.stream_, http::make_chunk_last(), base::await_tuple);
     co_return !failure;
 }
 
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -1,10 +1,10 @@
 #include "chat_attempt.hpp"
 
-#include "await_tuple.hpp"
 #include "caller_writer.hpp"
 #include "dispatch_ticket.hpp"
 #include "refusals.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/beast/http/buffer_body.hpp>
@@ -146,7 +146,7 @@
     parser.get().body().more = true;
     set_read_timeout(a);
     const auto [failure, used] = co_await http::async_read_some(
-        a.upstream_->stream_, a.upstream_->buffer_, parser, await_tuple);
+        a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
     if (failure && failure != http::error::need_buffer)
         co_return std::nullopt;
     co_return bytes.size() - parser.get().body().size;
@@ -280,7 +280,7 @@
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     set_read_timeout(a);
     const auto [failure, used] = co_await http::async_read_header(
-        a.upstream_->stream_, a.upstream_->buffer_, parser, await_tuple);
+        a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
     if (failure)
         co_return broken(a, "no answer came: " + failure.message());
     if (!answers_own_request(a, parser))
@@ -328,8 +328,8 @@
         co_return not_run(a, "the evidence of the group has expired");
     progress.run_ = run_state::maybe_sent;
     set_read_timeout(a);
-    const auto [failure, sent] =
-        co_await http::async_write(a.upstream_->stream_, request, await_tuple);
+    const auto [failure, sent] = co_await http::async_write(
+        a.upstream_->stream_, request, base::await_tuple);
     if (failure)
         co_return broken(a, "the request could not be sent");
     co_return co_await relay_answer(a);
--- a/src/libtraffic/claimed_call.cpp
+++ b/src/libtraffic/claimed_call.cpp
@@ -1,10 +1,10 @@
 #include "claimed_call.hpp"
 
-#include "await_tuple.hpp"
 #include "count_guard.hpp"
 #include "service_choice.hpp"
 #include "service_exchange.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/claims/call_machine.hpp>
 
@@ -108,7 +108,7 @@
         const auto self = shared_from_this();
         obey(machine_.start(now()));
         while (!answer_)
-            co_await answered_.async_wait(await_tuple);
+            co_await answered_.async_wait(base::await_tuple);
         co_return *answer_;
     }
 
@@ -240,7 +240,7 @@
     {
         const auto wait = time - base::boot_clock::now();
         asio::steady_timer timer(thread_.context_, wait);
-        co_await timer.async_wait(await_tuple);
+        co_await timer.async_wait(base::await_tuple);
         feed(claims::tick{});
     }
 
--- a/src/libtraffic/disconnect_watch.cpp
+++ b/src/libtraffic/disconnect_watch.cpp
@@ -1,6 +1,6 @@
 #include "disconnect_watch.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -15,7 +15,7 @@
 {
     auto& socket = caller.stream_.socket();
     const auto [failure] = co_await socket.async_wait(
-        asio::ip::tcp::socket::wait_read, await_tuple);
+        asio::ip::tcp::socket::wait_read, base::await_tuple);
     if (failure)
         co_return;
     std::array<char, 1> byte{};
@@ -28,7 +28,7 @@
     // now that it went away.
     asio::steady_timer forever(co_await asio::this_coro::executor);
     forever.expires_at(asio::steady_timer::time_point::max());
-    co_await forever.async_wait(await_tuple);
+    co_await forever.async_wait(base::await_tuple);
 }
 
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/dispatch_leave.cpp
+++ b/src/libtraffic/dispatch_leave.cpp
@@ -1,6 +1,6 @@
 #include "dispatch_leave.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -94,7 +94,7 @@
         if (over || !is_worth_waiting(refused.reason_))
             co_return to_refusal(refused, progress.run_);
         timer.expires_after(ASK_PERIOD);
-        co_await timer.async_wait(await_tuple);
+        co_await timer.async_wait(base::await_tuple);
     }
 }
 
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -1,6 +1,6 @@
 #include "fake_engine_test.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -113,7 +113,7 @@
         for (;;) {
             http::request<http::string_body> request;
             const auto [failure, size] = co_await http::async_read(
-                socket, buffer, request, pvt::await_tuple);
+                socket, buffer, request, base::await_tuple);
             if (failure)
                 co_return;
             ++requests_;
@@ -128,7 +128,7 @@
                 prompt,
                 resume.empty() ? 0 : std::stoull(resume));
             co_await asio::async_write(
-                socket, asio::buffer(answer), pvt::await_tuple);
+                socket, asio::buffer(answer), base::await_tuple);
             if (how == misbehaviour::cut)
                 co_return;
         }
@@ -139,7 +139,7 @@
     {
         for (;;) {
             auto [failure, socket] =
-                co_await acceptor_.async_accept(pvt::await_tuple);
+                co_await acceptor_.async_accept(base::await_tuple);
             if (failure)
                 co_return;
             asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
--- a/src/libtraffic/server.cpp
+++ b/src/libtraffic/server.cpp
@@ -1,7 +1,7 @@
-#include "await_tuple.hpp"
 #include "caller_session.hpp"
 #include "traffic_thread.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/traffic/server.hpp>
 
@@ -65,12 +65,12 @@
     asio::steady_timer pause(w.state_.context_);
     while (w.acceptor_.is_open()) {
         auto [failure, socket] =
-            co_await w.acceptor_.async_accept(pvt::await_tuple);
+            co_await w.acceptor_.async_accept(base::await_tuple);
         if (failure == asio::error::operation_aborted)
             co_return;
         if (failure) {
             pause.expires_after(accept_pause);
-            co_await pause.async_wait(pvt::await_tuple);
+            co_await pause.async_wait(base::await_tuple);
             continue;
         }
         if (is_full(w.state_))
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -1,8 +1,9 @@
 #include "service_exchange.hpp"
 
-#include "await_tuple.hpp"
 #include "dispatch_ticket.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -75,14 +76,14 @@
         co_return call_failed{run_state::unsent, "no connection to the host"};
     const caller_request request = make_service_request(context, path);
     upstream->stream_.expires_after(time_left(context, bounds.upstream_idle_));
-    const auto [write_failure, sent] =
-        co_await http::async_write(upstream->stream_, request, await_tuple);
+    const auto [write_failure, sent] = co_await http::async_write(
+        upstream->stream_, request, base::await_tuple);
     if (write_failure)
         co_return call_failed{run_state::maybe_sent, "the sending broke off"};
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_bytes);
     const auto [read_failure, used] = co_await http::async_read(
-        upstream->stream_, upstream->buffer_, parser, await_tuple);
+        upstream->stream_, upstream->buffer_, parser, base::await_tuple);
     if (read_failure)
         co_return call_failed{run_state::maybe_sent, "the answer broke off"};
     const auto& answer = parser.get();
--- a/src/libtraffic/suspect_flight.cpp
+++ b/src/libtraffic/suspect_flight.cpp
@@ -1,6 +1,6 @@
 #include "suspect_flight.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -58,13 +58,13 @@
         http::verb::get, "/v1/status", HTTP_VERSION_1_1);
     request.set(http::field::host, "engine");
     upstream->stream_.expires_after(bound);
-    const auto [write_failure, sent] =
-        co_await http::async_write(upstream->stream_, request, await_tuple);
+    const auto [write_failure, sent] = co_await http::async_write(
+        upstream->stream_, request, base::await_tuple);
     if (write_failure)
         co_return false;
     http::response<http::string_body> answer;
     const auto [read_failure, used] = co_await http::async_read(
-        upstream->stream_, upstream->buffer_, answer, await_tuple);
+        upstream->stream_, upstream->buffer_, answer, base::await_tuple);
     if (read_failure || answer.result() != http::status::ok)
         co_return false;
     co_return serves_generation(answer.body(), group);
@@ -105,7 +105,7 @@
         });
     });
     while (!state->answer_)
-        co_await state->timer_.async_wait(await_tuple);
+        co_await state->timer_.async_wait(base::await_tuple);
     open_ =
         std::holds_alternative<quarantine::permit_dispatch>(*state->answer_);
     co_return *state->answer_;
--- a/src/libtraffic/upstream_connection.cpp
+++ b/src/libtraffic/upstream_connection.cpp
@@ -1,6 +1,6 @@
 #include "upstream_connection.hpp"
 
-#include "await_tuple.hpp"
+#include <monsoondock/base/await_tuple.hpp>
 
 #include <boost/asio/this_coro.hpp>
 
@@ -18,7 +18,7 @@
         co_await asio::this_coro::executor);
     c->stream_.expires_after(timeout);
     const auto [failure] =
-        co_await c->stream_.async_connect(address, await_tuple);
+        co_await c->stream_.async_connect(address, base::await_tuple);
     if (failure)
         co_return nullptr;
     boost::system::error_code ignored;
