--- /dev/null
+++ b/src/libsettings/entry_config_test.cpp
@@ -0,0 +1,69 @@
+#include <monsoondock/settings/entry_config.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace monsoondock::settings;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string GOOD = R"(daemon = "front-heredia-1"
+region = "cr-central"
+data_centre = "heredia"
+caller_address = "10.1.0.40:8227"
+ready_address = "10.1.0.40:8220"
+directory_address = "10.1.0.40:8224"
+peer_address = "10.1.0.40:7340"
+metrics_address = "10.1.0.40:7341"
+platform_address = "10.200.1.7:8223"
+)";
+
+
+findings faults_of(const std::string& text)
+{
+    auto parsed = parse_entry_config(text, "e.toml");
+    cr_assert(std::holds_alternative<findings>(parsed), "%s", text.c_str());
+    return std::get<findings>(parsed);
+}
+
+} // namespace
+
+Test(entry_config, reads_every_key_and_fills_defaults)
+{
+    auto parsed = parse_entry_config(
+        GOOD + "seed_hosts = [\"10.2.0.29:8229\"]\nfirst_start = true\n"
+               "grace = \"5s\"\n[retries]\nratio = 0.2\nslack = 107\n",
+        "e.toml");
+    cr_assert(std::holds_alternative<entry_config>(parsed));
+    const auto& c = std::get<entry_config>(parsed);
+    cr_assert(c.daemon_.value_ == "front-heredia-1");
+    cr_assert_eq(c.peer_address_.port_, 7340);
+    cr_assert_eq(c.seed_hosts_.size(), 1);
+    cr_assert(c.first_start_);
+    cr_assert(c.grace_ == 5s);
+    cr_assert(c.directory_ttl_ == 2s);
+    cr_assert_float_eq(c.retries_.ratio_, 0.2, 1e-9);
+    cr_assert_eq(c.retries_.slack_, 107);
+    cr_assert(c.retries_.window_ == 10s);
+}
+
+
+Test(entry_config, reports_all_faults_with_their_lines)
+{
+    const findings all = faults_of(
+        GOOD + "colour = \"red\"\ngrace = 5\n[retries]\nratio = 2.0\n");
+    cr_assert_eq(all.size(), 3);
+    cr_assert(all[0].key_ == "colour" && all[0].line_ == 10);
+    cr_assert(all[1].key_ == "grace" && all[1].line_ == 11);
+    cr_assert(all[2].key_ == "retries.ratio" && all[2].line_ == 13);
+}
+
+
+Test(entry_config, an_address_must_be_there)
+{
+    std::string text = GOOD;
+    text.erase(text.find("platform_address"));
+    const findings all = faults_of(text);
+    cr_assert_eq(all.size(), 1);
+    cr_assert(all[0].key_ == "platform_address");
+}
