relay: a whole answer clears a request of the crashes seen under it; testsuite: fault soak

Ruled out: groups (two served). Change: a whole answer proves a request harmless, here and at peers. SIGTERM is caught from the start of the process.

--- a/src/include/monsoondock/relay/crash_board.hpp
+++ b/src/include/monsoondock/relay/crash_board.hpp
@@ -10,12 +10,15 @@
 
 namespace monsoondock::relay {
 
-/// An upstream fell while it had a request.
+/// An upstream fell while it had a request, or the request was answered.
 struct crash_report
 {
     /// Stable hash of what makes two requests the same one sent again.
     std::uint64_t fingerprint_ = 0;
     base::host_id host_;
+    /// True when the request got a whole answer, which shows that it does not
+    /// bring upstreams down; host_ is then empty.
+    bool proven_ = false;
 };
 
 
@@ -32,10 +35,16 @@
     static constexpr std::size_t max_entries = 4096;
 
 
-    /// Takes a report of this daemon or of a peer.
+    /// Takes a report of this daemon or of a peer. Crashes under a request that
+    /// was proven harmless are not counted.
     void add(const crash_report& report, base::time_point now);
 
 
+    /// The request got a whole answer. Returns true when crashes had been
+    /// counted against it, which peers should hear.
+    bool prove(std::uint64_t fingerprint, base::time_point now);
+
+
     /// Returns how many upstreams a request has brought down.
     std::size_t crashes(std::uint64_t fingerprint, base::time_point now) const;
 
@@ -44,6 +53,7 @@
     {
         std::set<base::host_id> hosts_;
         base::time_point last_;
+        bool proven_ = false;
     };
 
     std::unordered_map<std::uint64_t, entry> entries_;
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -14,8 +14,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <csignal>
 #include <map>
 #include <memory>
 #include <optional>
@@ -116,6 +118,8 @@
     const site_adapter& adapter_;
     metrics::registry& metrics_;
     boost::asio::io_context context_{1};
+    /// Caught from the start, so that no stop ends the process halfway up.
+    boost::asio::signal_set signals_{context_, SIGTERM, SIGINT, SIGHUP};
     std::mt19937_64 random_;
     platform::http_client store_;
     boost::asio::ip::udp::socket peer_socket_;
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -109,7 +109,7 @@
 };
 
 
-/// An upstream fell while it had a request.
+/// An upstream fell while it had a request, or the request was answered.
 struct crash_message
 {
     relay::crash_report report_;
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 
 #include <csignal>
 #include <unistd.h>
@@ -81,12 +80,10 @@
 
 asio::awaitable<void> run_signals(control& c)
 {
-    asio::signal_set signals(c.context_, SIGTERM, SIGINT);
-    signals.add(SIGHUP);
     bool asked = false;
     for (;;) {
         const auto [failure, number] =
-            co_await signals.async_wait(base::await_tuple);
+            co_await c.signals_.async_wait(base::await_tuple);
         if (failure)
             co_return;
         if (number == SIGHUP) {
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -202,13 +202,23 @@
     c.may_have_run_ = true;
     if (e.stopped_ != stop_reason::none)
         return;
-    const crash_report report{e.fingerprint_, e.host_};
+    const crash_report report{e.fingerprint_, e.host_, false};
     c.t_.crashes_.add(report, base::boot_clock::now());
     if (c.t_.events_.crashed_)
         c.t_.events_.crashed_(report);
 }
 
 
+// A whole answer shows that the crashes seen under the same request had other
+// causes.
+void note_answered(forward_context& c)
+{
+    const base::time_point now = base::boot_clock::now();
+    if (c.t_.crashes_.prove(c.e_.fingerprint_, now) && c.t_.events_.crashed_)
+        c.t_.events_.crashed_({c.e_.fingerprint_, {}, true});
+}
+
+
 void log_try(const forward_context& c, const upstream& u, try_end end)
 {
     base::event_line("try")
@@ -235,6 +245,8 @@
             log_try(c, *u, end);
         if (end == try_end::lost)
             note_lost(c);
+        if (end == try_end::relayed || end == try_end::answered)
+            note_answered(c);
         if (end == try_end::not_sent && c.e_.stopped_ != stop_reason::deadline)
             raise_doubt(c.t_, {u->host_, doubt_reason::unreachable, {}});
         if (end == try_end::relayed || end == try_end::caller_gone)
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -64,17 +64,26 @@
         self.objects = collections.defaultdict(dict)
         self.events = []
         self.changed = threading.Condition()
+        # While set, every call is turned away.
+        self.down = threading.Event()
         store = self
 
         class StoreHandler(Handler):
             def do_GET(self):
-                store.get(self)
+                self.unless_down(store.get)
 
             def do_POST(self):
-                store.write(self, create=True)
+                self.unless_down(lambda h: store.write(h, create=True))
 
             def do_PUT(self):
-                store.write(self, create=False)
+                self.unless_down(lambda h: store.write(h, create=False))
+
+            def unless_down(self, call):
+                if store.down.is_set():
+                    self.body()
+                    self.answer(503, {})
+                else:
+                    call(self)
 
         self.server = Server(StoreHandler)
 
