placement: a host that is listed in a group has to leave it before it is free

In the log: the store lost hosts' writes, the entry of head i-2d344094b2 lapsed; a new leader found group g7 without it and told the members that it saw to leave; the entry came back, open; g7 was in the planner's hands without its head, so the head counted as free and was joined. Change: members that come back are added to a group that is being given up, and a host with a role is never free. The test fails without the mend.

--- a/src/libplacement/adopt_groups.cpp
+++ b/src/libplacement/adopt_groups.cpp
@@ -46,16 +46,35 @@
 }
 
 
+// Entries that had lapsed can come back while the group is being given up.
+void add_members(const planning& p, formation& f, const fleet::replica_group& g)
+{
+    for (const base::host_id& id : g.members_) {
+        const std::int64_t born_ms = find_host(p, id)->born_ms_;
+        const auto known = std::find(f.members_.begin(), f.members_.end(), id);
+        if (known != f.members_.end())
+            continue;
+        f.members_.push_back(id);
+        f.born_ms_.push_back(born_ms);
+    }
+}
+
 } // namespace
 
 void adopt_groups(planning& p)
 {
     for (const auto& [key, g] : p.groups_) {
+        const auto present = p.s_.formations_.find(key);
+        if (present != p.s_.formations_.end()) {
+            if (present->second.phase_ == formation_phase::dissolving)
+                add_members(p, present->second, g);
+            continue;
+        }
         const bool any_usable = std::any_of(
             g.members_.begin(), g.members_.end(), [&](const auto& id) {
                 return is_usable(p, id);
             });
-        if (p.s_.formations_.contains(key) || !any_usable)
+        if (!any_usable)
             continue;
         formation f = make_formation(p, g);
         f.phase_ = phase_of(g);
--- a/src/libplacement/form_groups.cpp
+++ b/src/libplacement/form_groups.cpp
@@ -182,8 +182,9 @@
     }
     free_by_domain free;
     for (const auto& [id, host] : p.hosts_) {
+        // A host that is listed in a group has to leave it first.
         if (host.deployment_ != p.s_.deployment_ || taken.contains(id) ||
-            !is_usable(p, id))
+            host.role_ || !is_usable(p, id))
             continue;
         free[host.domain_].push_back(&host);
     }
--- a/src/libplacement/planner_test.cpp
+++ b/src/libplacement/planner_test.cpp
@@ -262,3 +262,28 @@
     b.hosts_.run(p, 5s);
     b.check_orders();
 }
+
+
+// Found by hunts on sdw-yard (TWO, seeds 467539073486 and 862543266553): the
+// store lost writes of hosts, so the entry of a head lapsed and came back while
+// a new planner was giving up its group.
+Test(planner, a_head_that_is_listed_again_leaves_before_it_is_joined)
+{
+    bench b(1);
+    b.hosts_.facts_.before_traffic_ = true;
+    auto first = b.make_planner();
+    b.hosts_.run(first, 20s);
+    b.hosts_.facts_.before_traffic_ = false;
+    const std::string head = head_of(b.hosts_, "large");
+    const std::string member = member_of(b.hosts_, head);
+    const auto entry = b.hosts_.hosts_.at({head});
+    b.hosts_.cut_off(member);
+    b.hosts_.unlist(head);
+    auto second = b.make_planner();
+    b.hosts_.run(second, 2s);
+    b.hosts_.hosts_[{head}] = entry;
+    b.hosts_.run(second, 2s);
+    b.hosts_.reconnect(member);
+    b.hosts_.run(second, 5s);
+    b.check_orders();
+}
