--- a/src/libplacement/planner_test.cpp
+++ b/src/libplacement/planner_test.cpp
@@ -29,6 +29,17 @@
     }
 
 
+    /// Returns a planner that has placed all hosts before any traffic.
+    planner start()
+    {
+        hosts_.facts_.before_traffic_ = true;
+        planner p = make_planner();
+        hosts_.run(p, 20s);
+        hosts_.facts_.before_traffic_ = false;
+        return p;
+    }
+
+
     void check_orders() const
     {
         cr_assert_eq(hosts_.joins_of_open_groups_, 0);
@@ -80,10 +91,7 @@
 Test(planner, a_lost_member_is_replaced_within_seconds)
 {
     bench b(1);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto p = b.make_planner();
-    b.hosts_.run(p, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto p = b.start();
     const unsigned before = b.hosts_.open_groups("large");
     const std::string lost = member_of(b.hosts_, head_of(b.hosts_, "large"));
     b.hosts_.silence(lost);
@@ -97,10 +105,7 @@
 Test(planner, members_of_a_silent_head_leave_before_they_go_elsewhere)
 {
     bench b(1);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto p = b.make_planner();
-    b.hosts_.run(p, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto p = b.start();
     const std::string head = head_of(b.hosts_, "large");
     const std::string member = member_of(b.hosts_, head);
     const auto key = b.hosts_.hosts_.at({member}).role_->key_;
@@ -116,10 +121,7 @@
 Test(planner, a_head_that_comes_back_open_is_not_joined_before_it_has_left)
 {
     bench b(1);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto p = b.make_planner();
-    b.hosts_.run(p, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto p = b.start();
     const std::string head = head_of(b.hosts_, "small");
     const auto entry = b.hosts_.hosts_.at({head});
     b.hosts_.cut_off(head);
@@ -138,10 +140,7 @@
 Test(planner, another_planner_has_members_leave_a_group_without_its_head)
 {
     bench b(1);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto first = b.make_planner();
-    b.hosts_.run(first, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto first = b.start();
     const std::string head = head_of(b.hosts_, "small");
     const auto entry = b.hosts_.hosts_.at({head});
     b.hosts_.cut_off(head);
@@ -196,10 +195,7 @@
 Test(planner, churn_of_members_breaks_no_order_rule)
 {
     bench b(6);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto p = b.make_planner();
-    b.hosts_.run(p, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto p = b.start();
     unsigned random = 7;
     for (int round = 0; round < 12; ++round) {
         const std::string domain = "d" + std::to_string(round % 6);
@@ -231,10 +227,7 @@
 Test(planner, members_leave_a_group_that_is_only_listed_as_closed)
 {
     bench b(1);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto p = b.make_planner();
-    b.hosts_.run(p, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto p = b.start();
     b.hosts_.lists_close_early_ = true;
     b.hosts_.close_time_ = 5s;
     b.hosts_.drain(member_of(b.hosts_, head_of(b.hosts_, "large")));
@@ -270,10 +263,7 @@
 Test(planner, a_head_that_is_listed_again_leaves_before_it_is_joined)
 {
     bench b(1);
-    b.hosts_.facts_.before_traffic_ = true;
-    auto first = b.make_planner();
-    b.hosts_.run(first, 20s);
-    b.hosts_.facts_.before_traffic_ = false;
+    auto first = b.start();
     const std::string head = head_of(b.hosts_, "large");
     const std::string member = member_of(b.hosts_, head);
     const auto entry = b.hosts_.hosts_.at({head});
