relay: choices spread over the groups that unheard requests would fill

From the logs: 53 groups of the small model had 2 to 27 requests in progress at one moment (mean 8.4 of 15 places); a request late by its first token had found 15 or more. 82 daemons choose the least loaded group by news that is up to 150 ms old, and 70 requests go to the few groups that looked empty.

Change: a daemon reckons how many requests all daemons send while their news is on its way (own arrivals, times daemons, times the report period), fills the least loaded groups with them in its mind, and chooses a group by the share that it would get.

Next: places of the large model.

--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -18,8 +18,11 @@
     /// Hosts that this request was sent to already.
     std::set<base::host_id> tried_;
     base::time_point now_;
-    /// Number from 0 up to, but not including, 1 that breaks ties.
+    /// Number from 0 up to, but not including, 1 that spreads choices.
     double draw_ = 0;
+    /// Requests, this one included, that all daemons together send within the
+    /// time that their news of each other is old.
+    double unheard_ = 1;
 };
 
 
@@ -34,12 +37,16 @@
 };
 
 
-/// Chooses the upstream with the least load for its slots and speed. Doubted
-/// upstreams are taken only when no other is left; upstreams that the request
-/// was sent to already are never taken. Returns nothing when there are none.
+/// Chooses an upstream with little load for its slots and speed: one of those
+/// that the unheard requests would fill up if the least loaded were filled
+/// first, each by the share that it would get. With nothing unheard that is
+/// the least loaded. Doubted upstreams are taken only when no other is left;
+/// upstreams that the request was sent to already are never taken. Returns
+/// nothing when there are none.
 ///
 /// Load pattern: many groups with few requests each, some of them slow, and
-/// several daemons that choose at once.
+/// up to hundreds of daemons that choose at once from news of about the same
+/// age; were all to take the least loaded, they would flood it.
 std::optional<std::size_t> choose_upstream(
     const std::vector<upstream>& all,
     const upstream_board& board,
--- a/src/include/monsoondock/relay/front_events.hpp
+++ b/src/include/monsoondock/relay/front_events.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/relay/crash_board.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -26,6 +27,11 @@
     std::map<std::pair<base::deployment_id, std::string>, model_work>;
 
 
+/// Daemons tell each other their requests in progress this often: about a
+/// sixth of the time that a stream takes.
+inline constexpr std::chrono::milliseconds load_report_period{150};
+
+
 /// What the traffic thread has in progress and was asked for.
 struct activity
 {
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_period{100};
-constexpr std::chrono::milliseconds load_period{150};
 constexpr std::chrono::milliseconds work_period{1000};
 constexpr std::size_t max_datagram_bytes = 65507;
 
@@ -217,7 +216,7 @@
     auto told = std::make_shared<told_activity>();
     told->work_since_ = base::boot_clock::now();
     for (;;) {
-        co_await sleep_for(c, load_period);
+        co_await sleep_for(c, relay::load_report_period);
         c.front_->read_activity([&c, told](relay::activity a) {
             asio::post(c.context_, [&c, told, a = std::move(a)] {
                 tell_activity(c, *told, a);
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -362,7 +362,8 @@
         const bool inside =
             std::find(ranked.begin(), ranked.end(), whole.group_) !=
             ranked.end();
-        if (inside && !barred.contains(whole.group_) && !is_recorded_lost(whole))
+        if (inside && !barred.contains(whole.group_) &&
+            !is_recorded_lost(whole))
             allowed.push_back(whole);
     }
     return allowed;
@@ -407,7 +408,8 @@
             [&](const group_instance& g) { return g.group_ == ranked[rank]; });
         const bool recorded = lost.contains(ranked[rank]);
         // A copy that ran free there may have lost it; wait for its record.
-        if (barred.contains(ranked[rank]) && !recorded && rank < CONFINED_GROUPS)
+        if (barred.contains(ranked[rank]) && !recorded &&
+            rank < CONFINED_GROUPS)
             return std::nullopt;
         if (whole == q.whole_groups_.end() || barred.contains(ranked[rank]))
             continue;
--- a/src/librelay/choose_upstream.cpp
+++ b/src/librelay/choose_upstream.cpp
@@ -55,9 +55,15 @@
     return result;
 }
 
-} // namespace
+struct candidate
+{
+    std::size_t index_ = 0;
+    double slots_ = 1;
+    double cost_ = 0;
+};
 
-std::optional<std::size_t> choose_upstream(
+
+std::vector<candidate> list_candidates(
     const std::vector<upstream>& all,
     const upstream_board& board,
     const choice_request& request,
@@ -65,13 +71,8 @@
 {
     constexpr double doubt_cost = 1000;
     const double median_ms = median_interval(all, board, request.model_);
-    std::optional<std::size_t> best;
-    double best_cost = 0;
-    // Equal costs are common, so the search starts at a random place.
-    const auto start =
-        static_cast<std::size_t>(request.draw_ * double(all.size()));
-    for (std::size_t n = 0; n < all.size(); ++n) {
-        const std::size_t i = (start + n) % all.size();
+    std::vector<candidate> result;
+    for (std::size_t i = 0; i < all.size(); ++i) {
         const upstream& u = all[i];
         if (u.model_ != request.model_ || request.tried_.contains(u.host_))
             continue;
@@ -79,12 +80,55 @@
         double c = cost(u, s, median_ms, request, weights);
         if (is_doubted(s, request.now_))
             c += doubt_cost;
-        if (!best || c < best_cost) {
-            best = i;
-            best_cost = c;
-        }
+        result.push_back({i, double(std::max(1U, u.slots_)), c});
+    }
+    std::stable_sort(
+        result.begin(),
+        result.end(),
+        [](const candidate& a, const candidate& b) {
+            return a.cost_ < b.cost_;
+        });
+    return result;
+}
+
+
+// Returns the cost up to which so many requests fill the candidates, which are
+// in order of cost.
+double fill_level(const std::vector<candidate>& candidates, double requests)
+{
+    double slots = 0;
+    double filled = requests;
+    double level = 0;
+    for (const candidate& c : candidates) {
+        if (slots > 0 && c.cost_ >= level)
+            break;
+        slots += c.slots_;
+        filled += c.slots_ * c.cost_;
+        level = filled / slots;
+    }
+    return level;
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_upstream(
+    const std::vector<upstream>& all,
+    const upstream_board& board,
+    const choice_request& request,
+    const choice_weights& weights)
+{
+    const auto candidates = list_candidates(all, board, request, weights);
+    if (candidates.empty())
+        return std::nullopt;
+    const double unheard = std::max(1.0, request.unheard_);
+    const double level = fill_level(candidates, unheard);
+    double left = request.draw_ * unheard;
+    for (const candidate& c : candidates) {
+        left -= c.slots_ * (level - c.cost_);
+        if (left < 0)
+            return c.index_;
     }
-    return best;
+    return candidates.front().index_;
 }
 
 
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -164,6 +164,19 @@
 }
 
 
+// Requests that all daemons send while the news of their loads is on its way.
+// Callers are spread evenly, so that each daemon gets its share.
+double unheard_requests(const forward_context& c)
+{
+    const auto found = c.t_.arrivals_.find({c.deployment_, c.e_.model_});
+    if (found == c.t_.arrivals_.end())
+        return 0;
+    return found->second.a_second(base::boot_clock::now()) *
+           c.t_.view_->daemons_ *
+           std::chrono::duration<double>(load_report_period).count();
+}
+
+
 std::optional<upstream> choose(forward_context& c)
 {
     exchange& e = c.e_;
@@ -175,7 +188,8 @@
         c.t_.config_.here_,
         e.tried_,
         base::boot_clock::now(),
-        draw(c.t_)};
+        draw(c.t_),
+        unheard_requests(c)};
     const auto i = choose_upstream(found->second, c.t_.board_, request);
     if (!i)
         return std::nullopt;
@@ -318,6 +332,7 @@
 
 void note_work(forward_context& c)
 {
+    c.t_.arrivals_[{c.deployment_, c.e_.model_}].add(base::boot_clock::now());
     if (c.e_.model_.empty())
         return;
     model_work& work = c.t_.work_[{c.deployment_, c.e_.model_}];
--- a/src/librelay/front_thread.hpp
+++ b/src/librelay/front_thread.hpp
@@ -2,6 +2,7 @@
 
 #include "exchange.hpp"
 
+#include <monsoondock/relay/arrival_meter.hpp>
 #include <monsoondock/relay/crash_board.hpp>
 #include <monsoondock/relay/front.hpp>
 #include <monsoondock/relay/upstream_board.hpp>
@@ -10,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <map>
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
@@ -40,6 +42,8 @@
     link_pool pool_;
     std::unordered_map<base::deployment_id, attempt_window> attempts_;
     work_table work_;
+    std::map<std::pair<base::deployment_id, std::string>, arrival_meter>
+        arrivals_;
     std::unordered_set<std::shared_ptr<caller_link>> callers_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     std::atomic<std::uint64_t> active_{0};
