placement: seeded exploration of leaders, hosts and orders

Checked: no member of an open group is joined elsewhere, no group is opened before its members are ready, both models have groups after 40 s of calm.

--- a/src/libplacement/fake_hosts_test.hpp
+++ b/src/libplacement/fake_hosts_test.hpp
@@ -45,10 +45,18 @@
     void drain(const std::string& id);
 
 
+    /// Delivers this many of the next orders late and without an answer.
+    void delay_orders(unsigned count, std::chrono::milliseconds delay);
+
+
     /// Lets time pass in steps, with the planner at work.
     void run(planner& p, std::chrono::milliseconds time);
 
 
+    /// Lets time pass without any planner.
+    void pass(std::chrono::milliseconds time);
+
+
     /// Returns the number of groups of a model that are whole and open, and
     /// whose hosts all live.
     unsigned open_groups(const std::string& model) const;
@@ -72,7 +80,17 @@
     /// Time from the order to close until the head is ready.
     std::chrono::milliseconds close_time_{0};
 
+    /// The planner is told that orders without an answer were accepted, which
+    /// no caller of it may do.
+    bool unanswered_passes_for_accepted_ = false;
+
 private:
+    struct late_order
+    {
+        order order_;
+        base::time_point due_;
+    };
+
     /// Something that a host does, done when no time is left.
     struct job
     {
@@ -87,7 +105,9 @@
     bool is_silent(const base::host_id& id) const;
     bool has_open_head(const base::host_id& id) const;
     const catalog::model& model_named(const std::string& name) const;
+    order_outcome send(const order& o);
     order_outcome apply(const order& o);
+    void deliver_late();
     order_outcome join(const order& o);
     order_outcome stage(const order& o);
     order_outcome open(const order& o);
@@ -99,6 +119,9 @@
     std::map<base::host_id, std::uint64_t> seen_epochs_;
     std::map<base::host_id, std::string> last_models_;
     std::map<base::host_id, std::vector<base::host_id>> member_lists_;
+    std::vector<late_order> late_;
+    unsigned orders_to_delay_ = 0;
+    std::chrono::milliseconds delay_{0};
     std::set<base::host_id> silent_;
     std::set<base::host_id> cut_off_;
     /// Groups whose heads are open, listed or not.
