monsoondockctl: report draws logs; explain-request tells of store and leader

report prints a page with answers in time and late, requests ended by reason and groups by state. The story of a request has what happened to the store, the leader and settings within a minute of it, by time instead of by the same minute, which lost lines on its edge. Lines that count what was left out have no time and were not read.

--- a/src/monsoondockctl/all_commands.cpp
+++ b/src/monsoondockctl/all_commands.cpp
@@ -105,6 +105,13 @@
          2,
          max_log_files,
          explain_request},
+        {"report",
+         "FILE...",
+         "Prints a page with plots of what logs of daemons tell: answers in "
+         "time and late, requests ended by reason, groups by state.",
+         1,
+         max_log_files,
+         report},
         {"entry-hosts",
          "",
          "Asks the daemon at --daemon which entry hosts it names to the "
--- a/src/monsoondockctl/command.hpp
+++ b/src/monsoondockctl/command.hpp
@@ -55,6 +55,7 @@
 exit_code list_drains(const request& r);
 exit_code explain(const request& r);
 exit_code explain_request(const request& r);
+exit_code report(const request& r);
 exit_code entry_hosts(const request& r);
 exit_code suspects_list(const request& r);
 exit_code suspects_lift(const request& r);
--- a/src/monsoondockctl/request_story.cpp
+++ b/src/monsoondockctl/request_story.cpp
@@ -1,5 +1,7 @@
 #include "request_story.hpp"
 
+#include "log_time.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -7,9 +9,9 @@
 
 namespace {
 
-// Lines about a host are of interest this long before and after the request,
-// in characters of the time of day: to the minute.
-constexpr std::size_t minute_prefix = 16;
+// Lines beside a request are of interest this long before and after each of
+// its own lines: an outage or a repair takes seconds.
+constexpr std::chrono::seconds around_time{60};
 
 
 std::string take_value(const std::string& text, std::size_t& at)
@@ -44,6 +46,32 @@
 }
 
 
+// Lines that change what a daemon can decide for any request.
+bool is_about_dependencies(const log_line& line)
+{
+    static const std::set<std::string> events{
+        "leadership_lost",
+        "leading",
+        "paused",
+        "settings_in_force",
+        "started",
+        "stopping",
+        "store_lost",
+        "store_regained"};
+    return events.contains(field(line, "event"));
+}
+
+
+bool is_near(const log_line& line, const std::vector<log_time>& times)
+{
+    const auto at = parse_log_time(line.time_);
+    return at &&
+           std::any_of(times.begin(), times.end(), [&](const log_time& time) {
+               return std::chrono::abs(*at - time) <= around_time;
+           });
+}
+
+
 std::vector<std::string> find_missing(const std::vector<log_line>& lines)
 {
     std::vector<std::string> missing;
@@ -71,7 +99,8 @@
 {
     log_line line;
     line.source_ = source;
-    std::size_t at = text.find("time=");
+    // The lines that count what was left out have no time.
+    std::size_t at = std::min(text.find("time="), text.find("event="));
     if (at == std::string::npos)
         return line;
     line.text_ = text.substr(at);
@@ -110,18 +139,20 @@
     });
     request_story story;
     std::set<std::string> hosts;
-    std::set<std::string> minutes;
+    std::vector<log_time> times;
     for (const log_line& line : all) {
         if (field(line, "request") != request_id)
             continue;
         story.lines_.push_back(line);
         hosts.insert(field(line, "host"));
-        minutes.insert(line.time_.substr(0, minute_prefix));
+        if (const auto time = parse_log_time(line.time_))
+            times.push_back(*time);
     }
     hosts.erase("");
     for (const log_line& line : all) {
-        if (field(line, "request").empty() && is_about_hosts(line, hosts) &&
-            minutes.contains(line.time_.substr(0, minute_prefix)))
+        const bool about =
+            is_about_hosts(line, hosts) || is_about_dependencies(line);
+        if (field(line, "request").empty() && about && is_near(line, times))
             story.around_.push_back(line);
     }
     story.missing_ = find_missing(story.lines_);
--- a/src/monsoondockctl/request_story.hpp
+++ b/src/monsoondockctl/request_story.hpp
@@ -20,8 +20,8 @@
 
 
 /// Reads a line of key=value pairs; quoted values may hold spaces. Anything
-/// before "time=" is ignored. Returns a line without fields when there is
-/// none.
+/// before "time=" or "event=" is ignored. Returns a line without fields when
+/// there is neither.
 log_line parse_log_line(const std::string& text, const std::string& source);
 
 
@@ -30,7 +30,8 @@
 {
     /// Lines that name the request, the oldest first.
     std::vector<log_line> lines_;
-    /// Lines of that time about the hosts that it was sent to.
+    /// Lines of that time about the hosts that it was sent to, and about what
+    /// its daemons depend on: store, leader, settings.
     std::vector<log_line> around_;
     /// What a complete story would have beside.
     std::vector<std::string> missing_;
--- a/testsuite/entry-path/run.py
+++ b/testsuite/entry-path/run.py
@@ -2,47 +2,17 @@
 hosts each in two domains and a ledger, with the faults that callers must not
 see, and what the logs tell of one of them."""
 
-import re
 import signal
 import socket
 import time
 
-from session import Dropped, Session, request, wait_until
+from entry_calls import call, chat, event_ids, explain, is_ready, serves
+from session import Session, request, wait_until
 from users_platform import (
     EngineWorker, EntryDaemon, PlainWorker, Store, configuration,
     daemon_ports)
 
 
-def call(daemon, request_id, path, key="k1", body="", method="POST", **more):
-    """Sends a caller's request."""
-    return request(
-        daemon.address("caller"), method, path, body,
-        {"Host": "sheds.example", "X-Request-Id": request_id,
-         "X-Deadline-Ms": "3500", "Authorization": f"Bearer {key}", **more})
-
-
-def chat(daemon, request_id, **more):
-    return call(daemon, request_id, "/chat/1", **{
-        "X-Model-Name": "m1", "X-Token-Counts": "100,60", **more})
-
-
-def event_ids(text):
-    return re.findall(r"^id: (\d+)$", text, re.MULTILINE)
-
-
-def is_ready(daemon):
-    try:
-        return request(
-            daemon.address("ready"), "GET", "/ready").status == 200
-    except Dropped:
-        return False
-
-
-def serves(daemon):
-    """Returns true once a group takes the daemon's requests."""
-    return is_ready(daemon) and chat(daemon, "warm-up").status == 200
-
-
 def main():
     with Session() as session:
         store = Store()
@@ -100,7 +70,8 @@
         resumed = resume(first, engines)
         session.say(f"stream of a fallen engine: {resumed[1]} events "
                     f"{' '.join(event_ids(resumed[2]))}")
-        explain(session, resumed[0], [first, second])
+        explain(session, resumed[0], [first, second],
+                ["host_gone", "group_dissolving"])
 
         store.put("config", "main", configuration(5, ["k1"], ("chat",)))
         wait_until(lambda: call(second, "r-8", "/payout/1").status == 404,
@@ -135,22 +106,6 @@
     raise AssertionError("no stream met the engine")
 
 
-def explain(session, request_id, daemons):
-    """Shows the events that the logs tell of a request."""
-    result = session.run_tool(
-        "monsoondockctl", "explain-request", request_id,
-        *[d.stdout for d in daemons])
-    story = result.stdout.split("its hosts")[0]
-    for line in story.splitlines():
-        event = re.search(r"event=(\S+)", line)
-        outcome = re.search(r"outcome=(\S+)", line)
-        sends = re.search(r"sends?=(\d+)", line)
-        if event:
-            session.say(f"explained: {event[1]} outcome={outcome[1]} "
-                        f"sends={sends[1]}")
-    session.say(f"explain-request: exit status {result.returncode}")
-
-
 def stop(session, first, second):
     """A planned stop: not ready, left out by the peer, exit status 0."""
     first.popen.send_signal(signal.SIGTERM)
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -197,12 +197,16 @@
 
 
 class PlainWorker(Worker):
-    """Counts each run; can lose the answers of its next runs."""
+    """Counts each run; can lose the answers of its next runs, or give none
+    for a while."""
+
+    HANG_SECONDS = 3
 
     def __init__(self, store, name, service, zone):
         self.runs = collections.Counter()
         self.seen = []
         self.lose = 0
+        self.hang = 0
         super().__init__(store, name, service, zone)
 
     def serve(self, handler, body):
@@ -213,6 +217,12 @@
                               handler.headers.get("Authorization")))
             lost = self.lose > 0
             self.lose -= 1 if lost else 0
+            hangs = self.hang > 0
+            self.hang -= 1 if hangs else 0
+        if hangs:
+            time.sleep(self.HANG_SECONDS)
+            handler.close_connection = True
+            return
         if lost:
             handler.close_connection = True
             handler.connection.shutdown(socket.SHUT_RDWR)
