--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -22,6 +22,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
+from proxy import MODES, Proxy  # noqa: E402
 from session import Dropped, Session, request, wait_until  # noqa: E402
 from users_platform import (  # noqa: E402
     EngineWorker, EntryDaemon, PlainWorker, Store, configuration, daemon_ports)
@@ -40,6 +41,9 @@
         self.session = session
         self.random = random.Random(seed)
         self.store = Store()
+        self.store_proxy = Proxy(self.store.server.address)
+        self.worker_proxies = []
+        self.store.address_of = self.put_proxy_before
         self.version = 3
         self.keys = ["k1", "k2"]
         self.put_configuration()
@@ -65,6 +69,11 @@
         self.store.put(
             "config", "main", configuration(self.version, self.keys))
 
+    def put_proxy_before(self, address):
+        proxy = Proxy(address)
+        self.worker_proxies.append(proxy)
+        return proxy.address
+
     def add_engine(self, name, domain):
         self.engines.append(
             EngineWorker(self.store, name, "llm", "z1", domain))
@@ -74,7 +83,7 @@
         seeds = [f"127.0.0.1:{self.ports['peer']}"]
         self.daemons[number] = EntryDaemon(
             self.session, self.store, f"n{number}", "z1", ip, self.ports,
-            seeds, first)
+            seeds, first, self.store_proxy.address)
 
     def note(self, text):
         with self.lock:
@@ -197,10 +206,19 @@
         time.sleep(self.random.uniform(0.5, 4.0))
         self.store.down.clear()
 
+    def hinder_worker(self):
+        self.random.choice(self.worker_proxies).hinder(
+            self.random.choice(MODES[1:]), self.random.uniform(0.3, 3.0))
+
+    def hinder_store(self):
+        self.store_proxy.hinder(
+            self.random.choice(MODES[1:]), self.random.uniform(0.3, 3.0))
+
 
 FAULTS = [World.kill_daemon, World.stop_daemon, World.pause_daemon,
           World.reload_daemon, World.lose_engine, World.drain_engine,
-          World.lose_answers, World.change_configuration, World.cut_store]
+          World.lose_answers, World.change_configuration, World.cut_store,
+          World.hinder_worker, World.hinder_worker, World.hinder_store]
 
 
 def started(daemon):
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -66,6 +66,8 @@
         self.changed = threading.Condition()
         # While set, every call is turned away.
         self.down = threading.Event()
+        # Entries name what this returns for the address of a worker.
+        self.address_of = lambda address: address
         store = self
 
         class StoreHandler(Handler):
@@ -172,7 +174,7 @@
                 worker.handle(self)
 
         self.server = Server(WorkerHandler)
-        self.entry["address"] = self.server.address
+        self.entry["address"] = store.address_of(self.server.address)
         self.publish()
 
     def publish(self):
@@ -332,7 +334,7 @@
     """One monsoondockd --entry; its log is kept in a file."""
 
     def __init__(self, session, store, name, zone, ip, ports, seeds=(),
-                 first=True):
+                 first=True, platform_address=None):
         self.name = name
         self.ip = ip
         self.ports = ports
@@ -343,7 +345,7 @@
         config = session.write_file(f"{name}.toml", (
             f'daemon = "{name}"\nregion = "r"\ndata_centre = "{zone}"\n'
             f"{addresses}seed_hosts = [{listed}]\n"
-            f'platform_address = "{store.server.address}"\n'
+            f'platform_address = "{platform_address or store.server.address}"\n'
             f"first_start = {str(first).lower()}\ngrace = \"6s\"\n"
             'directory_ttl = "500ms"\n[retries]\nratio = 0.2\nslack = 100\n'))
         self.stdout = session.path_of(f"{name}.stdout")
