entry: calls to the store back off; loads are told less often by many daemons

Change: pauses double up to 1 s (configuration) and 0.6 s (hosts), spread; a daemon that does not lead watches hosts every 200 ms; loads are told every 150 ms up to 16 daemons, then by the root of their number more seldom (340 ms at 82), which the choice reckons with.

--- a/src/include/monsoondock/relay/front_events.hpp
+++ b/src/include/monsoondock/relay/front_events.hpp
@@ -27,9 +27,10 @@
     std::map<std::pair<base::deployment_id, std::string>, model_work>;
 
 
-/// Daemons tell each other their requests in progress this often: about a
-/// sixth of the time that a stream takes.
-inline constexpr std::chrono::milliseconds load_report_period{150};
+/// Returns how often daemons tell each other their requests in progress: with
+/// few daemons about a sixth of the time that a stream takes; with more, such
+/// that what a daemon sends grows by the root of their number.
+std::chrono::milliseconds load_report_period(unsigned daemons);
 
 
 /// What the traffic thread has in progress and was asked for.
--- a/src/libentry/catalog_feed.cpp
+++ b/src/libentry/catalog_feed.cpp
@@ -3,6 +3,7 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/retry_delay.hpp>
 
 namespace monsoondock::entry::pvt {
 
@@ -13,7 +14,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds watch_time{20000};
-constexpr std::chrono::milliseconds retry_pause{150};
+// Well below the time within which a newer configuration must be in force
+// after an outage; peers tell of it earlier in most cases.
+constexpr base::retry_bounds store_retry{150ms, 1000ms};
 constexpr std::chrono::milliseconds peer_timeout{500};
 // The store's own watch delivers within this time when it works.
 constexpr std::chrono::milliseconds catch_up_period{200};
@@ -108,11 +111,14 @@
 
 asio::awaitable<void> run_catalog_feed(control& c)
 {
+    unsigned failures = 0;
     for (;;) {
         const auto from = co_await read_catalogs(c);
+        failures = from ? 0 : failures + 1;
         if (from)
             co_await watch_catalog(c, *from);
-        co_await sleep_for(c, retry_pause);
+        co_await sleep_for(
+            c, base::retry_delay(failures, store_retry, draw(c)));
     }
 }
 
--- a/src/libentry/control.cpp
+++ b/src/libentry/control.cpp
@@ -175,14 +175,6 @@
 }
 
 
-unsigned live_daemons(const control& c)
-{
-    unsigned count = 1;
-    for (const auto& [id, member] : c.node_.members())
-        count += member.record_.state_ == membership::member_state::alive;
-    return count;
-}
-
 } // namespace
 
 control::control(
@@ -206,6 +198,15 @@
 {}
 
 
+unsigned live_daemons(const control& c)
+{
+    unsigned count = 1;
+    for (const auto& [id, member] : c.node_.members())
+        count += member.record_.state_ == membership::member_state::alive;
+    return count;
+}
+
+
 void publish_view(control& c)
 {
     auto view = std::make_shared<relay::serving_view>();
@@ -252,6 +253,12 @@
 }
 
 
+double draw(control& c)
+{
+    return std::uniform_real_distribution<double>()(c.random_);
+}
+
+
 asio::awaitable<void> sleep_for(control& c, std::chrono::milliseconds time)
 {
     asio::steady_timer timer(c.context_, time);
--- a/src/libentry/control.hpp
+++ b/src/libentry/control.hpp
@@ -157,6 +157,10 @@
 needed_hosts(const control& c, const catalog::deployment& d);
 
 
+/// Returns the number of daemons that are alive, this one included.
+unsigned live_daemons(const control& c);
+
+
 /// Publishes what requests are decided from to the traffic thread.
 void publish_view(control& c);
 
@@ -173,6 +177,10 @@
 void note_store(control& c, bool answered);
 
 
+/// Returns a number from 0 up to, but not including, 1.
+double draw(control& c);
+
+
 /// Waits for a time on the control thread.
 boost::asio::awaitable<void>
 sleep_for(control& c, std::chrono::milliseconds time);
--- a/src/libentry/host_feed.cpp
+++ b/src/libentry/host_feed.cpp
@@ -1,6 +1,7 @@
 #include "control.hpp"
 
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/retry_delay.hpp>
 
 #include <set>
 
@@ -8,13 +9,18 @@
 
 namespace asio = boost::asio;
 
+using namespace std::chrono_literals;
+
 namespace {
 
 constexpr std::chrono::milliseconds watch_time{20000};
-constexpr std::chrono::milliseconds retry_pause{150};
+constexpr std::chrono::milliseconds follow_check{150};
+constexpr base::retry_bounds store_retry{150ms, 600ms};
 // Changes come in bursts; the next watch begins this much later, so that a
-// burst costs one call.
-constexpr std::chrono::milliseconds batch_pause{20};
+// burst costs one call. A daemon that doesn't lead only learns later by this
+// which groups opened or went, and traffic tells it of lost ones.
+constexpr std::chrono::milliseconds leader_batch_pause{20};
+constexpr std::chrono::milliseconds batch_pause{200};
 // Hosts write again within about two seconds of the store's return.
 constexpr std::chrono::milliseconds lapse_grace{2500};
 // An outage shorter than this makes no entry lapse.
@@ -222,7 +228,8 @@
         expire_lapsed(c);
         if (follows_leader(c))
             co_return;
-        co_await sleep_for(c, batch_pause);
+        co_await sleep_for(
+            c, c.leader_.leading_ ? leader_batch_pause : batch_pause);
     }
 }
 
@@ -299,17 +306,20 @@
 
 asio::awaitable<void> run_host_feed(control& c)
 {
+    unsigned failures = 0;
     for (;;) {
         if (follows_leader(c)) {
             expire_lapsed(c);
-            co_await sleep_for(c, retry_pause);
+            co_await sleep_for(c, follow_check);
             continue;
         }
         const auto from = co_await read_hosts(c);
+        failures = from ? 0 : failures + 1;
         if (from)
             co_await watch_hosts(c, *from);
         expire_lapsed(c);
-        co_await sleep_for(c, retry_pause);
+        co_await sleep_for(
+            c, base::retry_delay(failures, store_retry, draw(c)));
     }
 }
 
--- a/src/libentry/host_follow.cpp
+++ b/src/libentry/host_follow.cpp
@@ -3,11 +3,14 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/retry_delay.hpp>
 
 namespace monsoondock::entry::pvt {
 
 namespace asio = boost::asio;
 
+using namespace std::chrono_literals;
+
 namespace {
 
 constexpr std::chrono::milliseconds peer_timeout{400};
@@ -18,8 +21,7 @@
 constexpr std::chrono::milliseconds idle_period{400};
 // Changes come in bursts; they are fetched together.
 constexpr std::chrono::milliseconds batch_pause{20};
-constexpr std::chrono::milliseconds first_retry{50};
-constexpr std::chrono::milliseconds last_retry{800};
+constexpr base::retry_bounds peer_retry{50ms, 800ms};
 constexpr unsigned failures_before_store = 3;
 
 
@@ -80,17 +82,6 @@
 }
 
 
-// Doubles with each failure and is spread, so that the followers of one leader
-// do not ask all at once.
-std::chrono::milliseconds pause_after(control& c, unsigned failures)
-{
-    const auto pause =
-        std::min(first_retry * (1U << std::min(failures, 5U)), last_retry);
-    return pause / 2 + std::chrono::milliseconds(
-                           c.random_() % static_cast<unsigned>(pause.count()));
-}
-
-
 // Takes what is missing from a peer; from the store when the peer does not
 // answer.
 asio::awaitable<void> catch_up(control& c)
@@ -104,7 +95,8 @@
             failures = 0;
             co_await sleep_for(c, batch_pause);
         } else {
-            co_await sleep_for(c, pause_after(c, failures++));
+            co_await sleep_for(
+                c, base::retry_delay(failures++, peer_retry, draw(c)));
             if (failures % failures_before_store == 0)
                 co_await reread_hosts(c);
         }
--- a/src/libentry/peers.cpp
+++ b/src/libentry/peers.cpp
@@ -216,7 +216,7 @@
     auto told = std::make_shared<told_activity>();
     told->work_since_ = base::boot_clock::now();
     for (;;) {
-        co_await sleep_for(c, relay::load_report_period);
+        co_await sleep_for(c, relay::load_report_period(live_daemons(c)));
         c.front_->read_activity([&c, told](relay::activity a) {
             asio::post(c.context_, [&c, told, a = std::move(a)] {
                 tell_activity(c, *told, a);
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -173,7 +173,9 @@
         return 0;
     return found->second.a_second(base::boot_clock::now()) *
            c.t_.view_->daemons_ *
-           std::chrono::duration<double>(load_report_period).count();
+           std::chrono::duration<double>(
+               load_report_period(c.t_.view_->daemons_))
+               .count();
 }
 
 
@@ -295,6 +297,17 @@
 }
 
 
+// True when the answer, or a stream's first event, came as early as callers
+// aim at.
+bool is_in_time(const forward_context& c, base::time_point end)
+{
+    const bool streamed = c.state_.first_answer_ != base::time_point();
+    const auto taken =
+        (streamed ? c.state_.first_answer_ : end) - c.e_.received_;
+    return taken <= c.e_.route_->target_latency_;
+}
+
+
 void log_end(const forward_context& c)
 {
     const exchange& e = c.e_;
@@ -309,6 +322,7 @@
         .field("host", e.host_)
         .field("sends", e.sends_)
         .field("catalog", e.view_->catalog_->version_)
+        .field("in_time", is_in_time(c, now) ? "yes" : "no")
         .field("total", now - e.received_);
     if (c.state_.first_answer_ != base::time_point())
         line.field("first", c.state_.first_answer_ - e.received_);
--- a/src/librelay/front_events.cpp
+++ b/src/librelay/front_events.cpp
@@ -1,7 +1,27 @@
 #include <monsoondock/relay/front_events.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace monsoondock::relay {
 
+namespace {
+
+constexpr std::chrono::milliseconds shortest_report_period{150};
+// Up to so many daemons the exchange costs less than a hundredth of their
+// traffic.
+constexpr double few_daemons = 16;
+
+} // namespace
+
+std::chrono::milliseconds load_report_period(unsigned daemons)
+{
+    const double stretch = std::sqrt(std::max(1.0, daemons / few_daemons));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        shortest_report_period * stretch);
+}
+
+
 const char* to_string(doubt_reason reason) noexcept
 {
     switch (reason) {
--- a/src/librelay/many_daemons_test.cpp
+++ b/src/librelay/many_daemons_test.cpp
@@ -88,7 +88,7 @@
 
     void tell(milliseconds now)
     {
-        const auto period = load_report_period.count();
+        const auto period = load_report_period(fleet_.daemons_).count();
         for (std::size_t d = 0; d < boards_.size(); ++d) {
             if ((now.count() + static_cast<long>(d) * 37) % period != 0)
                 continue;
@@ -106,9 +106,10 @@
         const std::size_t daemon = random_() % boards_.size();
         choice_request request{"m", {}, {}, {}, uniform_(random_)};
         if (counts_unheard_)
-            request.unheard_ =
-                fleet_.arrivals_a_second_ *
-                std::chrono::duration<double>(load_report_period).count();
+            request.unheard_ = fleet_.arrivals_a_second_ *
+                               std::chrono::duration<double>(
+                                   load_report_period(fleet_.daemons_))
+                                   .count();
         const std::size_t u = *choose_upstream(all_, boards_[daemon], request);
         ++counts_.all_;
         if (running_[u] >= fleet_.slots_)
