quarantine: groups that are all new take requests also after a loss

Cause: golden-quarantine failed once the daemon told of entering groups: it loses a group seconds after the first formation, and with a loss held all other groups, new as well, were barred: 0 of 10 harmless requests answered.

--- a/src/include/monsoondock/quarantine/suspect_registry.hpp
+++ b/src/include/monsoondock/quarantine/suspect_registry.hpp
@@ -105,8 +105,8 @@
 
     /// The group began to take requests. For hold_ it gets no request that may
     /// crash it, as copies that were confined before it entered may still cost
-    /// the group whose place it took. Where every group is that new and none
-    /// was lost lately, all of them take requests at once.
+    /// the group whose place it took. Where every group is that new, those
+    /// lost lately included, all of them take requests at once.
     void group_entered(const group_instance& group, moment now);
 
 
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -320,7 +320,8 @@
 }
 
 
-// Groups that have a place in the ranking and take no request.
+// Groups that have a place in the ranking and take no request. While all of
+// them are new, none has displaced an older one, so none is barred for that.
 std::set<base::group_id> suspect_registry::barred_groups(
     const dispatch_question& question, moment now) const
 {
@@ -329,8 +330,13 @@
     for (const group_instance& whole : question.whole_groups_)
         if (is_entering(whole, now))
             entering.insert(whole.group_);
+    const bool old_one_held =
+        std::any_of(lost_.begin(), lost_.end(), [&](const lost_group& lost) {
+            return lost.deployment_ == question.deployment_ &&
+                   is_held(lost, now) && !is_entering(lost.group_, now);
+        });
     const bool all_new =
-        barred.empty() && entering.size() == question.whole_groups_.size();
+        !old_one_held && entering.size() == question.whole_groups_.size();
     if (!all_new)
         barred.merge(entering);
     return barred;
