--- a/src/libplacement/exploration_test.cpp
+++ b/src/libplacement/exploration_test.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr unsigned domain_count = 3;
-constexpr unsigned hosts_in_domain = 8;
+constexpr std::size_t domain_count = 3;
+constexpr std::size_t hosts_in_domain = 8;
 constexpr int fault_count = 14;
 constexpr std::uint64_t seed_count = 400;
 constexpr std::uint64_t epoch_block = 10000;
@@ -44,8 +44,8 @@
     world(std::uint64_t seed, variant v)
         : variant_(v), random_(seed), hosts_(two_models())
     {
-        for (unsigned d = 0; d < domain_count; ++d)
-            for (unsigned h = 0; h < hosts_in_domain; ++h)
+        for (std::size_t d = 0; d < domain_count; ++d)
+            for (std::size_t h = 0; h < hosts_in_domain; ++h)
                 add_host(d);
         hosts_.facts_.before_traffic_ = true;
         planner_.emplace(make_planner());
@@ -89,7 +89,7 @@
                 }};
     }
 
-    void add_host(unsigned domain)
+    void add_host(std::size_t domain)
     {
         std::string name = "h";
         name.append(std::to_string(host_count_++));
@@ -134,7 +134,7 @@
         if (below(2) == 0)
             hosts_.unlist(id.value_);
         if (hosts_.hosts_.size() < domain_count * hosts_in_domain)
-            add_host(static_cast<unsigned>(below(domain_count)));
+            add_host(static_cast<std::size_t>(below(domain_count)));
     }
 
     void strike()
--- a/src/monsoondockctl/log_summary.cpp
+++ b/src/monsoondockctl/log_summary.cpp
@@ -116,7 +116,7 @@
 
 } // namespace
 
-log_summary summarize(std::vector<log_line> lines)
+log_summary summarize(const std::vector<log_line>& lines)
 {
     log_summary summary;
     const auto ordered = in_order(lines, summary);
--- a/src/monsoondockctl/log_summary.hpp
+++ b/src/monsoondockctl/log_summary.hpp
@@ -40,6 +40,6 @@
 /// Sums up log lines of any number of daemons. A summary of no seconds is
 /// returned when no line has a time. At most a day is covered; lines beyond
 /// it are left out and counted.
-log_summary summarize(std::vector<log_line> lines);
+log_summary summarize(const std::vector<log_line>& lines);
 
 } // namespace monsoondockctl
--- a/src/monsoondockctl/report.cpp
+++ b/src/monsoondockctl/report.cpp
@@ -68,10 +68,10 @@
 
 exit_code report(const request& r)
 {
-    auto lines = read_logs(r.arguments_);
+    const auto lines = read_logs(r.arguments_);
     if (!lines)
         return exit_code::bad_input;
-    const log_summary summary = summarize(std::move(*lines));
+    const log_summary summary = summarize(*lines);
     print_page(summary);
     return summary.seconds_.empty() ? exit_code::failed : exit_code::ok;
 }
