relay: the retry limit holds over all daemons, whatever window it is checked over

(1) The sliced window dropped its oldest slice up to a second early. (2) A daemon that started again had its share of the slack anew. (3) When daemons were gone the others' shares grew at once. (4) Requests count at the time of the repeat, but the window of the check may lie up to ten seconds later. (5) Windows of daemons differ by some repeats in a hundred.

Ruled out: requests to dead daemons (the world counts them as sent now).

Variants that are caught: slack not shared, slack that comes back with a restart.

--- a/src/include/monsoondock/relay/attempt_window.hpp
+++ b/src/include/monsoondock/relay/attempt_window.hpp
@@ -16,6 +16,9 @@
     double ratio_ = 0.2;
     /// Repeats allowed on top, over all daemons together.
     double slack_ = 100;
+    /// No slack before this time: what a daemon used of it before it started
+    /// again may still count.
+    base::time_point slack_from_;
 };
 
 
@@ -32,17 +35,21 @@
 
 
     /// Takes one repeat. daemons is the number of daemons that share the
-    /// slack. Returns false when the limit is reached.
+    /// slack; the largest of the window counts, as those that are gone have
+    /// used their part. Returns false when the limit is reached.
     bool take_repeat(unsigned daemons, base::time_point now);
 
 private:
-    static constexpr std::size_t slice_count = 10;
+    static constexpr std::size_t slices_in_window = 10;
+    // The oldest slice is within the window in part.
+    static constexpr std::size_t slice_count = slices_in_window + 1;
 
     struct slice
     {
         std::int64_t number_ = -1;
         std::uint32_t requests_ = 0;
         std::uint32_t repeats_ = 0;
+        unsigned daemons_ = 1;
     };
 
     slice& current(base::time_point now);
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -26,7 +26,12 @@
     f.attempts_ = {
         config.retries_.window_,
         config.retries_.ratio_,
-        double(config.retries_.slack_)};
+        double(config.retries_.slack_),
+        // What this daemon used of the slack before it was started again still
+        // counts for a window.
+        config.first_start_
+            ? base::time_point()
+            : base::boot_clock::now() + config.retries_.window_};
     f.max_connections_ = config.max_connections_;
     return f;
 }
