--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -23,6 +23,19 @@
 }
 
 
+Test(peer_message, pushed_changes_come_back_as_they_were)
+{
+    const pvt::feed_message sent{
+        {"heredia-1.7", 12},
+        {{{"hosts/a", {3}, "{}"}, false}, {{"hosts/b", {4}, ""}, true}}};
+    const auto got = pvt::decode(pvt::encode(sent));
+    cr_assert(got.has_value());
+    const auto& m = std::get<pvt::feed_message>(*got);
+    cr_assert(m.position_ == sent.position_);
+    cr_assert(m.changes_ == sent.changes_);
+}
+
+
 Test(peer_message, damaged_bytes_are_refused)
 {
     const std::string bytes = pvt::encode(pvt::doubt_message{{"h"}, {"m"}});
