--- a/src/libplacement/exploration_test.cpp
+++ b/src/libplacement/exploration_test.cpp
@@ -1,8 +1,8 @@
+#include "../libbase/first_violation_test.hpp"
 #include "fake_hosts_test.hpp"
 
 #include <criterion/criterion.h>
 
-#include <cstdio>
 #include <optional>
 #include <random>
 
@@ -181,37 +181,30 @@
 };
 
 
-std::optional<std::string> first_violation(variant v)
+std::optional<std::string> explore(variant v)
 {
-    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
-        const auto violation = world(seed, v).explore();
-        if (!violation)
-            continue;
-        std::string text = "seed ";
-        text.append(std::to_string(seed)).append(": ").append(*violation);
-        std::printf("%s\n", text.c_str());
-        return text;
-    }
-    return std::nullopt;
+    return base::first_violation(seed_count, [v](std::uint64_t seed) {
+        return world(seed, v).explore();
+    });
 }
 
 } // namespace
 
 Test(exploration, orders_keep_the_rules_under_faults)
 {
-    const auto violation = first_violation(variant::correct);
+    const auto violation = explore(variant::correct);
     cr_assert(!violation, "%s", violation ? violation->c_str() : "none");
 }
 
 
 Test(exploration, two_leaders_at_once_keep_the_rules_too)
 {
-    const auto violation = first_violation(variant::two_leaders);
+    const auto violation = explore(variant::two_leaders);
     cr_assert(!violation, "%s", violation ? violation->c_str() : "none");
 }
 
 
 Test(exploration, orders_without_an_answer_that_pass_for_accepted_are_caught)
 {
-    cr_assert(first_violation(variant::trusts_silence).has_value());
+    cr_assert(explore(variant::trusts_silence).has_value());
 }
--- a/src/librelay/attempt_exploration_test.cpp
+++ b/src/librelay/attempt_exploration_test.cpp
@@ -1,10 +1,11 @@
+#include "../libbase/first_violation_test.hpp"
+
 #include <monsoondock/relay/attempt_window.hpp>
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <deque>
 #include <optional>
 #include <random>
@@ -195,36 +196,29 @@
 };
 
 
-std::optional<std::string> first_violation(variant v)
+std::optional<std::string> explore(variant v)
 {
-    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
-        const auto violation = world(seed, v).explore();
-        if (!violation)
-            continue;
-        std::string text = "seed ";
-        text.append(std::to_string(seed)).append(": ").append(*violation);
-        std::printf("%s\n", text.c_str());
-        return text;
-    }
-    return std::nullopt;
+    return base::first_violation(seed_count, [v](std::uint64_t seed) {
+        return world(seed, v).explore();
+    });
 }
 
 } // namespace
 
 Test(attempt_exploration, repeats_stay_within_the_limit_of_all_daemons)
 {
-    const auto violation = first_violation(variant::correct);
+    const auto violation = explore(variant::correct);
     cr_assert(!violation, "%s", violation ? violation->c_str() : "none");
 }
 
 
 Test(attempt_exploration, slack_that_is_not_shared_is_caught)
 {
-    cr_assert(first_violation(variant::slack_not_shared).has_value());
+    cr_assert(explore(variant::slack_not_shared).has_value());
 }
 
 
 Test(attempt_exploration, slack_that_comes_back_with_a_restart_is_caught)
 {
-    cr_assert(first_violation(variant::slack_at_once).has_value());
+    cr_assert(explore(variant::slack_at_once).has_value());
 }
