--- a/src/include/monsoondock/relay/attempt_window.hpp
+++ b/src/include/monsoondock/relay/attempt_window.hpp
@@ -24,6 +24,10 @@
 
 /// Counts first sends and repeats of one deployment at one daemon, so that
 /// retries cannot multiply the load of an outage.
+///
+/// Daemons count by themselves and keep the limit together: repeats are held
+/// against the requests of the last half of the window, and a part of the
+/// limit is left unused for what their windows differ.
 class attempt_window
 {
 public:
