base, settings, relay: one copy of what stood in several places

Sections of a settings file by two: settings/read_values.hpp. An unused variable of the group checks is gone.

--- a/src/libdaemon/explain_page.cpp
+++ b/src/libdaemon/explain_page.cpp
@@ -1,5 +1,7 @@
 #include "explain_page.hpp"
 
+#include <monsoondock/base/query_parameter.hpp>
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -12,23 +14,6 @@
 
 namespace {
 
-// Names in settings need no percent encoding, so a value is taken as it is.
-std::string_view parameter(std::string_view target, std::string_view name)
-{
-    std::string_view rest =
-        target.substr(std::min(target.find('?'), target.size()));
-    while (!rest.empty()) {
-        rest.remove_prefix(1);
-        const std::string_view pair = rest.substr(0, rest.find('&'));
-        rest.remove_prefix(pair.size());
-        const std::size_t equals = std::min(pair.find('='), pair.size());
-        if (pair.substr(0, equals) == name && equals < pair.size())
-            return pair.substr(equals + 1);
-    }
-    return {};
-}
-
-
 json::object load_of(const traffic::upstream_load& load)
 {
     return {
@@ -116,8 +101,10 @@
     std::string_view target,
     base::time_point now)
 {
-    const std::string_view workspace = parameter(target, "workspace");
-    const std::string_view deployment = parameter(target, "deployment");
+    const std::string_view workspace =
+        base::query_parameter(target, "workspace");
+    const std::string_view deployment =
+        base::query_parameter(target, "deployment");
     return json::serialize(json::object{
         {"ready", snapshot.ready_},
         {"draining", snapshot.draining_},
--- a/src/libentry/group_checks.cpp
+++ b/src/libentry/group_checks.cpp
@@ -101,11 +101,9 @@
         co_await accepts_connections(c.context_, address, check_time);
     if (!reached)
         reached = co_await accepts_connections(c.context_, address, check_time);
-    const base::time_point now = base::boot_clock::now();
-    auto& verdict = c.verdicts_[id];
     if (reached) {
         if (!check->named_)
-            verdict.unreachable_until_ = {};
+            c.verdicts_[id].unreachable_until_ = {};
     } else {
         note_lost_host(c, id);
         broadcast(c, lost_host_message{id});
--- a/src/librelay/upstream_link.cpp
+++ b/src/librelay/upstream_link.cpp
@@ -1,21 +1,13 @@
 #include "upstream_link.hpp"
 
-#include <cerrno>
-#include <sys/socket.h>
+#include "peek_socket.hpp"
 
 namespace monsoondock::relay::pvt {
 
 bool is_quiet(upstream_link& link)
 {
-    if (link.buffer_.size() > 0)
-        return false;
-    char byte = 0;
-    const auto received = ::recv(
-        link.socket_.native_handle(),
-        &byte,
-        sizeof(byte),
-        MSG_PEEK | MSG_DONTWAIT);
-    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return link.buffer_.size() == 0 &&
+           peek_socket(link.socket_) == socket_content::nothing;
 }
 
 
--- a/src/libsettings/daemon_config.cpp
+++ b/src/libsettings/daemon_config.cpp
@@ -1,4 +1,4 @@
-#include "table_reader.hpp"
+#include "read_values.hpp"
 #include "text_file.hpp"
 
 #include <monsoondock/settings/daemon_config.hpp>
@@ -42,13 +42,6 @@
 }
 
 
-template <class Value>
-Value read_required(pvt::table_reader& reader, std::string_view key)
-{
-    return reader.require(pvt::field<Value>{key, {}, {}, {}});
-}
-
-
 daemon_timeouts read_timeouts(pvt::table_reader& r)
 {
     daemon_timeouts t;
@@ -75,48 +68,26 @@
 }
 
 
-/// Reads an optional table; absent, all its keys take their defaults.
-template <class Section>
-Section read_section(
-    pvt::table_reader& parent,
-    std::string_view name,
-    const std::string& file,
-    findings& faults,
-    Section (*read)(pvt::table_reader&))
-{
-    static const toml::table empty;
-    const toml::table* table = parent.table(name);
-    pvt::table_reader reader(
-        table != nullptr ? *table : empty,
-        file,
-        std::string(name) + ".",
-        faults);
-    Section section = read(reader);
-    reader.finish();
-    return section;
-}
-
-
 daemon_config
 read_config(const toml::table& table, const std::string& file, findings& faults)
 {
     pvt::table_reader r(table, file, "", faults);
     daemon_config c;
-    c.daemon_ = read_required<base::daemon_id>(r, "daemon");
-    c.region_ = read_required<base::region_id>(r, "region");
-    c.data_centre_ = read_required<base::data_centre_id>(r, "data_centre");
-    c.caller_address_ = read_required<socket_address>(r, "caller_address");
-    c.peer_address_ = read_required<socket_address>(r, "peer_address");
+    c.daemon_ = pvt::read_required<base::daemon_id>(r, "daemon");
+    c.region_ = pvt::read_required<base::region_id>(r, "region");
+    c.data_centre_ = pvt::read_required<base::data_centre_id>(r, "data_centre");
+    c.caller_address_ = pvt::read_required<socket_address>(r, "caller_address");
+    c.peer_address_ = pvt::read_required<socket_address>(r, "peer_address");
     c.platform_addresses_ = r.require(pvt::field<std::vector<socket_address>>{
         "platform_addresses", {}, {1, MAX_PLATFORM_ADDRESSES}, {}});
     c.peer_seeds_ = r.require(pvt::field<std::vector<socket_address>>{
         "peer_seeds", std::vector<socket_address>{}, {0, MAX_PEER_SEEDS}, {}});
     c.peer_secret_file_ =
-        read_required<std::filesystem::path>(r, "peer_secret_file");
+        pvt::read_required<std::filesystem::path>(r, "peer_secret_file");
     c.traffic_threads_ = read_count(r, "traffic_threads", 2, 1, 256);
-    c.admission_ = read_section<admission_sizes>(
+    c.admission_ = pvt::read_section<admission_sizes>(
         r, "admission", file, faults, read_admission);
-    c.timeouts_ = read_section<daemon_timeouts>(
+    c.timeouts_ = pvt::read_section<daemon_timeouts>(
         r, "timeouts", file, faults, read_timeouts);
     r.finish();
     return c;
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -1,4 +1,4 @@
-#include "table_reader.hpp"
+#include "read_values.hpp"
 #include "text_file.hpp"
 
 #include <monsoondock/settings/entry_config.hpp>
@@ -14,52 +14,30 @@
 constexpr std::size_t MAX_SEEDS = 16;
 
 
-template <class Value>
-Value read_required(
-    pvt::table_reader& r, std::string_view key, pvt::rule<Value> rule = {})
-{
-    return r.require(pvt::field<Value>{key, {}, rule, {}});
-}
-
-
-template <class Value>
-Value read_optional(
-    pvt::table_reader& r,
-    std::string_view key,
-    Value usual,
-    pvt::rule<Value> rule)
-{
-    return r.require(pvt::field<Value>{key, std::move(usual), rule, {}});
-}
-
-
 void read_addresses(entry_config& c, pvt::table_reader& r)
 {
-    c.caller_address_ = read_required<socket_address>(r, "caller_address");
-    c.ready_address_ = read_required<socket_address>(r, "ready_address");
+    c.caller_address_ = pvt::read_required<socket_address>(r, "caller_address");
+    c.ready_address_ = pvt::read_required<socket_address>(r, "ready_address");
     c.directory_address_ =
-        read_required<socket_address>(r, "directory_address");
-    c.peer_address_ = read_required<socket_address>(r, "peer_address");
-    c.metrics_address_ = read_required<socket_address>(r, "metrics_address");
-    c.platform_address_ = read_required<socket_address>(r, "platform_address");
-    c.seed_hosts_ = read_optional<std::vector<socket_address>>(
+        pvt::read_required<socket_address>(r, "directory_address");
+    c.peer_address_ = pvt::read_required<socket_address>(r, "peer_address");
+    c.metrics_address_ =
+        pvt::read_required<socket_address>(r, "metrics_address");
+    c.platform_address_ =
+        pvt::read_required<socket_address>(r, "platform_address");
+    c.seed_hosts_ = pvt::read_optional<std::vector<socket_address>>(
         r, "seed_hosts", {}, {0, MAX_SEEDS});
 }
 
 
-retry_settings read_retries(
-    pvt::table_reader& parent, const std::string& file, findings& faults)
+retry_settings read_retries(pvt::table_reader& r)
 {
-    static const toml::table empty;
-    const toml::table* table = parent.table("retries");
-    pvt::table_reader r(
-        table != nullptr ? *table : empty, file, "retries.", faults);
     retry_settings retries;
-    retries.ratio_ = read_optional<double>(r, "ratio", 0.1, {0.0, 1.0});
-    retries.slack_ = read_optional<std::uint64_t>(r, "slack", 20, {0, 100'000});
+    retries.ratio_ = pvt::read_optional<double>(r, "ratio", 0.1, {0.0, 1.0});
+    retries.slack_ =
+        pvt::read_optional<std::uint64_t>(r, "slack", 20, {0, 100'000});
     retries.window_ =
-        read_optional<milliseconds>(r, "window", 10s, {1s, 10min});
-    r.finish();
+        pvt::read_optional<milliseconds>(r, "window", 10s, {1s, 10min});
     return retries;
 }
 
@@ -69,17 +47,18 @@
 {
     pvt::table_reader r(table, file, "", faults);
     entry_config c;
-    c.daemon_ = read_required<base::daemon_id>(r, "daemon");
-    c.region_ = read_required<base::region_id>(r, "region");
-    c.data_centre_ = read_required<base::data_centre_id>(r, "data_centre");
+    c.daemon_ = pvt::read_required<base::daemon_id>(r, "daemon");
+    c.region_ = pvt::read_required<base::region_id>(r, "region");
+    c.data_centre_ = pvt::read_required<base::data_centre_id>(r, "data_centre");
     read_addresses(c, r);
-    c.first_start_ = read_optional<bool>(r, "first_start", false, {});
-    c.max_connections_ =
-        read_optional<std::uint64_t>(r, "max_connections", 1024, {1, 100'000});
-    c.grace_ = read_optional<milliseconds>(r, "grace", 8s, {1s, 1h});
+    c.first_start_ = pvt::read_optional<bool>(r, "first_start", false, {});
+    c.max_connections_ = pvt::read_optional<std::uint64_t>(
+        r, "max_connections", 1024, {1, 100'000});
+    c.grace_ = pvt::read_optional<milliseconds>(r, "grace", 8s, {1s, 1h});
     c.directory_ttl_ =
-        read_optional<milliseconds>(r, "directory_ttl", 2s, {100ms, 1min});
-    c.retries_ = read_retries(r, file, faults);
+        pvt::read_optional<milliseconds>(r, "directory_ttl", 2s, {100ms, 1min});
+    c.retries_ = pvt::read_section<retry_settings>(
+        r, "retries", file, faults, read_retries);
     r.finish();
     return c;
 }
--- /dev/null
+++ b/src/libsettings/read_values.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "table_reader.hpp"
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace monsoondock::settings::pvt {
+
+/// Reads a key that must be there.
+template <class Value>
+Value read_required(
+    table_reader& r, std::string_view key, rule<Value> limits = {})
+{
+    return r.require(field<Value>{key, {}, limits, {}});
+}
+
+
+/// Reads a key that takes its default when it is absent.
+template <class Value>
+Value read_optional(
+    table_reader& r, std::string_view key, Value usual, rule<Value> limits)
+{
+    return r.require(field<Value>{key, std::move(usual), limits, {}});
+}
+
+
+/// Reads an optional table; absent, all its keys take their defaults.
+template <class Section>
+Section read_section(
+    table_reader& parent,
+    std::string_view name,
+    const std::string& file,
+    findings& faults,
+    Section (*read)(table_reader&))
+{
+    static const toml::table empty;
+    const toml::table* table = parent.table(name);
+    table_reader reader(
+        table != nullptr ? *table : empty,
+        file,
+        std::string(name) + ".",
+        faults);
+    Section section = read(reader);
+    reader.finish();
+    return section;
+}
+
+} // namespace monsoondock::settings::pvt
--- a/src/libstandin/exchange.cpp
+++ b/src/libstandin/exchange.cpp
@@ -1,5 +1,6 @@
 #include "percent_decode.hpp"
 
+#include <monsoondock/base/query_parameter.hpp>
 #include <monsoondock/standin/exchange.hpp>
 #include <monsoondock/standin/no_throw.hpp>
 
@@ -65,17 +66,7 @@
 
 std::string parameter(const exchange& e, std::string_view name)
 {
-    std::string_view rest = target(e);
-    std::size_t end = rest.find('?');
-    while (end != std::string_view::npos) {
-        rest.remove_prefix(end + 1);
-        end = rest.find('&');
-        const std::string_view pair = rest.substr(0, end);
-        const std::size_t sign = pair.find('=');
-        if (sign != std::string_view::npos && pair.substr(0, sign) == name)
-            return pvt::percent_decode(pair.substr(sign + 1));
-    }
-    return {};
+    return pvt::percent_decode(base::query_parameter(target(e), name));
 }
 
 
