entry: announcements of an earlier leader are ignored

Cause, noticed on reading: a follower took any announced position, also one of a leader that was no more; it could never reach that, so it asked the new leader again every 20 ms until the next beat.

Change: an announcement carries its term, as the beat does. What a push tells a follower is a pure function now (take_push), with tests for gaps, known changes and another life.

--- a/src/libentry/host_exchange.cpp
+++ b/src/libentry/host_exchange.cpp
@@ -1,10 +1,11 @@
 #include "host_exchange.hpp"
 
+#include <monsoondock/base/query_parameter.hpp>
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <array>
-#include <cstdlib>
+#include <charconv>
 
 namespace monsoondock::entry::pvt {
 
@@ -12,22 +13,9 @@
 
 namespace {
 
-constexpr std::string_view source_name = "source=";
-constexpr std::string_view after_name = "after=";
-constexpr std::string_view digest_name = "digest=";
-
-
-std::string parameter(const std::string& target, std::string_view name)
-{
-    for (std::size_t at = target.find('?'); at != std::string::npos;
-         at = target.find('&', at + 1)) {
-        if (target.compare(at + 1, name.size(), name) != 0)
-            continue;
-        const std::size_t begin = at + 1 + name.size();
-        return target.substr(begin, target.find('&', begin) - begin);
-    }
-    return {};
-}
+constexpr std::string_view source_name = "source";
+constexpr std::string_view after_name = "after";
+constexpr std::string_view digest_name = "digest";
 
 } // namespace
 
@@ -59,12 +47,30 @@
 }
 
 
+std::optional<feed_answer> take_push(
+    const feed_position& taken,
+    const feed_position& up_to,
+    const std::vector<platform::change>& changes)
+{
+    if (taken.source_ != up_to.source_ || taken.sequence_ >= up_to.sequence_)
+        return std::nullopt;
+    const std::uint64_t missing = up_to.sequence_ - taken.sequence_;
+    if (missing > changes.size())
+        return std::nullopt;
+    return feed_answer{
+        up_to,
+        {},
+        {changes.end() - static_cast<std::ptrdiff_t>(missing), changes.end()}};
+}
+
+
 std::string to_query(const feed_question& q)
 {
     std::string text = "?";
-    text.append(source_name).append(q.from_.source_).append("&");
-    text.append(after_name).append(std::to_string(q.from_.sequence_));
-    text.append("&").append(digest_name).append(to_text(q.digest_));
+    text.append(source_name).append("=").append(q.from_.source_).append("&");
+    text.append(after_name).append("=");
+    text.append(std::to_string(q.from_.sequence_)).append("&");
+    text.append(digest_name).append("=").append(to_text(q.digest_));
     return text;
 }
 
@@ -72,10 +78,12 @@
 feed_question parse_feed_question(const std::string& target)
 {
     feed_question q;
-    q.from_.source_ = parameter(target, source_name);
-    q.from_.sequence_ =
-        std::strtoull(parameter(target, after_name).c_str(), nullptr, 10);
-    if (const auto digest = parse_digest(parameter(target, digest_name)))
+    q.from_.source_ = base::query_parameter(target, source_name);
+    const auto after = base::query_parameter(target, after_name);
+    std::from_chars(
+        after.data(), after.data() + after.size(), q.from_.sequence_);
+    if (const auto digest =
+            parse_digest(base::query_parameter(target, digest_name)))
         q.digest_ = *digest;
     return q;
 }
--- a/src/libentry/host_exchange.hpp
+++ b/src/libentry/host_exchange.hpp
@@ -42,6 +42,15 @@
     const host_entries& entries);
 
 
+/// Returns what pushed changes, the last ones up to a position, tell a daemon
+/// that has taken the peer's changes up to another. Nothing when they belong
+/// to another life of a peer, leave a gap, or are known.
+std::optional<feed_answer> take_push(
+    const feed_position& taken,
+    const feed_position& up_to,
+    const std::vector<platform::change>& changes);
+
+
 /// Returns a question as the query of a page's address.
 std::string to_query(const feed_question& q);
 
--- a/src/libentry/host_exchange_test.cpp
+++ b/src/libentry/host_exchange_test.cpp
@@ -103,6 +103,32 @@
 }
 
 
+Test(host_exchange, a_push_tells_what_comes_after_the_position)
+{
+    const std::vector<platform::change> changes{
+        {make_entry(1, 11), false}, {make_entry(2, 12), false}};
+    const pvt::feed_position up_to{"leader/1", 12};
+    const auto both = pvt::take_push({"leader/1", 10}, up_to, changes);
+    cr_assert(both && both->changes_ == changes);
+    cr_assert(both->position_ == up_to);
+    const auto last = pvt::take_push({"leader/1", 11}, up_to, changes);
+    cr_assert(last && last->changes_.size() == 1);
+    cr_assert(last->changes_.front() == changes.back());
+}
+
+
+Test(host_exchange, a_push_with_a_gap_or_of_another_life_tells_nothing)
+{
+    const std::vector<platform::change> changes{{make_entry(1, 12), false}};
+    const pvt::feed_position up_to{"leader/1", 12};
+    cr_assert_not(pvt::take_push({"leader/1", 10}, up_to, changes));
+    cr_assert_not(pvt::take_push({"leader/1", 12}, up_to, changes));
+    cr_assert_not(pvt::take_push({"leader/1", 13}, up_to, changes));
+    cr_assert_not(pvt::take_push({"old-leader/1", 11}, up_to, changes));
+    cr_assert_not(pvt::take_push({"leader/1", 11}, up_to, {}));
+}
+
+
 Test(host_exchange, an_answer_comes_back_as_it_was)
 {
     const pvt::feed_answer sent{
--- a/src/libentry/host_feed.cpp
+++ b/src/libentry/host_feed.cpp
@@ -164,7 +164,7 @@
 // Sends the changes themselves while they fit, so that nobody has to ask.
 void announce(control& c)
 {
-    feed_message m{own_position(c), {}};
+    feed_message m{c.leader_.term_, own_position(c), {}};
     if (auto news = c.hosts_.log_.after(c.hosts_.announced_sequence_))
         m.changes_ = std::move(*news);
     if (value_bytes(m.changes_) > max_pushed_bytes)
--- a/src/libentry/host_follow.cpp
+++ b/src/libentry/host_follow.cpp
@@ -127,17 +127,13 @@
 
 void take_feed(control& c, const feed_message& m)
 {
-    const feed_position& at = c.hosts_.followed_;
-    const std::uint64_t first = m.position_.sequence_ - m.changes_.size();
-    const bool fits = at.source_ == m.position_.source_ &&
-                      at.sequence_ >= first &&
-                      at.sequence_ <= m.position_.sequence_;
-    if (fits && follows_leader(c)) {
-        const auto known = static_cast<std::ptrdiff_t>(at.sequence_ - first);
-        take_answer(
-            c,
-            {m.position_, {}, {m.changes_.begin() + known, m.changes_.end()}});
-        c.hosts_.followed_ = m.position_;
+    // What an earlier leader announces is no position to wait for.
+    if (m.term_ < c.leader_.term_)
+        return;
+    const auto pushed = take_push(c.hosts_.followed_, m.position_, m.changes_);
+    if (pushed && follows_leader(c)) {
+        take_answer(c, *pushed);
+        c.hosts_.followed_ = pushed->position_;
     }
     note_feed(c, m.position_);
 }
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -211,6 +211,7 @@
 
 void put(wire::body_writer& out, const feed_message& m)
 {
+    out(m.term_);
     put(out, m.position_);
     wire::write_count(out, m.changes_.size());
     for (const platform::change& c : m.changes_) {
@@ -223,6 +224,7 @@
 
 void get(wire::body_reader& in, feed_message& m)
 {
+    in(m.term_);
     get(in, m.position_);
     const std::size_t count = wire::read_count(in, max_changes);
     for (std::size_t i = 0; i < count; ++i) {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -70,6 +70,7 @@
 /// The sender, who leads, has taken changes of hosts.
 struct feed_message
 {
+    std::uint64_t term_ = 0;
     feed_position position_;
     /// The last changes up to the position; empty when they are too many.
     std::vector<platform::change> changes_;
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -26,11 +26,13 @@
 Test(peer_message, pushed_changes_come_back_as_they_were)
 {
     const pvt::feed_message sent{
+        7,
         {"heredia-1.7", 12},
         {{{"hosts/a", {3}, "{}"}, false}, {{"hosts/b", {4}, ""}, true}}};
     const auto got = pvt::decode(pvt::encode(sent));
     cr_assert(got.has_value());
     const auto& m = std::get<pvt::feed_message>(*got);
+    cr_assert_eq(m.term_, 7);
     cr_assert(m.position_ == sent.position_);
     cr_assert(m.changes_ == sent.changes_);
 }
