--- a/src/include/monsoondock/settings/entry_config.hpp
+++ b/src/include/monsoondock/settings/entry_config.hpp
@@ -18,8 +18,8 @@
     /// Retries allowed for each request within the window.
     double ratio_ = 0;
     /// Additional retries allowed within the window, over all daemons
-    /// together.
-    std::uint64_t slack_ = 0;
+    /// together. May be a fraction.
+    double slack_ = 0;
     /// Length of the sliding window in which requests and retries are counted.
     std::chrono::milliseconds window_{0};
 };
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -26,7 +26,7 @@
     result.retry_limit_ = {
         config.retries_.window_,
         config.retries_.ratio_,
-        double(config.retries_.slack_),
+        config.retries_.slack_,
         // After a restart, retries of the previous run count against the slack
         // for another window.
         config.first_start_
--- a/src/libsettings/convert.cpp
+++ b/src/libsettings/convert.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <string_view>
 
 namespace monsoondock::settings::pvt {
@@ -28,6 +29,20 @@
 }
 
 
+// Programs that generate a settings file may write 5 as 5.0.
+std::optional<std::int64_t> to_integer(const raw_value& raw)
+{
+    if (const auto* whole = std::get_if<std::int64_t>(&raw))
+        return *whole;
+    constexpr double exact_limit = 9007199254740992.0;
+    const auto* real = std::get_if<double>(&raw);
+    if (real == nullptr || std::trunc(*real) != *real ||
+        std::abs(*real) > exact_limit)
+        return std::nullopt;
+    return static_cast<std::int64_t>(*real);
+}
+
+
 bool is_hash(const std::string& text)
 {
     if (text.size() != SHA256_HEX_CHARS)
@@ -73,8 +88,8 @@
 conversion<std::uint64_t>
 convert(const raw_value& raw, const rule<std::uint64_t>& r)
 {
-    const auto* number = std::get_if<std::int64_t>(&raw);
-    if (number == nullptr)
+    const auto number = to_integer(raw);
+    if (!number)
         return wrong_type(raw, r);
     const auto count = static_cast<std::uint64_t>(*number);
     if (*number < 0 || count < r.min_ || count > r.max_)
@@ -107,7 +122,7 @@
     const auto length = parse_duration(*text);
     if (!length)
         return refusal{
-            to_toml_text(raw) + " is not a whole number with a unit of time",
+            to_toml_text(raw) + " is not a number with a unit of time",
             allowed(r)};
     if (*length < r.min_ || *length > r.max_)
         return out_of_range(raw, r);
--- a/src/libsettings/duration_text.cpp
+++ b/src/libsettings/duration_text.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 
 namespace monsoondock::settings {
@@ -21,21 +22,26 @@
      {"s", 1'000},
      {"ms", 1}}};
 
-constexpr std::int64_t MAX_COUNT = 1'000'000'000;
+constexpr double MAX_COUNT = 1e9;
 
 } // namespace
 
 std::optional<std::chrono::milliseconds> parse_duration(std::string_view text)
 {
-    std::uint32_t count = 0;
+    // from_chars would also accept a sign and names such as "inf".
+    if (text.empty() || text[0] < '0' || text[0] > '9')
+        return std::nullopt;
+    double count = 0;
     const char* end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, count);
+    const auto [stop, error] =
+        std::from_chars(text.data(), end, count, std::chars_format::fixed);
     if (error != std::errc{} || count > MAX_COUNT)
         return std::nullopt;
     const std::string_view name(stop, static_cast<std::size_t>(end - stop));
     for (const unit& u : UNITS) {
         if (u.name_ == name)
-            return std::chrono::milliseconds(count * u.milliseconds_);
+            return std::chrono::milliseconds(
+                std::llround(count * static_cast<double>(u.milliseconds_)));
     }
     return std::nullopt;
 }
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -34,8 +34,7 @@
 {
     retry_settings retries;
     retries.ratio_ = pvt::read_optional<double>(r, "ratio", 0.1, {0.0, 1.0});
-    retries.slack_ =
-        pvt::read_optional<std::uint64_t>(r, "slack", 20, {0, 100'000});
+    retries.slack_ = pvt::read_optional<double>(r, "slack", 20, {0, 100'000});
     retries.window_ =
         pvt::read_optional<milliseconds>(r, "window", 10s, {1s, 10min});
     return retries;
