--- a/src/include/monsoondock/membership/member_record.hpp
+++ b/src/include/monsoondock/membership/member_record.hpp
@@ -6,6 +6,8 @@
 #include <monsoondock/membership/member_state.hpp>
 #include <monsoondock/membership/member_status.hpp>
 
+#include <cstdint>
+
 namespace monsoondock::membership {
 
 /// Everything that the nodes exchange about one daemon. Each of the three names
@@ -19,6 +21,9 @@
     endpoint peer_;
     /// Where callers connect.
     endpoint caller_;
+    /// Processor capacity in thousandths of a core. Daemons with more of it are
+    /// preferred for tasks that one daemon does for others.
+    std::uint16_t capacity_permille_ = 0;
     incarnation incarnation_;
     member_state state_ = member_state::alive;
     member_status status_;
--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -3,7 +3,6 @@
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -28,13 +27,6 @@
     std::map<std::pair<base::deployment_id, std::string>, model_demand>;
 
 
-/// Returns the interval at which a daemon reports its requests in progress to
-/// its peers. With few daemons this is about a sixth of the duration of a
-/// stream. With more it grows with the square root of their number, so that the
-/// traffic that a daemon sends also grows only with the square root.
-std::chrono::milliseconds load_report_period(unsigned daemons);
-
-
 /// Requests in progress and recent demand of the traffic thread.
 struct traffic_stats
 {
@@ -79,8 +71,8 @@
     std::function<void(const base::host_id&)> on_no_progress_;
     /// Called with reports that peers should also record.
     std::function<void(const crash_report&)> on_crash_;
-    /// Called when a peer reports or queries an upstream that responds to this
-    /// daemon.
+    /// Called when a peer reports an upstream as unhealthy that responds to
+    /// this daemon.
     std::function<void(const base::host_id&)> on_responsive_;
 };
 
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -56,7 +56,8 @@
     void publish(view_pointer view);
 
 
-    /// Replaces the numbers of requests that a peer has in progress, by host.
+    /// Replaces the numbers of requests that a peer has in progress, by host. A
+    /// sum over several peers may be given under a name of its own.
     void set_peer_loads(
         base::daemon_id peer,
         std::unordered_map<base::host_id, unsigned> loads);
@@ -81,9 +82,10 @@
     void take_traffic_stats(std::function<void(traffic_stats)> done);
 
 
-    /// Handles a peer's query: calls on_responsive_ if the upstream has
-    /// responded to this daemon recently.
-    void report_if_responsive(base::host_id host);
+    /// Calls responsive, on the traffic thread, if the upstream has responded
+    /// to this daemon recently.
+    void
+    report_if_responsive(base::host_id host, std::function<void()> responsive);
 
 
     /// Returns the number of requests in progress.
--- a/src/include/monsoondock/relay/serving_view.hpp
+++ b/src/include/monsoondock/relay/serving_view.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/catalog/catalog.hpp>
 #include <monsoondock/relay/upstream.hpp>
 
+#include <chrono>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +19,9 @@
     std::unordered_map<base::deployment_id, std::vector<upstream>> upstreams_;
     /// Number of daemons that serve callers, including this one.
     unsigned daemons_ = 1;
+    /// Age that the known loads of upstreams have at most, as long as no report
+    /// of them is lost.
+    std::chrono::milliseconds load_report_age_{0};
     /// True while this daemon shuts down; connections are then closed after the
     /// current response.
     bool stopping_ = false;
--- a/src/include/monsoondock/settings/entry_config.hpp
+++ b/src/include/monsoondock/settings/entry_config.hpp
@@ -48,6 +48,9 @@
     /// used, with the port of peer_address.
     std::vector<socket_address> seed_hosts_;
     socket_address platform_address_;
+    /// Processor capacity of this daemon, in cores. Daemons with more of it are
+    /// preferred as leader and as relays.
+    double processor_cores_ = 0;
     /// True only for the very first start of the whole system.
     bool first_start_ = false;
     /// Maximum number of open caller connections.
--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -1,5 +1,6 @@
 #include "control_plane.hpp"
 #include "http_call.hpp"
+#include "peer_topology.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -21,6 +22,10 @@
 // A working watch of the store delivers changes within this time, so a peer is
 // rarely asked for a configuration that the store still provides.
 constexpr std::chrono::milliseconds peer_sync_period{200};
+// Daemons of each data centre that watch the configuration in the store. The
+// others cost the store no call when it changes.
+constexpr std::size_t watchers_per_data_centre = 3;
+constexpr std::chrono::milliseconds role_poll_period{200};
 
 
 void apply_object(control_plane& c, const platform::object& o)
@@ -43,9 +48,19 @@
 }
 
 
+bool watches_catalog(const control_plane& c)
+{
+    if (c.leader_.leading_)
+        return true;
+    return has_settled(c) &&
+           data_centre_rank(c.node_.members(), c.node_.self()) <
+               watchers_per_data_centre;
+}
+
+
 asio::awaitable<void> watch_catalog(control_plane& c, platform::version from)
 {
-    for (;;) {
+    while (watches_catalog(c)) {
         const auto batch = co_await c.store_.watch(
             c.adapter_.catalog_prefix_, from, catalog_watch_timeout);
         record_store_result(c, base::ok(batch));
@@ -66,21 +81,32 @@
 }
 
 
-// Returns the peer with the newest configuration if that is newer than the one
-// in force here.
-std::optional<membership::endpoint> find_newer_peer(const control_plane& c)
+// Returns a peer with the newest configuration if that is newer than the one
+// in force here. Chooses at random, in this data centre if possible, so that a
+// new configuration spreads without overloading the first daemon that has it.
+std::optional<membership::endpoint> find_newer_peer(control_plane& c)
 {
     std::uint64_t newest = active_version(c);
-    std::optional<membership::endpoint> peer;
+    std::vector<membership::endpoint> local;
+    std::vector<membership::endpoint> remote;
     for (const auto& [id, member] : c.node_.members()) {
         const membership::member_record& r = member.record_;
-        if (r.state_ == membership::member_state::dead ||
-            r.status_.settings_revision_ <= newest)
+        const std::uint64_t version = r.status_.settings_revision_;
+        if (r.state_ == membership::member_state::dead || version < newest ||
+            version == active_version(c))
             continue;
-        newest = r.status_.settings_revision_;
-        peer = r.peer_;
+        if (version > newest) {
+            local.clear();
+            remote.clear();
+        }
+        newest = version;
+        (r.data_centre_ == c.config_.data_centre_ ? local : remote)
+            .push_back(r.peer_);
     }
-    return peer;
+    const auto& peers = local.empty() ? remote : local;
+    if (peers.empty())
+        return std::nullopt;
+    return peers[c.random_() % peers.size()];
 }
 
 } // namespace
@@ -116,6 +142,10 @@
 {
     unsigned failures = 0;
     for (;;) {
+        if (c.catalog_.catalog_ != nullptr && !watches_catalog(c)) {
+            co_await sleep_for(c, role_poll_period);
+            continue;
+        }
         const auto from = co_await list_catalog(c);
         failures = from ? 0 : failures + 1;
         if (from)
--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -4,6 +4,9 @@
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/fleet/replica_group.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 namespace monsoondock::entry::pvt {
 
 namespace asio = boost::asio;
@@ -14,6 +17,11 @@
 
 // Limit on the store's response to all calls except watches.
 constexpr std::chrono::milliseconds store_call_timeout{1000};
+// Membership spreads a new daemon to all others within this time.
+constexpr std::chrono::milliseconds settle_time{1000};
+// Building a view takes time in proportion to the number of hosts, whose
+// entries change many times a second in a large cluster.
+constexpr std::chrono::milliseconds min_view_period{60};
 
 
 // Returns the incarnation number for membership: it has to increase with each
@@ -41,6 +49,9 @@
     r.region_ = config.region_;
     r.peer_ = to_membership_endpoint(config.peer_address_);
     r.caller_ = to_membership_endpoint(config.caller_address_);
+    constexpr double permille = 1000;
+    r.capacity_permille_ =
+        static_cast<std::uint16_t>(config.processor_cores_ * permille);
     r.incarnation_ = {make_incarnation()};
     r.status_.entry_mode_ = membership::entry_mode::draining;
     return r;
@@ -201,6 +212,12 @@
 {}
 
 
+bool has_settled(const control_plane& c)
+{
+    return base::boot_clock::now() - c.started_at_ >= settle_time;
+}
+
+
 unsigned live_daemons(const control_plane& c)
 {
     unsigned count = 1;
@@ -210,11 +227,15 @@
 }
 
 
-void publish_view(control_plane& c)
+namespace {
+
+void publish_view_now(control_plane& c)
 {
+    c.view_published_at_ = base::boot_clock::now();
     auto view = std::make_shared<relay::serving_view>();
     view->catalog_ = c.catalog_.catalog_;
     view->daemons_ = live_daemons(c);
+    view->load_report_age_ = load_report_age(c);
     view->stopping_ = c.stopping_;
     if (view->catalog_ != nullptr) {
         for (const auto& [id, d] : view->catalog_->deployments_)
@@ -225,6 +246,34 @@
 }
 
 
+asio::awaitable<void>
+publish_view_later(control_plane& c, std::chrono::milliseconds delay)
+{
+    co_await sleep_for(c, delay);
+    c.view_scheduled_ = false;
+    publish_view_now(c);
+}
+
+} // namespace
+
+void publish_view(control_plane& c)
+{
+    if (c.view_scheduled_)
+        return;
+    const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        base::boot_clock::now() - c.view_published_at_);
+    if (passed >= min_view_period) {
+        publish_view_now(c);
+        return;
+    }
+    c.view_scheduled_ = true;
+    asio::co_spawn(
+        c.context_,
+        publish_view_later(c, min_view_period - passed),
+        asio::detached);
+}
+
+
 bool is_ready(const control_plane& c)
 {
     return !c.stopping_ && c.catalog_.catalog_ != nullptr && c.hosts_.loaded_;
@@ -244,8 +293,8 @@
 
 void record_store_result(control_plane& c, bool answered)
 {
-    if (answered)
-        c.store_answered_at_ = base::boot_clock::now();
+    (answered ? c.store_answered_at_ : c.store_failed_at_) =
+        base::boot_clock::now();
     if (answered == !c.store_failed_)
         return;
     c.store_failed_ = !answered;
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -36,6 +36,18 @@
 };
 
 
+/// Daemon whose log of host changes this daemon follows: the leader, or a relay
+/// of the leader in the data centre of this daemon.
+struct host_source
+{
+    membership::endpoint address_;
+    /// Latest known end of its log.
+    host_log_position position_;
+    /// Arrival of its latest heartbeat.
+    base::time_point heard_at_;
+};
+
+
 /// Upstream hosts as registered in the platform's store.
 struct host_state
 {
@@ -49,18 +61,24 @@
     /// Hosts whose entries disappeared shortly after a store outage, with the
     /// time at which they are removed unless their entries reappear.
     std::map<base::host_id, base::time_point> pending_removals_;
+    /// When this daemon last read entries from the store.
+    base::time_point read_at_;
     /// Until this time a removed entry may merely have expired during a store
     /// outage, so its host is kept as a pending removal.
     base::time_point removal_grace_until_;
     /// Changes in the order in which this daemon applied them; served to peers
     /// that follow this daemon.
     host_change_log change_log_;
-    /// Position in the peer's change log up to which changes have been applied.
+    /// Position in a peer's change log up to which changes have been applied.
     host_log_position applied_position_;
     /// Sequence number of the latest change that was announced to peers.
     std::uint64_t announced_sequence_ = 0;
-    /// Latest known end of the leader's change log.
-    host_log_position leader_position_;
+    host_source source_;
+    /// When this daemon last had all changes of its source.
+    base::time_point caught_up_at_;
+    /// When this daemon last tried to synchronize with a random peer because it
+    /// had no source.
+    base::time_point peer_polled_at_;
 };
 
 
@@ -87,6 +105,9 @@
     /// its heartbeat.
     base::time_point leader_store_contact_at_;
     base::daemon_id leader_;
+    /// Until this time this daemon relays the leader's heartbeats and host
+    /// changes in its data centre.
+    base::time_point relaying_until_;
     /// True when the leader has announced that it is stopping.
     bool resigned_ = false;
 };
@@ -99,8 +120,6 @@
     /// The host is treated as unreachable until this time.
     base::time_point unreachable_until_;
     base::time_point last_checked_at_;
-    /// When the host last responded to this daemon or to a peer.
-    base::time_point last_answered_at_;
 };
 
 
@@ -117,6 +136,21 @@
 };
 
 
+/// Requests in progress at upstreams, as exchanged between daemons.
+struct load_state
+{
+    /// Those that this daemon last reported.
+    load_table reported_;
+    base::time_point reported_at_;
+    /// Reports that this daemon sums up while it is the relay of its data
+    /// centre.
+    load_exchange exchange_;
+    /// True while daemons report to each other, false while they report to
+    /// relays.
+    bool direct_ = true;
+};
+
+
 /// State of the control plane: configuration, upstream hosts, membership,
 /// leadership and placement. Owned by the control thread; no other thread may
 /// access it.
@@ -145,6 +179,7 @@
     std::map<base::deployment_id, placement::planner> planners_;
     std::map<base::host_id, host_reachability> reachability_;
     demand_rates demand_;
+    load_state loads_;
     base::time_point started_at_;
     /// Random number that identifies this run of the daemon, so that positions
     /// in its change log differ from those of an earlier run.
@@ -153,7 +188,13 @@
     base::time_point store_answered_at_;
     /// True when the latest call to the store failed.
     bool store_failed_ = false;
+    /// When a call to the store last failed.
+    base::time_point store_failed_at_;
     bool stopping_ = false;
+    /// When the view of the traffic thread was last replaced, and whether a
+    /// replacement is scheduled.
+    base::time_point view_published_at_;
+    bool view_scheduled_ = false;
     /// Period of the placement loop; cancelled to start the next step early.
     boost::asio::steady_timer placement_timer_;
     /// Period of the host synchronization; cancelled to start the next one
@@ -172,12 +213,18 @@
 needed_hosts(const control_plane& c, const catalog::deployment& d);
 
 
+/// Returns true once this daemon has run long enough to know its peers, and
+/// which of them have the tasks that few daemons carry out for all.
+bool has_settled(const control_plane& c);
+
+
 /// Returns the number of daemons that are alive, this one included.
 unsigned live_daemons(const control_plane& c);
 
 
 /// Publishes a snapshot of the configuration and the usable upstreams to the
-/// traffic thread.
+/// traffic thread, at once or, shortly after the previous snapshot, together
+/// with the changes that follow within a short period.
 void publish_view(control_plane& c);
 
 
@@ -210,7 +257,9 @@
     control_plane& c, const std::string& text, std::string_view source);
 
 
-/// Lists and watches the configuration in the store. Never returns.
+/// Lists the configuration in the store, and watches it there while this daemon
+/// is one of the watchers of its data centre; the other daemons receive changes
+/// from peers. Never returns.
 boost::asio::awaitable<void> run_catalog_watch(control_plane& c);
 
 
@@ -219,30 +268,42 @@
 boost::asio::awaitable<void> run_catalog_peer_sync(control_plane& c);
 
 
-/// Lists and watches the entries of upstream hosts in the store while this
-/// daemon does not follow the leader. Never returns.
+/// Lists and watches the entries of upstream hosts in the store while
+/// watches_hosts returns true. Never returns.
 boost::asio::awaitable<void> run_host_watch(control_plane& c);
 
 
-/// Returns true while this daemon takes host entries from the leader instead
-/// of watching the store: a leader that recently reached the store is known,
-/// and hosts have been loaded once.
+/// Returns true while this daemon takes host entries from the store: it leads,
+/// has none yet, or is one of the few that watch while there is no leader.
+bool watches_hosts(const control_plane& c);
+
+
+/// Returns true while this daemon takes host entries from the leader or a
+/// relay of it: a leader that recently reached the store is known, and hosts
+/// have been loaded once.
 bool follows_leader(const control_plane& c);
 
 
-/// Synchronizes host entries from the leader while this daemon follows it, or
-/// from any live peer while the store does not respond. Never returns.
+/// Synchronizes host entries from the leader or its relay while this daemon
+/// follows it, and otherwise now and then from any live peer. Never returns.
 boost::asio::awaitable<void> run_host_peer_sync(control_plane& c);
 
 
-/// Records the end of the leader's change log and starts a synchronization if
-/// this daemon is behind it.
-void update_leader_position(control_plane& c, const host_log_position& p);
+/// Records a heartbeat of a daemon whose change log this daemon may follow, and
+/// the end of that log. Starts a synchronization if this daemon follows the
+/// sender and is behind.
+void update_host_source(
+    control_plane& c,
+    const membership::endpoint& sender,
+    const host_log_position& position);
 
 
-/// Applies changes that the leader pushed, unless earlier ones are missing;
-/// starts a synchronization in that case.
-void apply_pushed_changes(control_plane& c, const host_changes_message& m);
+/// Applies changes that the followed daemon pushed, unless earlier ones are
+/// missing; starts a synchronization in that case.
+void apply_pushed_changes(
+    control_plane& c,
+    const host_changes_message& m,
+    const membership::endpoint& sender);
 
 
 /// Returns the end of this daemon's own change log.
@@ -284,12 +345,52 @@
 void apply_node_output(control_plane& c, const membership::node_output& out);
 
 
-/// Sends a message to all peers that are not known to be dead.
+/// Sends a datagram to a peer. Failures are ignored, as datagrams may be lost
+/// anyway.
+void send_bytes(
+    control_plane& c, const membership::endpoint& to, const std::string& bytes);
+
+
+/// Sends a message to one peer.
+void send_to_peer(
+    control_plane& c, const membership::endpoint& to, const peer_message& m);
+
+
+/// Sends a message to all peers that are not known to be dead, through relays
+/// in a large cluster.
 void broadcast(control_plane& c, const peer_message& m);
 
 
-/// Periodically reports requests in progress and demand to all peers. Never
-/// returns.
+/// Sends a message to the peers of this data centre; in a small cluster to all
+/// peers.
+void send_nearby(control_plane& c, const peer_message& m);
+
+
+/// Sends a heartbeat of this daemon as leader to all peers.
+void broadcast_heartbeat(control_plane& c, leader_heartbeat m);
+
+
+/// Sends host changes to the daemons that follow this one as leader or relay.
+void send_to_followers(control_plane& c, const host_changes_message& m);
+
+
+/// Returns true while this daemon relays the leader's host changes.
+bool is_relaying(const control_plane& c);
+
+
+/// Returns the age that known loads of upstreams have at most, as long as no
+/// report is lost.
+std::chrono::milliseconds load_report_age(const control_plane& c);
+
+
+/// Records requests in progress that a peer reported.
+void handle_loads(control_plane& c, const load_message& m);
+void handle_loads(control_plane& c, const data_centre_load_message& m);
+void handle_loads(control_plane& c, const load_sum_message& m);
+
+
+/// Periodically reports requests in progress and demand to the daemons that use
+/// them. Never returns.
 boost::asio::awaitable<void> run_load_reports(control_plane& c);
 
 
@@ -318,11 +419,6 @@
 void mark_host_unreachable(control_plane& c, const base::host_id& host);
 
 
-/// Attempts to connect to a host that the leader can't reach, and informs all
-/// peers of a success.
-void probe_for_leader(control_plane& c, const probe_request_message& request);
-
-
 /// If this daemon leads, probes all hosts of the group whose head is
 /// suspected to have failed.
 void check_group(control_plane& c, const upstream_suspected_message& suspicion);
--- a/src/libentry/group_checks.cpp
+++ b/src/libentry/group_checks.cpp
@@ -53,22 +53,6 @@
 }
 
 
-std::string format_address(const asio::ip::tcp::endpoint& address)
-{
-    return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
-
-asio::awaitable<void>
-run_probe(control_plane& c, base::host_id host, asio::ip::tcp::endpoint address)
-{
-    const bool reached =
-        co_await can_connect(c.context_, address, probe_timeout);
-    if (reached)
-        broadcast(c, probe_success_message{host});
-}
-
-
 /// Progress of the probes of one group's hosts.
 struct group_check
 {
@@ -107,7 +91,6 @@
     } else {
         mark_host_unreachable(c, id);
         broadcast(c, host_unreachable_message{id});
-        broadcast(c, probe_request_message{id, format_address(address)});
         check->any_unreachable_ = true;
         base::event_line("host_unreachable", base::severity::warning)
             .field("host", id)
@@ -120,20 +103,6 @@
 
 } // namespace
 
-void probe_for_leader(control_plane& c, const probe_request_message& request)
-{
-    const auto address = settings::parse_socket_address(request.address_);
-    if (address)
-        asio::co_spawn(
-            c.context_,
-            run_probe(
-                c,
-                request.host_,
-                {asio::ip::make_address(address->ip_), address->port_}),
-            asio::detached);
-}
-
-
 void mark_host_unreachable(control_plane& c, const base::host_id& host)
 {
     auto& reachability = c.reachability_[host];
--- a/src/libentry/host_change_log.hpp
+++ b/src/libentry/host_change_log.hpp
@@ -22,6 +22,17 @@
 };
 
 
+/// Returns true when a daemon that has applied changes up to one position of a
+/// peer's log lacks some up to another. A position of another run of the peer
+/// tells nothing about the changes applied.
+inline bool
+lacks_changes(const host_log_position& applied, const host_log_position& up_to)
+{
+    return applied.source_ != up_to.source_ ||
+           applied.sequence_ < up_to.sequence_;
+}
+
+
 /// Bounded log of host entry changes in the order in which a daemon applied
 /// them, for peers that follow the daemon instead of watching the store.
 class host_change_log
--- a/src/libentry/host_change_log_test.cpp
+++ b/src/libentry/host_change_log_test.cpp
@@ -34,3 +34,14 @@
     cr_assert(log.after(1).has_value());
     cr_assert_not(log.after(log.sequence() + 1).has_value());
 }
+
+
+Test(host_change_log, an_older_position_of_the_same_log_lacks_nothing)
+{
+    using pvt::lacks_changes;
+    cr_assert_not(lacks_changes({"a.1", 7}, {"a.1", 7}));
+    cr_assert_not(lacks_changes({"a.1", 7}, {"a.1", 5}));
+    cr_assert(lacks_changes({"a.1", 7}, {"a.1", 8}));
+    cr_assert(lacks_changes({"a.1", 7}, {"a.2", 1}));
+    cr_assert(lacks_changes({}, {"a.1", 0}));
+}
--- a/src/libentry/host_peer_sync.cpp
+++ b/src/libentry/host_peer_sync.cpp
@@ -23,24 +23,27 @@
 constexpr std::chrono::milliseconds sync_batch_pause{20};
 constexpr base::retry_bounds peer_retry{50ms, 800ms};
 constexpr unsigned failures_before_relist = 3;
+// A daemon without a source waits this long for one before it asks a random
+// peer, and between two such requests.
+constexpr std::chrono::milliseconds max_silence{2000};
+constexpr std::chrono::milliseconds poll_period{2000};
 
 
-std::optional<membership::endpoint> leader_address(const control_plane& c)
+// Returns true when this daemon has neither a leader to follow nor the task to
+// watch the store, for so long that it asks a peer.
+bool lacks_source(const control_plane& c)
 {
-    const auto found = c.node_.members().find(c.leader_.leader_);
-    if (found == c.node_.members().end())
-        return std::nullopt;
-    return found->second.record_.peer_;
+    return !follows_leader(c) && !watches_hosts(c) &&
+           base::boot_clock::now() - c.hosts_.source_.heard_at_ > max_silence;
 }
 
 
-// Returns the leader while this daemon follows it, or a random live peer while
-// the store does not respond.
+// Returns the followed daemon, or a random live peer while there is none.
 std::optional<membership::endpoint> choose_peer(control_plane& c)
 {
     if (follows_leader(c))
-        return leader_address(c);
-    if (!c.store_failed_)
+        return c.hosts_.source_.address_;
+    if (!lacks_source(c) && !c.store_failed_)
         return std::nullopt;
     std::vector<membership::endpoint> live;
     for (const auto& [id, member] : c.node_.members()) {
@@ -55,9 +58,18 @@
 
 bool is_behind(const control_plane& c)
 {
-    if (!follows_leader(c))
-        return c.store_failed_;
-    return !(c.hosts_.applied_position_ == c.hosts_.leader_position_);
+    if (follows_leader(c))
+        return lacks_changes(
+            c.hosts_.applied_position_, c.hosts_.source_.position_);
+    const auto since_poll = base::boot_clock::now() - c.hosts_.peer_polled_at_;
+    return (c.store_failed_ || lacks_source(c)) && since_poll > poll_period;
+}
+
+
+void record_catching_up(control_plane& c)
+{
+    if (follows_leader(c) && !is_behind(c))
+        c.hosts_.caught_up_at_ = base::boot_clock::now();
 }
 
 
@@ -73,9 +85,11 @@
         hosts_path + to_query(request),
         host_sync_timeout);
     const auto response = text ? parse_sync_response(*text) : std::nullopt;
-    if (response && (follows_leader(c) || c.store_failed_)) {
+    c.hosts_.peer_polled_at_ = base::boot_clock::now();
+    if (response && !c.leader_.leading_) {
         apply_sync_response(c, *response);
         c.hosts_.applied_position_ = response->position_;
+        record_catching_up(c);
         co_return true;
     }
     base::event_line("peer_hosts_fetch_failed", base::severity::warning)
@@ -115,23 +129,34 @@
     const leader_state& l = c.leader_;
     const base::time_point now = base::boot_clock::now();
     return !l.leading_ && !l.resigned_ && c.hosts_.loaded_ &&
-           now - l.last_heartbeat_at_ < max_heartbeat_age &&
+           now - c.hosts_.source_.heard_at_ < max_heartbeat_age &&
            now - l.leader_store_contact_at_ < max_store_contact_age;
 }
 
 
-void update_leader_position(control_plane& c, const host_log_position& p)
+void update_host_source(
+    control_plane& c,
+    const membership::endpoint& sender,
+    const host_log_position& position)
 {
-    c.hosts_.leader_position_ = p;
+    host_source& source = c.hosts_.source_;
+    const base::time_point now = base::boot_clock::now();
+    if (source.address_ != sender && now - source.heard_at_ < max_heartbeat_age)
+        return;
+    source = {sender, position, now};
+    record_catching_up(c);
     if (is_behind(c))
         c.peer_sync_timer_.cancel();
 }
 
 
-void apply_pushed_changes(control_plane& c, const host_changes_message& m)
+void apply_pushed_changes(
+    control_plane& c,
+    const host_changes_message& m,
+    const membership::endpoint& sender)
 {
     // The position of a previous leader is not one to catch up with.
-    if (m.term_ < c.leader_.term_)
+    if (m.term_ < c.leader_.term_ || sender != c.hosts_.source_.address_)
         return;
     const auto response =
         response_from_push(c.hosts_.applied_position_, m.position_, m.changes_);
@@ -139,7 +164,10 @@
         apply_sync_response(c, *response);
         c.hosts_.applied_position_ = response->position_;
     }
-    update_leader_position(c, m.position_);
+    c.hosts_.source_.position_ = m.position_;
+    record_catching_up(c);
+    if (is_behind(c))
+        c.peer_sync_timer_.cancel();
 }
 
 
--- a/src/libentry/host_watch.cpp
+++ b/src/libentry/host_watch.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "peer_topology.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/retry_delay.hpp>
@@ -15,6 +16,9 @@
 
 constexpr std::chrono::milliseconds host_watch_timeout{20000};
 constexpr std::chrono::milliseconds follower_poll_period{150};
+// Daemons that watch the hosts while there is no leader to follow. They are the
+// first to take over leadership.
+constexpr std::size_t watchers_without_leader = 2;
 constexpr base::retry_bounds store_retry{150ms, 600ms};
 // Pause before the next watch call, so that a burst of changes costs one call.
 // The longer pause of a daemon that does not lead only delays its knowledge of
@@ -25,16 +29,23 @@
 constexpr std::chrono::milliseconds reappearance_grace{2500};
 // Entries do not expire in an outage shorter than this.
 constexpr std::chrono::milliseconds min_outage{1000};
-// Limit on the changes in the datagram that announces them, so that it fits an
-// Ethernet frame.
-constexpr std::size_t max_pushed_bytes = 1200;
+// Limit on the changes in one datagram that announces them, so that it fits an
+// Ethernet frame, and on those that are pushed at once.
+constexpr std::size_t max_datagram_payload = 1200;
+constexpr std::size_t max_pushed_bytes = 24000;
+
+
+std::size_t payload_bytes(const platform::change& c)
+{
+    return c.object_.key_.size() + c.object_.value_.size();
+}
 
 
 std::size_t payload_bytes(const std::vector<platform::change>& changes)
 {
     std::size_t sum = 0;
     for (const platform::change& c : changes)
-        sum += c.object_.key_.size() + c.object_.value_.size();
+        sum += payload_bytes(c);
     return sum;
 }
 
@@ -160,32 +171,52 @@
 }
 
 
-// Includes the changes if they fit, which saves the followers a request.
+// Sends the changes that have not been announced yet, in as many datagrams as
+// they need. Followers fetch them if there are too many.
 void announce_changes(control_plane& c)
 {
+    const std::uint64_t from = std::exchange(
+        c.hosts_.announced_sequence_, c.hosts_.change_log_.sequence());
+    const auto changes = c.hosts_.change_log_.after(from);
+    if (!changes || payload_bytes(*changes) > max_pushed_bytes) {
+        send_to_followers(c, {c.leader_.term_, own_position(c), {}});
+        return;
+    }
     host_changes_message m{c.leader_.term_, own_position(c), {}};
-    if (auto changes = c.hosts_.change_log_.after(c.hosts_.announced_sequence_))
-        m.changes_ = std::move(*changes);
-    if (payload_bytes(m.changes_) > max_pushed_bytes)
-        m.changes_.clear();
-    c.hosts_.announced_sequence_ = m.position_.sequence_;
-    broadcast(c, m);
+    m.position_.sequence_ = from;
+    std::size_t bytes = 0;
+    for (const platform::change& change : *changes) {
+        const std::size_t size = payload_bytes(change);
+        if (bytes > 0 && bytes + size > max_datagram_payload) {
+            send_to_followers(c, m);
+            m.changes_.clear();
+            bytes = 0;
+        }
+        m.changes_.push_back(change);
+        ++m.position_.sequence_;
+        bytes += size;
+    }
+    if (!m.changes_.empty())
+        send_to_followers(c, m);
 }
 
 
 void publish_host_changes(control_plane& c)
 {
-    if (c.leader_.leading_)
+    if (c.leader_.leading_ || is_relaying(c))
         announce_changes(c);
     publish_view(c);
     c.placement_timer_.cancel();
 }
 
 
+// Starts the grace period if calls of this daemon failed since it last knew the
+// hosts, from the store or from the leader.
 void begin_reappearance_grace(control_plane& c, base::time_point last_contact)
 {
     const base::time_point now = base::boot_clock::now();
-    if (c.hosts_.loaded_ && now - last_contact > min_outage)
+    if (c.hosts_.loaded_ && c.store_failed_at_ > last_contact &&
+        now - last_contact > min_outage)
         c.hosts_.removal_grace_until_ = now + reappearance_grace;
 }
 
@@ -193,14 +224,13 @@
 // Applies all host entries. Returns the version to watch from.
 asio::awaitable<std::optional<platform::version>> list_hosts(control_plane& c)
 {
-    const base::time_point last_contact = c.store_answered_at_;
-    const bool failed_before = c.store_failed_;
     const auto listed = co_await c.store_.list(c.adapter_.hosts_prefix_);
     record_store_result(c, base::ok(listed));
     if (!base::ok(listed))
         co_return std::nullopt;
-    if (failed_before)
-        begin_reappearance_grace(c, last_contact);
+    begin_reappearance_grace(
+        c, std::max(c.hosts_.read_at_, c.leader_.leader_store_contact_at_));
+    c.hosts_.read_at_ = base::boot_clock::now();
     apply_host_listing(c, base::value(listed));
     co_return base::value(listed).version_;
 }
@@ -220,12 +250,13 @@
             else
                 apply_entry(c, change.object_);
         }
+        c.hosts_.read_at_ = base::boot_clock::now();
         from = base::value(batch).next_;
         c.hosts_.seen_version_ = std::max(c.hosts_.seen_version_, from);
         if (!base::value(batch).changes_.empty())
             publish_host_changes(c);
         expire_pending_removals(c);
-        if (follows_leader(c))
+        if (!watches_hosts(c))
             co_return;
         co_await sleep_for(
             c, c.leader_.leading_ ? leader_batch_pause : batch_pause);
@@ -304,18 +335,28 @@
 }
 
 
+bool watches_hosts(const control_plane& c)
+{
+    if (c.leader_.leading_ || !c.hosts_.loaded_)
+        return true;
+    return has_settled(c) && !follows_leader(c) &&
+           precedence_rank(c.node_.members(), c.node_.self()) <
+               watchers_without_leader;
+}
+
+
 asio::awaitable<void> run_host_watch(control_plane& c)
 {
     unsigned failures = 0;
     for (;;) {
-        if (follows_leader(c)) {
+        if (!watches_hosts(c)) {
             expire_pending_removals(c);
             co_await sleep_for(c, follower_poll_period);
             continue;
         }
         const auto from = co_await list_hosts(c);
         failures = from ? 0 : failures + 1;
-        if (from)
+        if (from && watches_hosts(c))
             co_await watch_hosts(c, *from);
         expire_pending_removals(c);
         co_await sleep_for(
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "peer_topology.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 
@@ -19,8 +20,8 @@
 constexpr std::chrono::milliseconds leadership_poll_period{100};
 constexpr std::chrono::milliseconds heartbeat_period{250};
 // A leader without heartbeats for this time is considered failed. Each daemon
-// waits rank_delay longer than its predecessor in the order of names, so that
-// they don't all try to become leader at once.
+// waits rank_delay longer than its predecessor by precedence, so that they
+// don't all try to become leader at once.
 constexpr std::chrono::milliseconds heartbeat_timeout{1000};
 constexpr std::chrono::milliseconds rank_delay{250};
 // On the first start of the system there is no leader to wait for, so all
@@ -77,16 +78,9 @@
 }
 
 
-// Returns the number of live peers that come before this daemon by name.
 std::size_t election_rank(const control_plane& c)
 {
-    std::size_t live_predecessors = 0;
-    for (const auto& [id, member] : c.node_.members()) {
-        if (member.record_.state_ == membership::member_state::alive &&
-            id < c.config_.daemon_)
-            ++live_predecessors;
-    }
-    return live_predecessors;
+    return precedence_rank(c.node_.members(), c.node_.self());
 }
 
 
@@ -155,7 +149,7 @@
         .field("daemon", c.config_.daemon_)
         .field("term", r.term_)
         .field("epochs_from", l.next_epoch_);
-    broadcast(c, make_heartbeat(c));
+    broadcast_heartbeat(c, make_heartbeat(c));
 }
 
 
@@ -225,7 +219,7 @@
     if (now - c.store_answered_at_ > max_store_outage && c.store_failed_)
         return;
     last_heartbeat = now;
-    broadcast(c, make_heartbeat(c));
+    broadcast_heartbeat(c, make_heartbeat(c));
 }
 
 } // namespace
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -11,6 +11,31 @@
 constexpr std::size_t max_loads = 2000;
 constexpr std::size_t max_changes = 100;
 constexpr std::size_t max_value_bytes = 4096;
+// The largest datagram less the header of the forwarding message.
+constexpr std::size_t max_forwarded_bytes = 65000;
+
+
+void put(wire::body_writer& out, const load_table& loads)
+{
+    wire::write_count(out, loads.size());
+    for (const auto& [host, count] : loads) {
+        wire::write_text(out, host.value_);
+        out(static_cast<std::uint32_t>(count));
+    }
+}
+
+
+void get(wire::body_reader& in, load_table& loads)
+{
+    const std::size_t count = wire::read_count(in, max_loads);
+    for (std::size_t i = 0; i < count; ++i) {
+        base::host_id host;
+        std::uint32_t load = 0;
+        wire::read_text(in, host.value_, max_name_bytes);
+        in(load);
+        loads[host] = load;
+    }
+}
 
 
 void put(wire::body_writer& out, const membership_message& m)
@@ -38,6 +63,7 @@
     wire::write_text(out, m.leader_.value_);
     out(m.term_, static_cast<std::int64_t>(m.store_contact_age_.count()));
     put(out, m.position_);
+    out(m.relay_);
 }
 
 
@@ -57,11 +83,27 @@
 void put(wire::body_writer& out, const load_message& m)
 {
     wire::write_text(out, m.sender_.value_);
-    wire::write_count(out, m.loads_.size());
-    for (const auto& [host, count] : m.loads_) {
-        wire::write_text(out, host.value_);
-        out(static_cast<std::uint32_t>(count));
-    }
+    put(out, m.loads_);
+}
+
+
+void put(wire::body_writer& out, const data_centre_load_message& m)
+{
+    wire::write_text(out, m.data_centre_.value_);
+    put(out, m.loads_);
+}
+
+
+void put(wire::body_writer& out, const load_sum_message& m)
+{
+    put(out, m.own_data_centre_);
+    put(out, m.other_data_centres_);
+}
+
+
+void put(wire::body_writer& out, const forwarded_message& m)
+{
+    wire::write_text(out, m.body_);
 }
 
 
@@ -104,6 +146,7 @@
     in(m.term_, store_contact_age_ms);
     m.store_contact_age_ = std::chrono::milliseconds(store_contact_age_ms);
     get(in, m.position_);
+    in(m.relay_);
 }
 
 
@@ -123,14 +166,27 @@
 void get(wire::body_reader& in, load_message& m)
 {
     wire::read_text(in, m.sender_.value_, max_name_bytes);
-    const std::size_t count = wire::read_count(in, max_loads);
-    for (std::size_t i = 0; i < count; ++i) {
-        base::host_id host;
-        std::uint32_t load = 0;
-        wire::read_text(in, host.value_, max_name_bytes);
-        in(load);
-        m.loads_[host] = load;
-    }
+    get(in, m.loads_);
+}
+
+
+void get(wire::body_reader& in, data_centre_load_message& m)
+{
+    wire::read_text(in, m.data_centre_.value_, max_name_bytes);
+    get(in, m.loads_);
+}
+
+
+void get(wire::body_reader& in, load_sum_message& m)
+{
+    get(in, m.own_data_centre_);
+    get(in, m.other_data_centres_);
+}
+
+
+void get(wire::body_reader& in, forwarded_message& m)
+{
+    wire::read_text(in, m.body_, max_forwarded_bytes);
 }
 
 
@@ -177,32 +233,6 @@
 }
 
 
-void put(wire::body_writer& out, const probe_request_message& m)
-{
-    wire::write_text(out, m.host_.value_);
-    wire::write_text(out, m.address_);
-}
-
-
-void get(wire::body_reader& in, probe_request_message& m)
-{
-    wire::read_text(in, m.host_.value_, max_name_bytes);
-    wire::read_text(in, m.address_, max_name_bytes);
-}
-
-
-void put(wire::body_writer& out, const probe_success_message& m)
-{
-    wire::write_text(out, m.host_.value_);
-}
-
-
-void get(wire::body_reader& in, probe_success_message& m)
-{
-    wire::read_text(in, m.host_.value_, max_name_bytes);
-}
-
-
 void put(wire::body_writer&, const relist_hosts_message&) {}
 
 
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "host_change_log.hpp"
+#include "load_exchange.hpp"
 
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/relay/proxy_callbacks.hpp>
@@ -10,7 +11,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -23,7 +23,8 @@
 };
 
 
-/// The sender leads placement.
+/// The leader of placement is alive. Sent by the leader, and by relays on its
+/// behalf.
 struct leader_heartbeat
 {
     /// Empty when the leader is stopping.
@@ -31,8 +32,11 @@
     std::uint64_t term_ = 0;
     /// Time since the leader last received a response from the store.
     std::chrono::milliseconds store_contact_age_{0};
-    /// End of the leader's log of host changes.
+    /// End of the sender's log of host changes, which the receiver may follow.
     host_log_position position_;
+    /// True when the receiver is to relay heartbeats and host changes in its
+    /// data centre.
+    bool relay_ = false;
 };
 
 
@@ -54,23 +58,7 @@
 };
 
 
-/// The leader can't connect to a host and requests its peers to try.
-struct probe_request_message
-{
-    base::host_id host_;
-    /// "ip:port".
-    std::string address_;
-};
-
-
-/// The sender connected to a host that the leader can't reach.
-struct probe_success_message
-{
-    base::host_id host_;
-};
-
-
-/// The leader has applied host changes.
+/// The leader, or a relay of the leader, has applied host changes.
 struct host_changes_message
 {
     std::uint64_t term_ = 0;
@@ -111,11 +99,40 @@
 };
 
 
-/// The sender's requests in progress, by upstream.
+/// The sender's requests in progress, by upstream. Sent to all peers in a small
+/// cluster, and otherwise to the relay of the sender's data centre.
 struct load_message
 {
     base::daemon_id sender_;
-    std::unordered_map<base::host_id, unsigned> loads_;
+    load_table loads_;
+};
+
+
+/// Requests in progress of all daemons of a data centre; sent by its relay to
+/// the relays of the other data centres.
+struct data_centre_load_message
+{
+    base::data_centre_id data_centre_;
+    load_table loads_;
+};
+
+
+/// Requests in progress of all daemons; sent by a relay to the daemons of its
+/// data centre.
+struct load_sum_message
+{
+    /// Those of the data centre, the receiver's own included.
+    load_table own_data_centre_;
+    load_table other_data_centres_;
+};
+
+
+/// A message that the receiver is to handle and to send on to the other daemons
+/// of its data centre.
+struct forwarded_message
+{
+    /// The encoded message.
+    std::string body_;
 };
 
 
@@ -138,10 +155,11 @@
     upstream_query_message,
     demand_message,
     host_unreachable_message,
-    probe_request_message,
-    probe_success_message,
     relist_hosts_message,
-    host_changes_message>;
+    host_changes_message,
+    data_centre_load_message,
+    load_sum_message,
+    forwarded_message>;
 
 
 /// Returns the datagram for a message.
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "peer_topology.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -17,8 +18,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_period{100};
-constexpr std::chrono::milliseconds demand_report_period{1000};
 constexpr std::size_t max_datagram_bytes = 65507;
+// A relay that has not heard the leader for this time stops relaying; a leader
+// sends several heartbeats within it.
+constexpr std::chrono::milliseconds relay_lease{1000};
+// A relay that lacks changes of the leader for longer than this does not offer
+// itself as a source of them.
+constexpr std::chrono::milliseconds max_relay_lag{1000};
 
 
 template <class... Functions>
@@ -30,21 +36,6 @@
 overloaded(Functions...) -> overloaded<Functions...>;
 
 
-void send_datagram(
-    control_plane& c, const membership::endpoint& to, const std::string& bytes)
-{
-    boost::system::error_code failure;
-    c.peer_socket_.send_to(
-        asio::buffer(bytes),
-        {asio::ip::address_v4(to.address_), to.port_},
-        0,
-        failure);
-    if (!failure)
-        c.metrics_.add(
-            metrics::counter::peer_bytes_sent, {"none", "none"}, bytes.size());
-}
-
-
 void handle_member_event(
     control_plane& c, const membership::member_event& event)
 {
@@ -52,6 +43,8 @@
         base::event_line("member_changed")
             .field("member", changed->record_.id_)
             .field("state", to_string(changed->record_.state_));
+        if (changed->record_.state_ == membership::member_state::dead)
+            c.proxy_->set_peer_loads(changed->record_.id_, {});
         publish_view(c);
     }
     if (const auto* pause = std::get_if<membership::pause_detected>(&event))
@@ -60,7 +53,24 @@
 }
 
 
-void handle_heartbeat(control_plane& c, const leader_heartbeat& m)
+// Passes a heartbeat of the leader on to the daemons of this data centre, which
+// then follow the change log of this daemon.
+void relay_heartbeat(control_plane& c, leader_heartbeat m)
+{
+    const base::time_point now = base::boot_clock::now();
+    if (!c.hosts_.loaded_ || now - c.hosts_.caught_up_at_ > max_relay_lag)
+        return;
+    c.leader_.relaying_until_ = now + relay_lease;
+    m.relay_ = false;
+    m.position_ = own_position(c);
+    send_nearby(c, m);
+}
+
+
+void handle_heartbeat(
+    control_plane& c,
+    const leader_heartbeat& m,
+    const membership::endpoint& sender)
 {
     leader_state& l = c.leader_;
     if (m.term_ < l.term_)
@@ -78,96 +88,95 @@
     l.resigned_ = m.leader_.value_.empty();
     l.last_heartbeat_at_ = base::boot_clock::now();
     l.leader_store_contact_at_ = l.last_heartbeat_at_ - m.store_contact_age_;
-    update_leader_position(c, m.position_);
+    update_host_source(c, sender, m.position_);
+    if (m.relay_)
+        relay_heartbeat(c, m);
 }
 
 
 void handle_message(
     control_plane& c,
     const peer_message& message,
-    const membership::endpoint& from)
+    const membership::endpoint& sender);
+
+
+void handle_forwarded(
+    control_plane& c,
+    const forwarded_message& m,
+    const membership::endpoint& sender)
+{
+    const auto inner = decode(m.body_);
+    // A message is forwarded once.
+    if (!inner || std::holds_alternative<forwarded_message>(*inner))
+        return;
+    for (const membership::endpoint& peer :
+         nearby_peers(c.node_.members(), c.node_.self()))
+        send_bytes(c, peer, m.body_);
+    handle_message(c, *inner, sender);
+}
+
+
+void answer_query(
+    control_plane& c,
+    const base::host_id& host,
+    const membership::endpoint& sender)
+{
+    c.proxy_->report_if_responsive(host, [&c, host, sender] {
+        asio::post(c.context_, [&c, host, sender] {
+            send_to_peer(c, sender, upstream_healthy_message{host});
+        });
+    });
+}
+
+
+void handle_message(
+    control_plane& c,
+    const peer_message& message,
+    const membership::endpoint& sender)
 {
-    const base::time_point now = base::boot_clock::now();
     std::visit(
         overloaded{
             [&](const membership_message& m) {
-                apply_node_output(c, c.node_.handle({from, m.body_}, now));
+                apply_node_output(
+                    c,
+                    c.node_.handle({sender, m.body_}, base::boot_clock::now()));
             },
-            [&](const leader_heartbeat& m) { handle_heartbeat(c, m); },
+            [&](const leader_heartbeat& m) { handle_heartbeat(c, m, sender); },
             [&](const upstream_suspected_message& m) {
                 c.proxy_->mark_unhealthy(m.host_);
                 check_group(c, m);
             },
             [&](const upstream_healthy_message& m) {
-                c.reachability_[m.host_].last_answered_at_ = now;
                 c.proxy_->mark_healthy(m.host_);
             },
-            [&](const load_message& m) {
-                c.proxy_->set_peer_loads(m.sender_, m.loads_);
-            },
+            [&](const load_message& m) { handle_loads(c, m); },
+            [&](const data_centre_load_message& m) { handle_loads(c, m); },
+            [&](const load_sum_message& m) { handle_loads(c, m); },
             [&](const upstream_query_message& m) {
-                c.proxy_->report_if_responsive(m.host_);
-            },
-            [&](const probe_request_message& m) { probe_for_leader(c, m); },
-            [&](const probe_success_message& m) {
-                c.reachability_[m.host_].last_answered_at_ = now;
+                answer_query(c, m.host_, sender);
             },
             [&](const relist_hosts_message&) {
-                // A follower receives the changes from the leader.
-                if (!follows_leader(c))
+                // The other daemons receive the changes from the leader.
+                if (watches_hosts(c))
                     asio::co_spawn(c.context_, relist_hosts(c), asio::detached);
             },
-            [&](const host_changes_message& m) { apply_pushed_changes(c, m); },
+            [&](const host_changes_message& m) {
+                apply_pushed_changes(c, m, sender);
+            },
             [&](const host_unreachable_message& m) {
                 mark_host_unreachable(c, m.host_);
             },
             [&](const demand_message& m) { record_demand(c, m); },
             [&](const crash_message& m) {
                 c.proxy_->add_crash_report(m.report_);
+            },
+            [&](const forwarded_message& m) {
+                handle_forwarded(c, m, sender);
             }},
         message);
 }
 
 
-/// Activity of this daemon that has been reported to peers, and demand that
-/// has not been reported yet.
-struct reported_activity
-{
-    std::unordered_map<base::host_id, unsigned> loads_;
-    relay::demand_table demand_;
-    base::time_point demand_start_;
-};
-
-
-void report_activity(
-    control_plane& c,
-    reported_activity& reported,
-    const relay::traffic_stats& stats)
-{
-    if (stats.loads_ != reported.loads_) {
-        reported.loads_ = stats.loads_;
-        broadcast(c, load_message{c.config_.daemon_, stats.loads_});
-    }
-    for (const auto& [deployment_and_model, demand] : stats.demand_) {
-        auto& total = reported.demand_[deployment_and_model];
-        total.requests_ += demand.requests_;
-        total.prompt_tokens_ += demand.prompt_tokens_;
-        total.answer_tokens_ += demand.answer_tokens_;
-    }
-    const base::time_point now = base::boot_clock::now();
-    if (now - reported.demand_start_ < demand_report_period)
-        return;
-    const demand_message m{
-        c.config_.daemon_,
-        std::exchange(reported.demand_, {}),
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - reported.demand_start_)};
-    reported.demand_start_ = now;
-    record_demand(c, m);
-    broadcast(c, m);
-}
-
-
 asio::awaitable<void> receive_datagrams(control_plane& c)
 {
     std::string buffer(max_datagram_bytes, '\0');
@@ -194,47 +203,99 @@
 
 } // namespace
 
+void send_bytes(
+    control_plane& c, const membership::endpoint& to, const std::string& bytes)
+{
+    boost::system::error_code failure;
+    c.peer_socket_.send_to(
+        asio::buffer(bytes),
+        {asio::ip::address_v4(to.address_), to.port_},
+        0,
+        failure);
+    if (!failure)
+        c.metrics_.add(
+            metrics::counter::peer_bytes_sent, {"none", "none"}, bytes.size());
+}
+
+
 void apply_node_output(control_plane& c, const membership::node_output& out)
 {
     for (const membership::datagram& d : out.datagrams_)
-        send_datagram(c, d.peer_, encode(membership_message{d.body_}));
+        send_bytes(c, d.peer_, encode(membership_message{d.body_}));
     for (const membership::member_event& event : out.events_)
         handle_member_event(c, event);
 }
 
 
+void send_to_peer(
+    control_plane& c, const membership::endpoint& to, const peer_message& m)
+{
+    send_bytes(c, to, encode(m));
+}
+
+
+void send_nearby(control_plane& c, const peer_message& m)
+{
+    const std::string bytes = encode(m);
+    for (const membership::endpoint& peer :
+         nearby_peers(c.node_.members(), c.node_.self()))
+        send_bytes(c, peer, bytes);
+}
+
+
 void broadcast(control_plane& c, const peer_message& m)
 {
+    const message_route route = route_to_all(c.node_.members(), c.node_.self());
     const std::string bytes = encode(m);
-    for (const auto& [id, member] : c.node_.members()) {
-        if (member.record_.state_ != membership::member_state::dead)
-            send_datagram(c, member.record_.peer_, bytes);
-    }
+    for (const membership::endpoint& peer : route.direct_)
+        send_bytes(c, peer, bytes);
+    if (route.relays_.empty())
+        return;
+    const std::string forwarded = encode(forwarded_message{bytes});
+    for (const membership::endpoint& relay : route.relays_)
+        send_bytes(c, relay, forwarded);
 }
 
 
-asio::awaitable<void> run_peer_messaging(control_plane& c)
+void broadcast_heartbeat(control_plane& c, leader_heartbeat m)
 {
-    asio::co_spawn(c.context_, receive_datagrams(c), asio::detached);
-    for (;;) {
-        apply_node_output(c, c.node_.tick(base::boot_clock::now()));
-        co_await sleep_for(c, tick_period);
-    }
+    const message_route route = route_to_all(c.node_.members(), c.node_.self());
+    const std::string bytes = encode(m);
+    for (const membership::endpoint& peer : route.direct_)
+        send_bytes(c, peer, bytes);
+    m.relay_ = true;
+    const std::string to_relay = encode(m);
+    for (const membership::endpoint& relay : route.relays_)
+        send_bytes(c, relay, to_relay);
 }
 
 
-asio::awaitable<void> run_load_reports(control_plane& c)
+void send_to_followers(control_plane& c, const host_changes_message& m)
 {
-    auto reported = std::make_shared<reported_activity>();
-    reported->demand_start_ = base::boot_clock::now();
+    message_route route = route_to_all(c.node_.members(), c.node_.self());
+    // The relays announce the changes in their data centres once they have
+    // applied them.
+    if (c.leader_.leading_)
+        route.direct_.insert(
+            route.direct_.end(), route.relays_.begin(), route.relays_.end());
+    const std::string bytes = encode(m);
+    for (const membership::endpoint& peer : route.direct_)
+        send_bytes(c, peer, bytes);
+}
+
+
+bool is_relaying(const control_plane& c)
+{
+    return base::boot_clock::now() < c.leader_.relaying_until_;
+}
+
+
+asio::awaitable<void> run_peer_messaging(control_plane& c)
+{
+    asio::co_spawn(c.context_, receive_datagrams(c), asio::detached);
     for (;;) {
-        co_await sleep_for(c, relay::load_report_period(live_daemons(c)));
-        c.proxy_->take_traffic_stats([&c,
-                                      reported](relay::traffic_stats stats) {
-            asio::post(c.context_, [&c, reported, stats = std::move(stats)] {
-                report_activity(c, *reported, stats);
-            });
-        });
+        apply_node_output(c, c.node_.tick(base::boot_clock::now()));
+        co_await sleep_for(c, tick_period);
     }
 }
 
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -50,7 +50,8 @@
     };
     callbacks.on_no_progress_ = [&c](const base::host_id& host) {
         asio::post(c.context_, [&c, host] {
-            pvt::broadcast(c, pvt::upstream_query_message{host});
+            // Peers in this data centre use the same upstreams most.
+            pvt::send_nearby(c, pvt::upstream_query_message{host});
         });
     };
     callbacks.on_crash_ = [&c](const relay::crash_report& report) {
@@ -60,7 +61,6 @@
     };
     callbacks.on_responsive_ = [&c](const base::host_id& host) {
         asio::post(c.context_, [&c, host] {
-            c.reachability_[host].last_answered_at_ = base::boot_clock::now();
             pvt::broadcast(c, pvt::upstream_healthy_message{host});
         });
     };
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -32,7 +32,7 @@
         .field("active_requests", c.proxy_->active_requests());
     c.stopping_ = true;
     if (c.leader_.leading_)
-        broadcast(c, leader_heartbeat{{}, c.leader_.term_, {}, {}});
+        broadcast_heartbeat(c, {{}, c.leader_.term_, {}, {}});
     c.leader_.leading_ = false;
     publish_status(c);
     publish_view(c);
--- a/src/libmembership/message_codec.cpp
+++ b/src/libmembership/message_codec.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Encoded size of a record without the text of its names.
-constexpr std::size_t FIXED_RECORD_BYTES = 39;
+constexpr std::size_t FIXED_RECORD_BYTES = 41;
 
 
 using writer = cereal::PortableBinaryOutputArchive;
@@ -120,6 +120,7 @@
     transfer(archive, record.region_);
     transfer(archive, record.peer_);
     transfer(archive, record.caller_);
+    archive(record.capacity_permille_);
     archive(record.incarnation_.value_);
     transfer_enum(archive, record.state_, member_state::dead);
     transfer(archive, record.status_);
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -171,8 +171,9 @@
 }
 
 
-// Estimates the requests that all daemons send between two load reports from
-// the rate of this daemon. Callers are distributed evenly over the daemons.
+// Estimates the requests that all daemons send within the age of the load
+// reports from the rate of this daemon. Callers are distributed evenly over the
+// daemons.
 double unreported_requests(const forward_context& c)
 {
     const auto found = c.t_.arrival_meters_.find({c.deployment_, c.e_.model_});
@@ -180,9 +181,7 @@
         return 0;
     return found->second.rate_per_second(base::boot_clock::now()) *
            c.t_.view_->daemons_ *
-           std::chrono::duration<double>(
-               load_report_period(c.t_.view_->daemons_))
-               .count();
+           std::chrono::duration<double>(c.t_.view_->load_report_age_).count();
 }
 
 
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -203,13 +203,16 @@
 }
 
 
-void reverse_proxy::report_if_responsive(base::host_id host)
+void reverse_proxy::report_if_responsive(
+    base::host_id host, std::function<void()> responsive)
 {
     proxy_thread& t = impl_->thread_state_;
-    asio::post(t.context_, [&t, host = std::move(host)] {
-        if (has_recent_progress(t, host) && t.callbacks_.on_responsive_)
-            t.callbacks_.on_responsive_(host);
-    });
+    asio::post(
+        t.context_,
+        [&t, host = std::move(host), responsive = std::move(responsive)] {
+            if (has_recent_progress(t, host))
+                responsive();
+        });
 }
 
 
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -50,6 +50,8 @@
     c.region_ = pvt::read_required<base::region_id>(r, "region");
     c.data_centre_ = pvt::read_required<base::data_centre_id>(r, "data_centre");
     read_addresses(c, r);
+    c.processor_cores_ =
+        pvt::read_optional<double>(r, "processor_cores", 1, {0.0, 65.0});
     c.first_start_ = pvt::read_optional<bool>(r, "first_start", false, {});
     c.max_connections_ = pvt::read_optional<std::uint64_t>(
         r, "max_connections", 1024, {1, 100'000});
