placement: load weights onto spare hosts, and leave them room

No combination of groups of 8 and 4 fills a domain of 19, so three hosts of each domain are spare, and these never got weights: only hosts that had been in a group were considered for loads in advance. A group that lost a member waited 12 to 16 s for a spare to load. After all daemons had lost power, the new leader gave all parallel loads to serving hosts, as an alternative model, and formed no group from t=24 until t=37.

Change: free hosts without weights load those of the model of which the domain has most hosts and fewest ready spares, weighed by shortage; serving hosts load an alternative only below half of the parallel loads.

--- a/src/libplacement/exploration_test.cpp
+++ b/src/libplacement/exploration_test.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t hosts_per_domain = 8;
 constexpr int fault_count = 14;
 constexpr std::uint64_t seed_count = 400;
+constexpr std::uint64_t unfenced_seed_count = 1000;
 constexpr std::uint64_t epochs_per_leader = 10000;
 // Time without faults at the end, in which the planner repairs groups.
 constexpr milliseconds recovery_time = 40s;
@@ -201,7 +202,10 @@
 
 std::optional<std::string> explore(variant v)
 {
-    return base::first_violation(seed_count, [v](std::uint64_t seed) {
+    // The overlap that shows a leader without a fence is rare.
+    const std::uint64_t count =
+        v == variant::unfenced_leader ? unfenced_seed_count : seed_count;
+    return base::first_violation(count, [v](std::uint64_t seed) {
         return simulation(seed, v).explore();
     });
 }
--- a/src/libplacement/fake_hosts_test.cpp
+++ b/src/libplacement/fake_hosts_test.cpp
@@ -336,7 +336,9 @@
 unsigned fake_hosts::open_groups(const std::string& model) const
 {
     unsigned count = 0;
-    const std::map<std::string, unsigned> sizes{{"large", 4}, {"small", 2}};
+    std::map<std::string, unsigned> sizes;
+    for (const catalog::model& m : engine_.models_)
+        sizes[m.name_] = m.group_size_;
     for (const auto& [key, g] : fleet::derive_groups(hosts_, {"llm"}, sizes)) {
         bool alive = g.model_ == model && fleet::may_serve(g);
         for (const base::host_id& id : g.members_)
--- a/src/libplacement/form_groups.cpp
+++ b/src/libplacement/form_groups.cpp
@@ -169,16 +169,6 @@
 }
 
 
-// The free hosts of a domain wait for the hosts of a closing group, and for
-// hosts that are about to be listed.
-void remove_waiting_domains(const planning_step& step, free_by_domain& free)
-{
-    std::erase_if(free, [&](const auto& entry) {
-        return has_closing_group(step, entry.first) ||
-               has_recently_listed_host(step, entry.second);
-    });
-}
-
 } // namespace
 
 free_by_domain free_hosts(const planning_step& step)
@@ -203,6 +193,15 @@
 }
 
 
+void remove_waiting_domains(const planning_step& step, free_by_domain& free)
+{
+    std::erase_if(free, [&](const auto& entry) {
+        return has_closing_group(step, entry.first) ||
+               has_recently_listed_host(step, entry.second);
+    });
+}
+
+
 void form_groups(planning_step& step)
 {
     free_by_domain free = free_hosts(step);
--- a/src/libplacement/planner_state.hpp
+++ b/src/libplacement/planner_state.hpp
@@ -189,6 +189,11 @@
 free_by_domain free_hosts(const planning_step& step);
 
 
+/// Removes domains whose free hosts should wait: for the hosts of a closing
+/// group, or for hosts that are about to be listed.
+void remove_waiting_domains(const planning_step& step, free_by_domain& free);
+
+
 /// Forms groups from free hosts, starts the loads for groups that lack weights,
 /// and reassigns hosts from models that need them less.
 void form_groups(planning_step& step);
--- a/src/libplacement/planner_test.cpp
+++ b/src/libplacement/planner_test.cpp
@@ -10,8 +10,11 @@
 
 struct planner_fixture
 {
-    explicit planner_fixture(unsigned domains, unsigned hosts = 10)
-        : hosts_(two_models())
+    explicit planner_fixture(
+        unsigned domains,
+        unsigned hosts = 10,
+        const catalog::engine& engine = two_models())
+        : hosts_(engine)
     {
         for (unsigned d = 0; d < domains; ++d) {
             for (unsigned h = 0; h < hosts; ++h)
--- a/src/libplacement/prefetch_weights.cpp
+++ b/src/libplacement/prefetch_weights.cpp
@@ -12,8 +12,9 @@
 // A stage order without visible effect may be repeated after this time, which
 // is longer than any load.
 constexpr std::chrono::milliseconds staging_timeout{40000};
-// Not used. Intended to reserve a part of the parallel loads for hosts that are
-// in no group: prefetches were to start only below 1/prefetch_divisor of them.
+// Hosts of serving groups load another model's weights only while fewer than
+// 1/prefetch_divisor of the parallel loads are in progress. The rest is left
+// for hosts that serve nobody until they have weights.
 constexpr unsigned prefetch_divisor = 2;
 
 
@@ -26,12 +27,125 @@
 };
 
 
+using domain_counts = std::map<base::fabric_domain_id, unsigned>;
+
+
+unsigned count_in(const domain_counts& counts, const base::fabric_domain_id& d)
+{
+    const auto found = counts.find(d);
+    return found == counts.end() ? 0 : found->second;
+}
+
+
+void sort_by_value(std::vector<load_candidate>& loads)
+{
+    std::stable_sort(loads.begin(), loads.end(), [](auto& a, auto& b) {
+        return a.value_ > b.value_;
+    });
+}
+
+
+// Returns, by domain, the number of hosts in groups of the model.
+domain_counts grouped_hosts(const planning_step& step, const catalog::model& m)
+{
+    domain_counts counts;
+    for (const auto& [key, f] : step.state_.formations_) {
+        if (f.model_ == m.name_)
+            counts[f.domain_] += static_cast<unsigned>(f.members_.size());
+    }
+    return counts;
+}
+
+
+bool holds_no_weights(const planning_step& step, const fleet::host_info& host)
+{
+    const auto& models = step.input_.engine_->models_;
+    return std::none_of(models.begin(), models.end(), [&](const auto& m) {
+        return has_weights(step, host, m);
+    });
+}
+
+
+/// Hosts of one domain, by model.
+struct model_counts
+{
+    const catalog::model* model_ = nullptr;
+    /// Reduction in shortage cost when the model's groups have one host more.
+    double gain_ = 0;
+    domain_counts grouped_;
+    /// Free hosts that have the weights or are loading them.
+    domain_counts ready_spares_;
+};
+
+
+std::vector<model_counts>
+count_by_model(const planning_step& step, const free_by_domain& free)
+{
+    // Distinguishes models while none of them is short of hosts.
+    constexpr double min_gain = 1e-3;
+    std::vector<model_counts> result;
+    for (const catalog::model& m : step.input_.engine_->models_) {
+        model_counts counts{
+            &m,
+            std::max(min_gain, shortage_reduction(step, m, 1)),
+            grouped_hosts(step, m),
+            {}};
+        for (const auto& [domain, hosts] : free) {
+            for (const fleet::host_info* h : hosts) {
+                const host_readiness r = readiness_of(step, *h, m);
+                counts.ready_spares_[domain] +=
+                    r.source_ != weights_source::weight_store || r.loading_;
+            }
+        }
+        result.push_back(std::move(counts));
+    }
+    return result;
+}
+
+
+// Value of one more spare host with the model's weights: the more hosts of the
+// domain run the model, the sooner one of them is lost, and the fewer spares
+// there are, the more likely the host replaces it.
+double
+spare_value(const model_counts& counts, const base::fabric_domain_id& domain)
+{
+    const unsigned grouped = count_in(counts.grouped_, domain);
+    const unsigned ready = count_in(counts.ready_spares_, domain);
+    return counts.gain_ * (1 + grouped) / (1 + ready);
+}
+
+
+// Returns the loads of free hosts that hold no weights. Without them such a
+// host could replace a lost one only after a whole load.
+std::vector<load_candidate> spare_loads(const planning_step& step)
+{
+    free_by_domain free = free_hosts(step);
+    remove_waiting_domains(step, free);
+    std::vector<model_counts> models = count_by_model(step, free);
+    std::vector<load_candidate> loads;
+    for (const auto& [domain, hosts] : free) {
+        for (const fleet::host_info* h : hosts) {
+            if (is_loading(step, h->id_) || !holds_no_weights(step, *h))
+                continue;
+            const auto best = std::max_element(
+                models.begin(), models.end(), [&](auto& a, auto& b) {
+                    return spare_value(a, domain) < spare_value(b, domain);
+                });
+            loads.push_back({h, best->model_, spare_value(*best, domain)});
+            ++best->ready_spares_[domain];
+        }
+    }
+    sort_by_value(loads);
+    return loads;
+}
+
+
 // Returns, by domain, the number of hosts outside the model's groups that have
 // its weights or are loading them.
-std::map<base::fabric_domain_id, unsigned>
+domain_counts
 hosts_near_readiness(const planning_step& step, const catalog::model& m)
 {
-    std::map<base::fabric_domain_id, unsigned> count;
+    domain_counts count;
     std::set<base::host_id> inside;
     for (const auto& [key, f] : step.state_.formations_) {
         if (f.model_ == m.name_)
@@ -76,7 +190,8 @@
 }
 
 
-std::vector<load_candidate> load_candidates(const planning_step& step)
+// Returns the loads by which hosts of groups could change to another model.
+std::vector<load_candidate> alternative_loads(const planning_step& step)
 {
     const auto skipped = hosts_to_skip(step);
     std::vector<load_candidate> loads;
@@ -88,9 +203,7 @@
                 !is_usable(step, id) || is_loading(step, id) ||
                 has_weights(step, host, m))
                 continue;
-            const auto ready_count = ready_counts.find(host.domain_);
-            const unsigned ready_hosts =
-                ready_count == ready_counts.end() ? 0 : ready_count->second;
+            const unsigned ready_hosts = count_in(ready_counts, host.domain_);
             // Prefers domains that lack few hosts for a complete group; once
             // one is complete, a further host is worth little.
             const double completion_weight =
@@ -101,12 +214,31 @@
                  shortage_reduction(step, m, 1) * completion_weight});
         }
     }
-    std::stable_sort(loads.begin(), loads.end(), [](auto& a, auto& b) {
-        return a.value_ > b.value_;
-    });
+    sort_by_value(loads);
     return loads;
 }
 
+
+// Orders the loads in turn while fewer than limit are in progress.
+void order_loads(
+    planning_step& step,
+    const std::vector<load_candidate>& loads,
+    std::size_t limit)
+{
+    std::size_t in_progress = loads_in_progress(step);
+    std::set<base::host_id> chosen;
+    for (const load_candidate& load : loads) {
+        if (in_progress >= limit)
+            return;
+        if (!chosen.insert(load.host_->id_).second)
+            continue;
+        if (!reserve_load(step))
+            return;
+        ++in_progress;
+        order_staging(step, *load.host_, *load.model_);
+    }
+}
+
 } // namespace
 
 bool is_loading(const planning_step& step, const base::host_id& id)
@@ -144,21 +276,15 @@
 
 void prefetch_weights(planning_step& step)
 {
-    const std::size_t limit = step.input_.before_traffic_
-                                  ? step.hosts_.size()
-                                  : step.input_.engine_->parallel_loads_;
-    std::size_t in_progress = loads_in_progress(step);
-    std::set<base::host_id> chosen;
-    for (const load_candidate& load : load_candidates(step)) {
-        if (in_progress >= limit)
-            return;
-        if (!chosen.insert(load.host_->id_).second)
-            continue;
-        if (!reserve_load(step))
-            return;
-        ++in_progress;
-        order_staging(step, *load.host_, *load.model_);
-    }
+    // Before traffic, loads are fast and do not slow each other down.
+    const std::size_t all = step.hosts_.size();
+    const std::size_t parallel = step.input_.engine_->parallel_loads_;
+    const bool early = step.input_.before_traffic_;
+    order_loads(step, spare_loads(step), early ? all : parallel);
+    order_loads(
+        step,
+        alternative_loads(step),
+        early ? all : parallel / prefetch_divisor);
 }
 
 } // namespace monsoondock::placement::pvt
