--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -22,8 +22,8 @@
 // A working watch of the store delivers changes within this time, so a peer is
 // rarely asked for a configuration that the store still provides.
 constexpr std::chrono::milliseconds peer_sync_period{200};
-// Daemons of each data centre that watch the configuration in the store. The
-// others cost the store no call when it changes.
+// Daemons of each data centre of a large cluster that watch the configuration
+// in the store. The others cost the store no call when it changes.
 constexpr std::size_t watchers_per_data_centre = 3;
 constexpr std::chrono::milliseconds role_poll_period{200};
 
@@ -52,9 +52,10 @@
 {
     if (c.leader_.leading_)
         return true;
-    return has_settled(c) &&
-           data_centre_rank(c.node_.members(), c.node_.self()) <
-               watchers_per_data_centre;
+    const auto& members = c.node_.members();
+    return has_settled(c) && (is_small_cluster(members) ||
+                              data_centre_rank(members, c.node_.self()) <
+                                  watchers_per_data_centre);
 }
 
 
--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -58,21 +58,6 @@
 }
 
 
-std::vector<membership::endpoint>
-make_seeds(const settings::entry_config& config)
-{
-    std::vector<membership::endpoint> seeds;
-    const auto self = to_membership_endpoint(config.peer_address_);
-    for (settings::socket_address a : config.seed_hosts_) {
-        a.port_ = config.peer_address_.port_;
-        const auto seed = to_membership_endpoint(a);
-        if (seed != self)
-            seeds.push_back(seed);
-    }
-    return seeds;
-}
-
-
 // Callers notice the failure of a daemon within a second or two, so its peers
 // have to detect it as fast.
 membership::node_config make_node_config()
@@ -191,6 +176,21 @@
 
 } // namespace
 
+std::vector<membership::endpoint>
+configured_seeds(const settings::entry_config& config)
+{
+    std::vector<membership::endpoint> seeds;
+    const auto self = to_membership_endpoint(config.peer_address_);
+    for (settings::socket_address a : config.seed_hosts_) {
+        a.port_ = config.peer_address_.port_;
+        const auto seed = to_membership_endpoint(a);
+        if (seed != self)
+            seeds.push_back(seed);
+    }
+    return seeds;
+}
+
+
 control_plane::control_plane(
     const settings::entry_config& config,
     const platform_adapter& adapter,
@@ -205,7 +205,7 @@
       peer_socket_(context_), node_(
                                   make_node_config(),
                                   make_record(config),
-                                  make_seeds(config),
+                                  configured_seeds(config),
                                   random_()),
       started_at_(base::boot_clock::now()), run_id_(random_()),
       placement_timer_(context_), peer_sync_timer_(context_)
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -399,6 +399,16 @@
 boost::asio::awaitable<void> run_leadership(control_plane& c);
 
 
+/// While no live peer is known, looks up the daemon that led last in the store
+/// and joins through it. Never returns.
+boost::asio::awaitable<void> run_discovery(control_plane& c);
+
+
+/// Returns the peer addresses that the settings name.
+std::vector<membership::endpoint>
+configured_seeds(const settings::entry_config& config);
+
+
 /// Confirms that this daemon still leads by a conditional write of the leader
 /// record; a recent successful write is enough. Returns false when
 /// another daemon leads or the result of the write is unknown.
--- a/src/libentry/host_watch.cpp
+++ b/src/libentry/host_watch.cpp
@@ -16,14 +16,14 @@
 
 constexpr std::chrono::milliseconds host_watch_timeout{20000};
 constexpr std::chrono::milliseconds follower_poll_period{150};
-// Daemons that watch the hosts while there is no leader to follow. They are the
-// first to take over leadership.
+// Daemons of a large cluster that watch the hosts while there is no leader to
+// follow. They are the first to take over leadership.
 constexpr std::size_t watchers_without_leader = 2;
 constexpr base::retry_bounds store_retry{150ms, 600ms};
 // Pause before the next watch call, so that a burst of changes costs one call.
 // The longer pause of a daemon that does not lead only delays its knowledge of
 // opened and closed groups; lost groups show up in traffic.
-constexpr std::chrono::milliseconds leader_batch_pause{20};
+constexpr std::chrono::milliseconds leader_batch_pause{50};
 constexpr std::chrono::milliseconds batch_pause{200};
 // Hosts renew their entries within about two seconds after the store recovers.
 constexpr std::chrono::milliseconds reappearance_grace{2500};
@@ -339,9 +339,11 @@
 {
     if (c.leader_.leading_ || !c.hosts_.loaded_)
         return true;
-    return has_settled(c) && !follows_leader(c) &&
-           precedence_rank(c.node_.members(), c.node_.self()) <
-               watchers_without_leader;
+    if (!has_settled(c) || follows_leader(c))
+        return false;
+    const auto& members = c.node_.members();
+    return is_small_cluster(members) ||
+           precedence_rank(members, c.node_.self()) < watchers_without_leader;
 }
 
 
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -35,6 +35,8 @@
 // A leader that has not reached the store for this time stops its heartbeats,
 // so that another daemon takes over.
 constexpr std::chrono::milliseconds max_store_outage{2500};
+// Period at which a daemon without live peers reads the leader record.
+constexpr std::chrono::milliseconds discovery_period{700};
 // Number of epochs that one write of the leader record reserves.
 constexpr std::uint64_t epoch_block_size = 10000;
 
@@ -43,6 +45,8 @@
 struct leader_record
 {
     std::string daemon_;
+    /// "ip:port" through which other daemons join; empty when unknown.
+    std::string peer_address_;
     std::uint64_t term_ = 0;
     /// Exclusive upper bound of the epochs that this leader may use.
     std::uint64_t epoch_limit_ = 1;
@@ -56,6 +60,7 @@
 {
     return json::serialize(json::object{
         {"daemon", r.daemon_},
+        {"peer", r.peer_address_},
         {"term", r.term_},
         {"epochs_below", r.epoch_limit_},
         {"stamp", r.nonce_}});
@@ -67,8 +72,10 @@
     try {
         const json::value v = json::parse(text);
         const json::object& o = v.as_object();
+        const auto* peer = o.if_contains("peer");
         return leader_record{
             std::string(o.at("daemon").as_string()),
+            std::string(peer == nullptr ? "" : peer->as_string()),
             o.at("term").to_number<std::uint64_t>(),
             o.at("epochs_below").to_number<std::uint64_t>(),
             o.at("stamp").to_number<std::uint64_t>()};
@@ -110,6 +117,7 @@
 {
     return {
         c.config_.daemon_.value_,
+        settings::to_string(c.config_.peer_address_),
         c.leader_.term_,
         c.leader_.epoch_limit_,
         c.random_() >> 1U};
@@ -177,6 +185,24 @@
 }
 
 
+// Joins the other daemons through the daemon that led last.
+void join_through(control_plane& c, const leader_record& r)
+{
+    const auto peer = membership::parse_endpoint(r.peer_address_);
+    if (!peer || *peer == c.node_.self().peer_)
+        return;
+    std::vector<membership::endpoint> seeds = configured_seeds(c.config_);
+    seeds.push_back(*peer);
+    c.node_.set_seeds(std::move(seeds));
+}
+
+
+bool knows_live_peer(const control_plane& c)
+{
+    return live_daemons(c) > 1;
+}
+
+
 asio::awaitable<void> try_to_become_leader(control_plane& c)
 {
     const auto read_result = co_await c.store_.get(record_key);
@@ -188,6 +214,8 @@
     platform::write_condition condition = platform::if_absent{};
     if (stored_object) {
         const auto previous = parse_record(stored_object->value_);
+        if (previous)
+            join_through(c, *previous);
         if (previous && is_initial_election(c)) {
             c.leader_.term_ = previous->term_;
             c.leader_.last_heartbeat_at_ = base::boot_clock::now();
@@ -202,6 +230,7 @@
         condition = platform::if_version{stored_object->version_};
     }
     next.daemon_ = c.config_.daemon_.value_;
+    next.peer_address_ = settings::to_string(c.config_.peer_address_);
     ++next.term_;
     next.epoch_limit_ += epoch_block_size;
     next.nonce_ = c.random_() >> 1U;
@@ -277,6 +306,24 @@
 }
 
 
+asio::awaitable<void> run_discovery(control_plane& c)
+{
+    for (;;) {
+        if (!knows_live_peer(c) && !c.leader_.leading_) {
+            const auto read_result = co_await c.store_.get(record_key);
+            record_store_result(c, base::ok(read_result));
+            if (base::ok(read_result) && base::value(read_result)) {
+                const auto record =
+                    parse_record(base::value(read_result)->value_);
+                if (record)
+                    join_through(c, *record);
+            }
+        }
+        co_await sleep_for(c, discovery_period);
+    }
+}
+
+
 asio::awaitable<void> run_leadership(control_plane& c)
 {
     base::time_point last_heartbeat;
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -89,6 +89,7 @@
     asio::co_spawn(context, pvt::run_store_checks(c), asio::detached);
     asio::co_spawn(context, pvt::run_peer_messaging(c), asio::detached);
     asio::co_spawn(context, pvt::run_load_reports(c), asio::detached);
+    asio::co_spawn(context, pvt::run_discovery(c), asio::detached);
     asio::co_spawn(context, pvt::run_leadership(c), asio::detached);
     asio::co_spawn(context, pvt::run_placement(c), asio::detached);
 }
