entry: keep members of serving groups whose entries lapse for the drain time

Change: the leader keeps a host of a serving group after its entry was removed for the drain time of the settings less 1.2 s, so that all daemons stop sending in time; one that does not answer is found by its silent group as before. A removal that only a list shows is applied at once, as its time is unknown. Removals are also announced to followers at once when they expire.

--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -26,6 +26,9 @@
 // in the store. The others cost the store no call when it changes.
 constexpr std::size_t watchers_per_data_centre = 3;
 constexpr std::chrono::milliseconds role_poll_period{200};
+// The watchers of a data centre have a new configuration within this time; only
+// then is it worth the traffic to fetch it from another data centre.
+constexpr std::chrono::milliseconds remote_fetch_delay{500};
 
 
 void apply_object(control_plane& c, const platform::object& o)
@@ -82,32 +85,56 @@
 }
 
 
-// Returns a peer with the newest configuration if that is newer than the one
-// in force here. Chooses at random, in this data centre if possible, so that a
-// new configuration spreads without overloading the first daemon that has it.
-std::optional<membership::endpoint> find_newer_peer(control_plane& c)
+/// Peers with a configuration newer than the one in force here, all with the
+/// newest one known in their scope.
+struct newer_peers
 {
-    std::uint64_t newest = active_version(c);
-    std::vector<membership::endpoint> local;
-    std::vector<membership::endpoint> remote;
+    std::vector<membership::endpoint> local_;
+    std::vector<membership::endpoint> remote_;
+};
+
+
+newer_peers find_newer_peers(const control_plane& c)
+{
+    newer_peers peers;
+    std::uint64_t newest_local = active_version(c) + 1;
+    std::uint64_t newest_remote = active_version(c) + 1;
     for (const auto& [id, member] : c.node_.members()) {
         const membership::member_record& r = member.record_;
+        const bool local = r.data_centre_ == c.config_.data_centre_;
+        auto& newest = local ? newest_local : newest_remote;
+        auto& list = local ? peers.local_ : peers.remote_;
         const std::uint64_t version = r.status_.settings_revision_;
-        if (r.state_ == membership::member_state::dead || version < newest ||
-            version == active_version(c))
+        if (r.state_ == membership::member_state::dead || version < newest)
             continue;
-        if (version > newest) {
-            local.clear();
-            remote.clear();
-        }
+        if (version > newest)
+            list.clear();
         newest = version;
-        (r.data_centre_ == c.config_.data_centre_ ? local : remote)
-            .push_back(r.peer_);
+        list.push_back(r.peer_);
+    }
+    return peers;
+}
+
+
+// Returns a random peer that has a newer configuration, so that a new one
+// spreads without overloading the first daemon that has it. A peer of another
+// data centre is returned only when no local one has had it since newer_since.
+std::optional<membership::endpoint> choose_newer_peer(
+    control_plane& c, std::optional<base::time_point>& newer_since)
+{
+    const newer_peers peers = find_newer_peers(c);
+    if (peers.local_.empty() && peers.remote_.empty()) {
+        newer_since.reset();
+        return std::nullopt;
     }
-    const auto& peers = local.empty() ? remote : local;
-    if (peers.empty())
+    const base::time_point now = base::boot_clock::now();
+    if (!newer_since)
+        newer_since = now;
+    const bool has_local = !peers.local_.empty();
+    if (!has_local && now - *newer_since < remote_fetch_delay)
         return std::nullopt;
-    return peers[c.random_() % peers.size()];
+    const auto& list = has_local ? peers.local_ : peers.remote_;
+    return list[c.random_() % list.size()];
 }
 
 } // namespace
@@ -159,9 +186,10 @@
 
 asio::awaitable<void> run_catalog_peer_sync(control_plane& c)
 {
+    std::optional<base::time_point> newer_since;
     for (;;) {
         co_await sleep_for(c, peer_sync_period);
-        const auto peer = find_newer_peer(c);
+        const auto peer = choose_newer_peer(c, newer_since);
         if (!peer)
             continue;
         const auto text = co_await http_get(
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -58,8 +58,8 @@
     platform::version seen_version_;
     /// True once a complete list of hosts has been received.
     bool loaded_ = false;
-    /// Hosts whose entries disappeared shortly after a store outage, with the
-    /// time at which they are removed unless their entries reappear.
+    /// Hosts whose entries disappeared but may reappear, with the time at which
+    /// they are removed unless that happens.
     std::map<base::host_id, base::time_point> pending_removals_;
     /// When this daemon last read entries from the store.
     base::time_point read_at_;
@@ -319,6 +319,16 @@
 void apply_host_listing(control_plane& c, const platform::listing& list);
 
 
+/// Removes the hosts whose entries have not reappeared in time. To be called
+/// several times a second.
+void expire_pending_removals(control_plane& c);
+
+
+/// Announces applied host changes to the peers that follow this daemon, and to
+/// the traffic thread and the planner.
+void publish_host_changes(control_plane& c);
+
+
 /// Lists the host entries in the store again, independently of the watch.
 boost::asio::awaitable<void> relist_hosts(control_plane& c);
 
--- a/src/libentry/host_watch.cpp
+++ b/src/libentry/host_watch.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "host_removal.hpp"
 #include "peer_topology.hpp"
 
 #include <monsoondock/base/event_line.hpp>
@@ -120,21 +121,61 @@
 }
 
 
-void handle_removal(control_plane& c, const base::host_id& id)
+bool is_unreachable(const control_plane& c, const base::host_id& id)
+{
+    const auto found = c.reachability_.find(id);
+    return found != c.reachability_.end() &&
+           found->second.unreachable_until_ > base::boot_clock::now();
+}
+
+
+// Returns the time until which a host whose entry has just been removed is
+// kept.
+base::time_point keep_until(const control_plane& c, const fleet::host_info& h)
+{
+    const auto lapse_grace = is_unreachable(c, h.id_)
+                                 ? std::chrono::milliseconds(0)
+                                 : removal_delay(h, c.config_.drain_time_);
+    return std::max(
+        c.hosts_.removal_grace_until_, base::boot_clock::now() + lapse_grace);
+}
+
+
+void handle_removal(
+    control_plane& c, const base::host_id& id, base::time_point until)
 {
-    const base::time_point now = base::boot_clock::now();
     const auto found = c.hosts_.hosts_.find(id);
     // Entries of draining hosts do not reappear.
-    if (now < c.hosts_.removal_grace_until_ && found != c.hosts_.hosts_.end() &&
+    if (base::boot_clock::now() < until && found != c.hosts_.hosts_.end() &&
         !found->second.draining_) {
-        c.hosts_.pending_removals_.try_emplace(
-            id, c.hosts_.removal_grace_until_);
+        if (c.hosts_.pending_removals_.try_emplace(id, until).second)
+            base::event_line("host_entry_lapsed")
+                .field("host", id)
+                .field("kept", until - base::boot_clock::now());
         return;
     }
     remove_host(c, id, "entry_removed");
 }
 
 
+// The entry was removed at an unknown time.
+void handle_missing(control_plane& c, const base::host_id& id)
+{
+    handle_removal(c, id, c.hosts_.removal_grace_until_);
+}
+
+
+void handle_removal_event(control_plane& c, const base::host_id& id)
+{
+    const auto found = c.hosts_.hosts_.find(id);
+    if (found == c.hosts_.hosts_.end())
+        remove_host(c, id, "entry_removed");
+    else
+        handle_removal(c, id, keep_until(c, found->second));
+}
+
+} // namespace
+
 void expire_pending_removals(control_plane& c)
 {
     const base::time_point now = base::boot_clock::now();
@@ -144,11 +185,12 @@
             expired.push_back(id);
     }
     for (const base::host_id& id : expired)
-        remove_host(c, id, "missing_after_outage");
+        remove_host(c, id, "entry_not_restored");
     if (!expired.empty())
-        publish_view(c);
+        publish_host_changes(c);
 }
 
+namespace {
 
 // Removes the known hosts in scope that are not present.
 template <class Predicate>
@@ -163,7 +205,7 @@
             missing.push_back(id);
     }
     for (const base::host_id& id : missing)
-        handle_removal(c, id);
+        handle_missing(c, id);
     if (!c.hosts_.loaded_) {
         c.hosts_.loaded_ = true;
         publish_status(c);
@@ -200,6 +242,7 @@
         send_to_followers(c, m);
 }
 
+} // namespace
 
 void publish_host_changes(control_plane& c)
 {
@@ -209,6 +252,7 @@
     c.placement_timer_.cancel();
 }
 
+namespace {
 
 // Starts the grace period if calls of this daemon failed since it last knew the
 // hosts, from the store or from the leader.
@@ -246,7 +290,8 @@
             co_return;
         for (const platform::change& change : base::value(batch).changes_) {
             if (change.deleted_)
-                handle_removal(c, {host_id_from_key(c, change.object_.key_)});
+                handle_removal_event(
+                    c, {host_id_from_key(c, change.object_.key_)});
             else
                 apply_entry(c, change.object_);
         }
@@ -255,7 +300,6 @@
         c.hosts_.seen_version_ = std::max(c.hosts_.seen_version_, from);
         if (!base::value(batch).changes_.empty())
             publish_host_changes(c);
-        expire_pending_removals(c);
         if (!watches_hosts(c))
             co_return;
         co_await sleep_for(
@@ -352,7 +396,6 @@
     unsigned failures = 0;
     for (;;) {
         if (!watches_hosts(c)) {
-            expire_pending_removals(c);
             co_await sleep_for(c, follower_poll_period);
             continue;
         }
@@ -360,7 +403,6 @@
         failures = from ? 0 : failures + 1;
         if (from && watches_hosts(c))
             co_await watch_hosts(c, *from);
-        expire_pending_removals(c);
         co_await sleep_for(
             c, base::retry_delay(failures, store_retry, uniform_random(c)));
     }
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -295,6 +295,7 @@
     asio::co_spawn(c.context_, receive_datagrams(c), asio::detached);
     for (;;) {
         apply_node_output(c, c.node_.tick(base::boot_clock::now()));
+        expire_pending_removals(c);
         co_await sleep_for(c, tick_period);
     }
 }
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -56,6 +56,8 @@
     c.max_connections_ = pvt::read_optional<std::uint64_t>(
         r, "max_connections", 1024, {1, 100'000});
     c.grace_ = pvt::read_optional<milliseconds>(r, "grace", 8s, {1s, 1h});
+    c.drain_time_ =
+        pvt::read_optional<milliseconds>(r, "drain_time", 2s, {0s, 1h});
     c.directory_ttl_ =
         pvt::read_optional<milliseconds>(r, "directory_ttl", 2s, {100ms, 1min});
     c.retries_ = pvt::read_section<retry_settings>(
