entry: leave groups of removed hosts as they are for 1.5 s

Change: a host that was kept and is then removed stays in the planner's view for 1.5 s more. It gets no requests, and its group stays unless its entry comes back, it is found unreachable, or the time is over. Not after an outage of the store, when a missing host has gone.

--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -61,6 +61,15 @@
     /// Hosts whose entries disappeared but may reappear, with the time at which
     /// they are removed unless that happens.
     std::map<base::host_id, base::time_point> pending_removals_;
+    /// Hosts that were removed after their entry lapsed. They get no requests,
+    /// but their groups are not taken apart before this time, as their entries
+    /// may still reappear.
+    struct suspended_host
+    {
+        fleet::host_info info_;
+        base::time_point until_;
+    };
+    std::map<base::host_id, suspended_host> suspended_;
     /// When this daemon last read entries from the store.
     base::time_point read_at_;
     /// Until this time a removed entry may merely have expired during a store
--- a/src/libentry/host_removal.hpp
+++ b/src/libentry/host_removal.hpp
@@ -11,6 +11,11 @@
 inline constexpr std::chrono::milliseconds removal_spread{1200};
 
 
+/// Time for which the group of a host that was kept and then removed is left as
+/// it is. Partitions of hosts from the store often end within it.
+inline constexpr std::chrono::milliseconds suspension_time{1500};
+
+
 /// Returns how long a host is kept after its entry was removed from the store.
 ///
 /// An entry is removed when the host has left, and when the host can't reach
--- a/src/libentry/host_watch.cpp
+++ b/src/libentry/host_watch.cpp
@@ -96,6 +96,7 @@
     }
     fleet::host_info host = base::value(std::move(parsed));
     c.hosts_.pending_removals_.erase(host.id_);
+    c.hosts_.suspended_.erase(host.id_);
     auto& known = c.hosts_.hosts_[host.id_];
     if (known == host)
         return;
@@ -129,15 +130,32 @@
 }
 
 
+std::chrono::milliseconds
+lapse_grace(const control_plane& c, const fleet::host_info& h)
+{
+    return is_unreachable(c, h.id_) ? std::chrono::milliseconds(0)
+                                    : removal_delay(h, c.config_.drain_time_);
+}
+
+
 // Returns the time until which a host whose entry has just been removed is
 // kept.
 base::time_point keep_until(const control_plane& c, const fleet::host_info& h)
 {
-    const auto lapse_grace = is_unreachable(c, h.id_)
-                                 ? std::chrono::milliseconds(0)
-                                 : removal_delay(h, c.config_.drain_time_);
     return std::max(
-        c.hosts_.removal_grace_until_, base::boot_clock::now() + lapse_grace);
+        c.hosts_.removal_grace_until_,
+        base::boot_clock::now() + lapse_grace(c, h));
+}
+
+
+// Returns true when the group of a host that is removed now is to be left as it
+// is for some time. After an outage of the store, a host that is still missing
+// has gone.
+bool keeps_group(const control_plane& c, const fleet::host_info& h)
+{
+    return base::boot_clock::now() >
+               c.hosts_.removal_grace_until_ + suspension_time &&
+           lapse_grace(c, h).count() > 0;
 }
 
 
@@ -184,8 +202,15 @@
         if (now >= until)
             expired.push_back(id);
     }
-    for (const base::host_id& id : expired)
+    std::erase_if(c.hosts_.suspended_, [now](const auto& entry) {
+        return now >= entry.second.until_;
+    });
+    for (const base::host_id& id : expired) {
+        const auto found = c.hosts_.hosts_.find(id);
+        if (found != c.hosts_.hosts_.end() && keeps_group(c, found->second))
+            c.hosts_.suspended_[id] = {found->second, now + suspension_time};
         remove_host(c, id, "entry_not_restored");
+    }
     if (!expired.empty())
         publish_host_changes(c);
 }
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -110,12 +110,24 @@
 }
 
 
-placement::planner_input
-make_planner_input(const control_plane& c, const catalog::deployment& d)
+// Returns the listed hosts and those whose groups are to be left as they are.
+fleet::host_table placed_hosts(const control_plane& c)
+{
+    fleet::host_table hosts = c.hosts_.hosts_;
+    for (const auto& [id, suspended] : c.hosts_.suspended_)
+        hosts.try_emplace(id, suspended.info_);
+    return hosts;
+}
+
+
+placement::planner_input make_planner_input(
+    const control_plane& c,
+    const catalog::deployment& d,
+    const fleet::host_table& hosts)
 {
     placement::planner_input input;
     input.now_ = base::boot_clock::now();
-    input.hosts_ = &c.hosts_.hosts_;
+    input.hosts_ = &hosts;
     input.engine_ = &*d.engine_;
     for (const auto& [id, reachability] : c.reachability_) {
         if (reachability.unreachable_until_ > input.now_)
@@ -145,7 +157,8 @@
 {
     placement::planner& planner = planner_of(c, d.id_);
     const auto retiring = planner.retiring_heads();
-    const auto orders = planner.step(make_planner_input(c, d));
+    const fleet::host_table hosts = placed_hosts(c);
+    const auto orders = planner.step(make_planner_input(c, d, hosts));
     if (retiring != planner.retiring_heads())
         publish_view(c);
     if (orders.empty())
