--- a/src/include/monsoondock/settings/entry_config.hpp
+++ b/src/include/monsoondock/settings/entry_config.hpp
@@ -57,8 +57,8 @@
     std::uint64_t max_connections_ = 0;
     /// Time from SIGTERM until the process is killed.
     std::chrono::milliseconds grace_{0};
-    /// Time for which a host may still get requests after the platform has shown
-    /// that it is leaving.
+    /// Time for which a host may still get requests after the platform has
+    /// shown that it is leaving.
     std::chrono::milliseconds drain_time_{0};
     /// Time for which callers cache a response of the directory.
     std::chrono::milliseconds directory_ttl_{0};
