--- a/src/libplacement/prefetch_weights.cpp
+++ b/src/libplacement/prefetch_weights.cpp
@@ -123,8 +123,9 @@
     remove_waiting_domains(step, free);
     std::vector<model_counts> models = count_by_model(step, free);
     std::vector<load_candidate> loads;
-    for (const auto& [domain, hosts] : free) {
-        for (const fleet::host_info* h : hosts) {
+    for (const auto& entry : free) {
+        const base::fabric_domain_id& domain = entry.first;
+        for (const fleet::host_info* h : entry.second) {
             if (is_loading(step, h->id_) || !holds_no_weights(step, *h))
                 continue;
             const auto best = std::max_element(
