relay: log how the end of an upstream's response was marked

Lines `try` and `request` now have the framing of the last response and the size of an incomplete event at its end, and tries that were lost are counted in monsoondock_upstream_failures_total.

--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -222,10 +222,17 @@
 }
 
 
+metrics::label label_of(const exchange& e)
+{
+    return {e.workspace_.empty() ? "none" : e.workspace_, e.route_->name_};
+}
+
+
 void record_possible_crash(forward_context& c)
 {
     const exchange& e = c.e_;
     c.may_have_run_ = true;
+    c.t_.metrics_.add(metrics::counter::upstream_failures, label_of(e));
     if (e.stop_reason_ != stop_reason::none)
         return;
     const crash_report report{e.fingerprint_, e.host_, false};
@@ -255,7 +262,9 @@
         .field("send", c.e_.sends_)
         .field("outcome", to_string(outcome))
         .field("stop_reason", to_string(c.e_.stop_reason_))
-        .field("events", c.state_.splitter_.events_);
+        .field("events", c.state_.splitter_.events_)
+        .field("framing", to_string(c.state_.framing_))
+        .field("partial_bytes", c.state_.partial_event_bytes_);
 }
 
 
@@ -338,6 +347,8 @@
         .field("status", c.outcome_.status_)
         .field("host", e.host_)
         .field("sends", e.sends_)
+        .field("framing", to_string(c.state_.framing_))
+        .field("partial_bytes", c.state_.partial_event_bytes_)
         .field("catalog", e.view_->catalog_->version_)
         .field("in_time", is_in_time(c, now) ? "yes" : "no")
         .field("total", now - e.received_);
@@ -348,8 +359,7 @@
 
 void record_metrics(forward_context& c)
 {
-    const metrics::label labels{
-        c.e_.workspace_.empty() ? "none" : c.e_.workspace_, c.e_.route_->name_};
+    const metrics::label labels = label_of(c.e_);
     c.t_.metrics_.add(metrics::counter::requests, labels);
     if (c.e_.sends_ > 1)
         c.t_.metrics_.add(metrics::counter::retries, labels, c.e_.sends_ - 1);
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -273,6 +273,7 @@
     std::string& body = parser.get().body();
     std::string events = extract_events(s.splitter_, body);
     body.clear();
+    s.partial_event_bytes_ = s.splitter_.pending_.size();
     if (last && !s.splitter_.gap_)
         events.append(std::exchange(s.splitter_.pending_, {}));
     const bool ends = last && !s.splitter_.gap_;
@@ -345,6 +346,7 @@
     const auto parser = co_await read_response_header(c);
     if (parser == nullptr)
         co_return try_outcome::lost;
+    c.state_.framing_ = framing_of(*parser);
     if (is_event_stream(e, parser->get()))
         co_return co_await relay_stream(c, *parser);
     const try_outcome outcome = co_await read_buffered_response(c, *parser);
@@ -367,6 +369,8 @@
     e.tried_.insert(e.host_);
     ++e.sends_;
     discard_partial_event(state.splitter_);
+    state.framing_ = body_framing::none;
+    state.partial_event_bytes_ = 0;
     ++t.upstream_table_.state_of(e.host_).in_flight_;
     const try_outcome outcome = co_await run_try(c);
     --t.upstream_table_.state_of(e.host_).in_flight_;
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "body_framing.hpp"
 #include "event_splitter.hpp"
 #include "http_serializer.hpp"
 #include "proxy_thread.hpp"
@@ -35,6 +36,10 @@
     /// True when the header of a streamed response has been sent to the caller.
     bool header_sent_ = false;
     std::optional<http_response> buffered_response_;
+    /// Framing of the last response that an upstream sent.
+    body_framing framing_ = body_framing::none;
+    /// Size in bytes of the incomplete event at the end of that response.
+    std::size_t partial_event_bytes_ = 0;
     /// When the first part of the response was passed to the caller.
     base::time_point first_response_at_;
     /// True when the caller's connection stays open after the response.
