--- /dev/null
+++ b/src/librelay/fake_upstream_test.cpp
@@ -0,0 +1,188 @@
+#include "fake_upstream_test.hpp"
+
+#include <monsoondock/base/await_tuple.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <cstdio>
+#include <thread>
+
+namespace monsoondock::relay::test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+using asio::ip::tcp;
+
+namespace {
+
+// Announced beyond the bytes that are sent when a length is not reached.
+constexpr std::size_t missing_bytes = 7;
+
+
+std::string make_chunk(const std::string& text)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+
+std::string make_body(const scripted_response& r, int first_event)
+{
+    if (!r.body_.empty())
+        return r.body_;
+    return make_events(first_event, r.last_event_) + r.partial_event_;
+}
+
+
+std::string make_header(const scripted_response& r, const std::string& id)
+{
+    const bool old = r.framing_ == framing::http_1_0;
+    std::string text = old ? "HTTP/1.0 200 OK\r\n" : "HTTP/1.1 200 OK\r\n";
+    text.append("X-Request-Id: ").append(id).append("\r\nX-Seal: s\r\n");
+    text.append("Content-Type: ");
+    text.append(r.body_.empty() ? "text/event-stream" : "application/json");
+    return text + "\r\n";
+}
+
+
+std::string
+make_response(const scripted_response& r, const std::string& id, int first)
+{
+    const std::string body = make_body(r, first);
+    const std::string header = make_header(r, id);
+    switch (r.framing_) {
+    case framing::length: {
+        const std::size_t size =
+            body.size() + (r.finished_ ? 0 : missing_bytes);
+        return header + "Content-Length: " + std::to_string(size) + "\r\n\r\n" +
+               body;
+    }
+    case framing::chunked:
+        return header + "Transfer-Encoding: chunked\r\n\r\n" +
+               make_chunk(body) + (r.finished_ ? "0\r\n\r\n" : "");
+    case framing::connection_close:
+    case framing::http_1_0:
+        break;
+    }
+    return header + "\r\n" + body;
+}
+
+
+void end_connection(tcp::socket& socket, ending how)
+{
+    if (how == ending::reset)
+        socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+}
+
+} // namespace
+
+struct fake_upstream::impl
+{
+    asio::io_context context_{1};
+    tcp::acceptor acceptor_{
+        context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    std::thread thread_;
+    std::vector<scripted_response> script_;
+    std::atomic<std::size_t> requests_{0};
+
+
+    // Returns false when the connection has ended.
+    asio::awaitable<bool> respond(
+        tcp::socket& socket, const http::request<http::string_body>& request)
+    {
+        const std::size_t number = requests_++;
+        if (number >= script_.size())
+            co_return false;
+        const scripted_response& r = script_[number];
+        const std::string last_id(request["Last-Event-Id"]);
+        const int first = last_id.empty() ? 1 : std::stoi(last_id) + 1;
+        const std::string text =
+            make_response(r, std::string(request["X-Request-Id"]), first);
+        co_await asio::async_write(
+            socket, asio::buffer(text), base::await_tuple);
+        if (r.ending_ == ending::keep_open)
+            co_return true;
+        end_connection(socket, r.ending_);
+        co_return false;
+    }
+
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        for (;;) {
+            http::request<http::string_body> request;
+            const auto [failure, size] = co_await http::async_read(
+                socket, buffer, request, base::await_tuple);
+            if (failure)
+                co_return;
+            const bool open = co_await respond(socket, request);
+            if (!open)
+                co_return;
+        }
+    }
+
+
+    asio::awaitable<void> accept_all()
+    {
+        for (;;) {
+            auto [failure, socket] =
+                co_await acceptor_.async_accept(base::await_tuple);
+            if (failure)
+                co_return;
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+        }
+    }
+};
+
+
+fake_upstream::fake_upstream(std::vector<scripted_response> script)
+    : impl_(std::make_unique<impl>())
+{
+    impl_->script_ = std::move(script);
+    asio::co_spawn(impl_->context_, impl_->accept_all(), asio::detached);
+    impl_->thread_ = std::thread([this] { impl_->context_.run(); });
+}
+
+
+fake_upstream::~fake_upstream()
+{
+    impl_->context_.stop();
+    impl_->thread_.join();
+}
+
+
+tcp::endpoint fake_upstream::address() const
+{
+    return impl_->acceptor_.local_endpoint();
+}
+
+
+std::size_t fake_upstream::requests() const
+{
+    return impl_->requests_;
+}
+
+
+std::string make_events(int first, int last)
+{
+    std::string text;
+    for (int i = first; i <= last; ++i) {
+        const std::string id = std::to_string(i);
+        text.append("id: ").append(id);
+        text.append("\ndata: part ").append(id).append("\n\n");
+    }
+    return text;
+}
+
+} // namespace monsoondock::relay::test
--- /dev/null
+++ b/src/librelay/fake_upstream_test.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace monsoondock::relay::test {
+
+/// How a fake upstream marks the end of a response body.
+enum class framing
+{
+    length,
+    chunked,
+    /// Neither a length nor chunks; the body ends with the connection.
+    connection_close,
+    /// The same in an HTTP/1.0 response.
+    http_1_0
+};
+
+
+/// What a fake upstream does with the connection after it has sent a response.
+enum class ending
+{
+    keep_open,
+    close,
+    reset
+};
+
+
+/// Response of a fake upstream. The events of a stream have the ids 1 to
+/// last_event_; a resumed one starts after the Last-Event-Id of the request.
+struct scripted_response
+{
+    framing framing_ = framing::chunked;
+    ending ending_ = ending::keep_open;
+    /// False when the chunk, or the part of the length, that completes the body
+    /// is left out.
+    bool finished_ = true;
+    int last_event_ = 4;
+    /// Bytes after the last event.
+    std::string partial_event_;
+    /// Body in place of events, as application/json.
+    std::string body_;
+};
+
+
+/// Upstream on a thread of its own. Sends the responses of a script in the
+/// order in which requests arrive, and closes the connection of requests after
+/// the last one.
+class fake_upstream
+{
+public:
+    explicit fake_upstream(std::vector<scripted_response> script);
+    ~fake_upstream();
+
+    fake_upstream(const fake_upstream&) = delete;
+    fake_upstream& operator=(const fake_upstream&) = delete;
+
+
+    boost::asio::ip::tcp::endpoint address() const;
+
+
+    /// Returns the number of requests received.
+    std::size_t requests() const;
+
+private:
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+
+/// Returns the events with the ids first to last.
+std::string make_events(int first, int last);
+
+} // namespace monsoondock::relay::test
--- /dev/null
+++ b/src/librelay/proxy_session_test.cpp
@@ -0,0 +1,143 @@
+#include "proxy_session_test.hpp"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <criterion/criterion.h>
+
+#include <limits>
+
+namespace monsoondock::relay::test {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view host_name = "callers.example";
+constexpr std::string_view model_name = "m";
+
+
+header_names make_header_names()
+{
+    header_names names;
+    names.request_id_ = "X-Request-Id";
+    names.time_left_ = "X-Time-Left";
+    names.target_host_ = "X-Target";
+    names.workspace_ = "X-Workspace";
+    names.priority_ = "X-Priority";
+    names.weight_version_ = "X-Weights";
+    names.model_ = "X-Model";
+    names.token_counts_ = "X-Tokens";
+    names.answer_estimate_ = "X-Estimate";
+    names.seal_ = "X-Seal";
+    names.not_run_ = "X-Not-Run";
+    names.failed_host_ = "X-Failed-Host";
+    names.last_event_id_ = "Last-Event-Id";
+    return names;
+}
+
+
+proxy_config make_config()
+{
+    proxy_config config;
+    config.headers_ = make_header_names();
+    config.data_centre_ = {"here"};
+    return config;
+}
+
+
+// A step of the engine is so long that no wait for an event exceeds its limit,
+// however slowly the test runs.
+catalog::engine make_engine()
+{
+    catalog::engine engine;
+    engine.step_ms_ = 60000;
+    catalog::model model;
+    model.name_ = model_name;
+    engine.models_.push_back(model);
+    return engine;
+}
+
+
+std::shared_ptr<const catalog::catalog> make_catalog(catalog::request_kind kind)
+{
+    auto c = std::make_shared<catalog::catalog>();
+    c->version_ = 1;
+    catalog::route route;
+    route.name_ = "r";
+    route.host_name_ = host_name;
+    route.path_prefix_ = "/";
+    route.kind_ = kind;
+    route.deployments_.push_back({{"d"}, 1.0});
+    route.max_attempts_ = 2;
+    route.timeout_ = 60s;
+    route.target_latency_ = 60s;
+    c->routes_.push_back(route);
+    c->deployments_[{"d"}] = {{"d"}, 100, make_engine()};
+    catalog::index_routes(*c);
+    return c;
+}
+
+
+view_pointer make_view(catalog::request_kind kind, const tcp::endpoint& address)
+{
+    auto view = std::make_shared<serving_view>();
+    view->catalog_ = make_catalog(kind);
+    for (const char* host : {"a", "b", "c"}) {
+        upstream u;
+        u.host_ = {host};
+        u.address_ = address;
+        u.data_centre_ = {"here"};
+        u.slots_ = 4;
+        u.model_ = model_name;
+        view->upstreams_[{"d"}].push_back(u);
+    }
+    return view;
+}
+
+
+tcp::endpoint free_address(asio::io_context& context)
+{
+    const tcp::acceptor port(context, {asio::ip::address_v4::loopback(), 0});
+    return port.local_endpoint();
+}
+
+} // namespace
+
+proxy_session::proxy_session(
+    catalog::request_kind kind, std::vector<scripted_response> script)
+    : upstream_(std::move(script)), proxy_(make_config(), {}, metrics_)
+{
+    const tcp::endpoint address = free_address(context_);
+    cr_assert(base::ok(proxy_.start(address)));
+    proxy_.publish(make_view(kind, upstream_.address()));
+    socket_.connect(address);
+}
+
+
+caller_response proxy_session::call()
+{
+    http::request<http::string_body> request(http::verb::post, "/x", 11);
+    request.set(http::field::host, host_name);
+    request.set("X-Request-Id", "r-1");
+    request.set("X-Time-Left", "60000");
+    request.set("X-Model", model_name);
+    request.prepare_payload();
+    http::write(socket_, request);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    boost::system::error_code failure;
+    http::read(socket_, buffer_, parser, failure);
+    caller_response result;
+    result.status_ = parser.get().result_int();
+    result.body_ = parser.get().body();
+    result.complete_ = !failure;
+    return result;
+}
+
+} // namespace monsoondock::relay::test
--- /dev/null
+++ b/src/librelay/proxy_session_test.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "fake_upstream_test.hpp"
+
+#include <monsoondock/catalog/request_kind.hpp>
+#include <monsoondock/relay/reverse_proxy.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace monsoondock::relay::test {
+
+/// Response as a caller of the proxy receives it.
+struct caller_response
+{
+    unsigned status_ = 0;
+    std::string body_;
+    /// True when the response ended as its header announced.
+    bool complete_ = false;
+};
+
+
+/// A reverse proxy with one route to a fake upstream, which it takes for three
+/// hosts, and a caller with a connection to it.
+class proxy_session
+{
+public:
+    /// Requests of the route are of the given kind and may be executed twice.
+    proxy_session(
+        catalog::request_kind kind, std::vector<scripted_response> script);
+
+
+    /// Sends a request and reads the response.
+    caller_response call();
+
+
+    fake_upstream upstream_;
+
+private:
+    metrics::registry metrics_;
+    reverse_proxy proxy_;
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::socket socket_{context_};
+    boost::beast::flat_buffer buffer_;
+};
+
+} // namespace monsoondock::relay::test
