relay: a stream that ends inside an event has been broken off

Cause: a response with neither a length nor chunks ends with its connection, and the end of the connection ended the body. The relay then passed on the bytes after the last complete event and wrote the last chunk. The same way, the request was recorded as completed, which cleared the crashes counted for it. Ruled out: a second host that sent less (sends=1 on every line found).

Change: at the end of a body that has part of an event left, the try is lost, whatever the framing was: a resumable stream goes on at another host after its last whole event, any other is cut without the last chunk. Bytes of the incomplete event are never passed on. This works for every framing, because the decision is taken from the events and not from how the body ended.

--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -88,6 +88,21 @@
 }
 
 
+bool ends_inside_event(const event_splitter& splitter)
+{
+    std::string_view rest = splitter.pending_;
+    while (!rest.empty()) {
+        if (rest.front() != ':')
+            return true;
+        const std::size_t end = rest.find('\n');
+        if (end == std::string_view::npos)
+            return false;
+        rest.remove_prefix(end + 1);
+    }
+    return false;
+}
+
+
 void discard_partial_event(event_splitter& splitter)
 {
     splitter.pending_.clear();
--- a/src/librelay/event_splitter.hpp
+++ b/src/librelay/event_splitter.hpp
@@ -33,6 +33,11 @@
 std::string extract_events(event_splitter& splitter, std::string_view bytes);
 
 
+/// Returns true when the bytes received end inside an event. Comments are not
+/// part of an event.
+bool ends_inside_event(const event_splitter& splitter);
+
+
 /// Discards the incomplete event, before the stream is resumed at another
 /// upstream.
 void discard_partial_event(event_splitter& splitter);
--- a/src/librelay/event_splitter_test.cpp
+++ b/src/librelay/event_splitter_test.cpp
@@ -50,3 +50,24 @@
     const std::string event = "id: 1\r\ndata: a\r\n\r\n";
     cr_assert(pvt::extract_events(s, event) == event);
 }
+
+
+// A stream whose last event was incomplete counted as ended.
+Test(event_splitter, part_of_an_event_at_the_end_is_detected)
+{
+    for (const char* rest : {"id: 2", "id: 2\ndata: b\n", "d", ": a\nid: 2"}) {
+        pvt::event_splitter s;
+        pvt::extract_events(s, std::string("id: 1\n\n") + rest);
+        cr_assert(pvt::ends_inside_event(s), "%s", rest);
+    }
+}
+
+
+Test(event_splitter, a_comment_at_the_end_is_not_part_of_an_event)
+{
+    for (const char* rest : {"", ": ping", ": ping\n", ": a\n: b\n"}) {
+        pvt::event_splitter s;
+        pvt::extract_events(s, std::string("id: 1\n\n") + rest);
+        cr_assert_not(pvt::ends_inside_event(s), "%s", rest);
+    }
+}
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -274,9 +274,10 @@
     std::string events = extract_events(s.splitter_, body);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
-    if (last && !s.splitter_.gap_)
+    const bool ends =
+        last && !s.splitter_.gap_ && !ends_inside_event(s.splitter_);
+    if (ends)
         events.append(std::exchange(s.splitter_.pending_, {}));
-    const bool ends = last && !s.splitter_.gap_;
     if (events.empty() && !ends)
         co_return true;
     std::string text;
@@ -311,6 +312,8 @@
             co_return try_outcome::caller_gone;
         if (c.state_.splitter_.gap_)
             co_return try_outcome::lost;
+        if (last && ends_inside_event(c.state_.splitter_))
+            co_return try_outcome::lost;
         if (last)
             break;
         if (e.stop_reason_ != stop_reason::none)
