platform: versions have the era of the store

The platform's store may come back from an older copy. Revisions are then given out again, and the era, a header of all answers, rises by one. A version compared by its revision alone could be taken for a later or an equal one of another era.

A version now has the era and compares it first. The client takes it from the response; a response of an earlier era counts as not received; a watch doesn't go on in another era; a conditional write on a version of an earlier era is not sent, and one that succeeds in a later era is reported as lost, since its condition held by coincidence. Checksums of host entries are taken over their values, so that followers don't fetch all entries after a restore; the tests that changed only a version now change the value with it, as any write does.

platform http_client/* and host_digest/entries_read_in_two_eras_have_the_same_digest are new; a call without an era behaves as before.

--- a/src/include/monsoondock/platform/http_client.hpp
+++ b/src/include/monsoondock/platform/http_client.hpp
@@ -38,6 +38,11 @@
     ~http_client();
 
 
+    /// Returns the highest era of the store that a response has shown; see
+    /// version. Responses of an earlier era count as not received.
+    std::uint64_t era() const noexcept;
+
+
     /// Reads the object at key; std::nullopt when there is none.
     boost::asio::awaitable<base::result<std::optional<object>>>
     get(std::string key);
@@ -47,7 +52,9 @@
     boost::asio::awaitable<base::result<listing>> list(std::string prefix);
 
 
-    /// Writes value at key if condition holds.
+    /// Writes value at key if condition holds. Returns condition_failed without
+    /// a call when the condition names a version of an earlier era, and
+    /// answer_lost when the store turns out to have been restored meanwhile.
     boost::asio::awaitable<write_outcome>
     put(std::string key, std::string value, write_condition condition);
 
@@ -59,7 +66,7 @@
 
     /// Waits up to wait for changes after version from to keys that begin with
     /// prefix. Problem code exhausted: the store no longer keeps the changes
-    /// since from; list the objects again.
+    /// since from, or has been restored since; list the objects again.
     boost::asio::awaitable<base::result<change_batch>>
     watch(std::string prefix, version from, std::chrono::milliseconds wait);
 
--- a/src/include/monsoondock/platform/object.hpp
+++ b/src/include/monsoondock/platform/object.hpp
@@ -13,8 +13,20 @@
 struct version
 {
     std::uint64_t value_ = 0;
-
-    friend auto operator<=>(const version&, const version&) = default;
+    /// Number of times that the store was restored from an older copy. Values
+    /// are assigned again after that, so the era is compared first. 0 when the
+    /// store does not tell.
+    std::uint64_t era_ = 0;
+
+    friend bool operator==(const version&, const version&) = default;
+
+    friend std::strong_ordering
+    operator<=>(const version& a, const version& b) noexcept
+    {
+        if (a.era_ != b.era_)
+            return a.era_ <=> b.era_;
+        return a.value_ <=> b.value_;
+    }
 };
 
 
--- a/src/include/monsoondock/platform/store_dialect.hpp
+++ b/src/include/monsoondock/platform/store_dialect.hpp
@@ -62,6 +62,8 @@
     base::result<version> (*read_version_)(std::string_view body);
     /// HTTP status of a write whose condition does not hold.
     boost::beast::http::status conflict_;
+    /// Header field with the era of the store; see version.
+    std::string_view era_header_;
 };
 
 
--- a/src/libentry/host_digest.cpp
+++ b/src/libentry/host_digest.cpp
@@ -24,7 +24,7 @@
     host_digest digest{};
     for (const auto& [id, entry] : entries)
         digest[bucket_of(id)] ^=
-            base::stable_hash(id.value_, entry.version_.value_);
+            base::stable_hash(id.value_, base::stable_hash(entry.value_));
     return digest;
 }
 
--- a/src/libentry/host_digest.hpp
+++ b/src/libentry/host_digest.hpp
@@ -21,8 +21,9 @@
 inline constexpr std::size_t digest_buckets = 64;
 
 
-/// One checksum for each bucket, over the names and versions of its entries.
-/// Two daemons with equal checksums have the same entries in that bucket.
+/// One checksum for each bucket, over the names and values of its entries. Two
+/// daemons with equal checksums have the same entries in that bucket, also when
+/// they read them before and after the store was restored.
 using host_digest = std::array<std::uint64_t, digest_buckets>;
 
 
--- a/src/libentry/host_digest_test.cpp
+++ b/src/libentry/host_digest_test.cpp
@@ -34,6 +34,7 @@
     auto entries = make_entries(250);
     const auto before = pvt::compute_digest(entries);
     entries[{"host-7"}].version_ = {9000};
+    entries[{"host-7"}].value_ = "{\"changed\":1}";
     const auto after = pvt::compute_digest(entries);
     cr_assert_eq(count_differing_buckets(before, after), 1);
     cr_assert_neq(
@@ -41,6 +42,18 @@
 }
 
 
+// After a restore of the store, every follower fetched all entries, though few
+// had changed.
+Test(host_digest, entries_read_in_two_eras_have_the_same_digest)
+{
+    const auto before = make_entries(250);
+    auto after = before;
+    for (auto& [id, entry] : after)
+        entry.version_.era_ = 2;
+    cr_assert(pvt::compute_digest(before) == pvt::compute_digest(after));
+}
+
+
 Test(host_digest, missing_entry_changes_one_bucket)
 {
     auto entries = make_entries(250);
--- a/src/libentry/host_sync.cpp
+++ b/src/libentry/host_sync.cpp
@@ -100,6 +100,7 @@
         changes.push_back(json::object{
             {"key", c.object_.key_},
             {"version", c.object_.version_.value_},
+            {"era", c.object_.version_.era_},
             {"value", c.object_.value_},
             {"deleted", c.deleted_}});
     json::array complete_buckets;
@@ -129,7 +130,8 @@
             const json::object& c = v.as_object();
             response.changes_.push_back(
                 {{std::string(c.at("key").as_string()),
-                  {c.at("version").to_number<std::uint64_t>()},
+                  {c.at("version").to_number<std::uint64_t>(),
+                   c.at("era").to_number<std::uint64_t>()},
                   std::string(c.at("value").as_string())},
                  c.at("deleted").as_bool()});
         }
--- a/src/libentry/host_sync_test.cpp
+++ b/src/libentry/host_sync_test.cpp
@@ -12,7 +12,8 @@
 
 platform::object make_entry(int host, std::uint64_t version)
 {
-    return {"hosts/host-" + std::to_string(host), {version}, "{}"};
+    const std::string value = "{\"changed\":" + std::to_string(version) + "}";
+    return {"hosts/host-" + std::to_string(host), {version}, value};
 }
 
 
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -247,7 +247,7 @@
     for (const platform::change& c : m.changes_) {
         wire::write_text(out, c.object_.key_);
         wire::write_text(out, c.object_.value_);
-        out(c.object_.version_.value_, c.deleted_);
+        out(c.object_.version_.value_, c.object_.version_.era_, c.deleted_);
     }
 }
 
@@ -261,7 +261,7 @@
         platform::change c;
         wire::read_text(in, c.object_.key_, max_name_bytes);
         wire::read_text(in, c.object_.value_, max_value_bytes);
-        in(c.object_.version_.value_, c.deleted_);
+        in(c.object_.version_.value_, c.object_.version_.era_, c.deleted_);
         m.changes_.push_back(std::move(c));
     }
 }
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -3,6 +3,8 @@
 
 #include <monsoondock/platform/http_client.hpp>
 
+#include <charconv>
+
 namespace monsoondock::platform {
 
 namespace asio = boost::asio;
@@ -39,6 +41,41 @@
 }
 
 
+std::uint64_t
+era_of(const http_response& response, const store_dialect& dialect)
+{
+    const auto text = response[dialect.era_header_];
+    std::uint64_t era = 0;
+    std::from_chars(text.data(), text.data() + text.size(), era);
+    return era;
+}
+
+
+void set_era(listing& l, std::uint64_t era)
+{
+    l.version_.era_ = era;
+    for (object& o : l.objects_)
+        o.version_.era_ = era;
+}
+
+
+void set_era(change_batch& batch, std::uint64_t era)
+{
+    batch.next_.era_ = era;
+    for (change& c : batch.changes_)
+        c.object_.version_.era_ = era;
+}
+
+
+base::problem history_lost()
+{
+    return {
+        base::problem_code::exhausted,
+        "the store has no changes since the watched version",
+        "list the objects again"};
+}
+
+
 write_outcome
 to_write_outcome(const exchange_result& result, const store_dialect& dialect)
 {
@@ -59,7 +96,18 @@
     const auto v = dialect.read_version_(response.body());
     if (!base::ok(v))
         return answer_lost{base::error(v).message_};
-    return written{base::value(v)};
+    return written{{base::value(v).value_, era_of(response, dialect)}};
+}
+
+
+// The condition of a write that reaches a restored store may hold by
+// coincidence, because versions are assigned again.
+write_outcome check_era(write_outcome outcome, version expected)
+{
+    const auto* done = std::get_if<written>(&outcome);
+    if (done != nullptr && done->version_.era_ != expected.era_)
+        return answer_lost{"the store was restored from an older copy"};
+    return outcome;
 }
 
 } // namespace
@@ -72,6 +120,18 @@
     const store_dialect* dialect_ = nullptr;
     std::size_t current_address_ = 0;
     std::vector<std::unique_ptr<pvt::connection>> idle_connections_;
+    std::uint64_t era_ = 0;
+
+
+    // Returns false when the response was sent before the store was restored.
+    bool is_current(const http_response& response)
+    {
+        const std::uint64_t era = era_of(response, *dialect_);
+        if (era < era_)
+            return false;
+        era_ = era;
+        return true;
+    }
 
 
     asio::awaitable<exchange_result> call_on_new_connection(
@@ -99,6 +159,8 @@
         exchange_result result =
             co_await pvt::exchange(*c, std::move(request), timeout);
         const auto* response = std::get_if<http_response>(&result);
+        if (response != nullptr && !is_current(*response))
+            co_return exchange_failed{"response of an earlier era"};
         const bool reusable = response != nullptr && response->keep_alive();
         if (reusable && idle_connections_.size() < max_idle_connections)
             idle_connections_.push_back(std::move(c));
@@ -142,6 +204,12 @@
 http_client::~http_client() = default;
 
 
+std::uint64_t http_client::era() const noexcept
+{
+    return impl_->era_;
+}
+
+
 asio::awaitable<base::result<std::optional<object>>>
 http_client::get(std::string key)
 {
@@ -157,7 +225,9 @@
     auto parsed = impl_->dialect_->read_object_(key, response->body());
     if (!base::ok(parsed))
         co_return base::error(parsed);
-    co_return std::optional<object>(base::value(std::move(parsed)));
+    object found = base::value(std::move(parsed));
+    found.version_.era_ = era_of(*response, *impl_->dialect_);
+    co_return std::optional<object>(std::move(found));
 }
 
 
@@ -178,6 +248,10 @@
         if (!base::ok(read))
             co_return base::error(read);
         auto& page = base::value(read);
+        const std::uint64_t era = era_of(*response, *impl_->dialect_);
+        set_era(page.part_, era);
+        if (!first && era != all.version_.era_)
+            co_return unavailable("it was restored between two pages");
         // The version of the first page is the oldest one; a watch from it
         // misses no change made while later pages are read.
         if (first)
@@ -194,43 +268,54 @@
 asio::awaitable<write_outcome>
 http_client::put(std::string key, std::string value, write_condition condition)
 {
+    const auto* expected = std::get_if<if_version>(&condition);
+    if (expected != nullptr && expected->version_.era_ < impl_->era_)
+        co_return condition_failed{};
     auto request = impl_->dialect_->put_(key, value, condition);
     // The platform may have closed an idle connection unnoticed, which would
     // make the outcome of the write unknown. With a new connection, a failure
     // to connect always means not_reached.
-    co_return to_write_outcome(
-        co_await impl_->call_on_new_connection(
-            std::move(request), impl_->timeout_),
-        *impl_->dialect_);
+    const auto result = co_await impl_->call_on_new_connection(
+        std::move(request), impl_->timeout_);
+    auto outcome = to_write_outcome(result, *impl_->dialect_);
+    if (expected == nullptr)
+        co_return outcome;
+    co_return check_era(std::move(outcome), expected->version_);
 }
 
 
 asio::awaitable<write_outcome>
 http_client::erase(std::string key, version expected)
 {
-    co_return to_write_outcome(
-        co_await impl_->call_on_new_connection(
-            impl_->dialect_->erase_(key, expected), impl_->timeout_),
-        *impl_->dialect_);
+    if (expected.era_ < impl_->era_)
+        co_return condition_failed{};
+    const auto result = co_await impl_->call_on_new_connection(
+        impl_->dialect_->erase_(key, expected), impl_->timeout_);
+    co_return check_era(to_write_outcome(result, *impl_->dialect_), expected);
 }
 
 
 asio::awaitable<base::result<change_batch>> http_client::watch(
     std::string prefix, version from, std::chrono::milliseconds wait)
 {
+    if (from.era_ < impl_->era_)
+        co_return history_lost();
     const auto result = co_await impl_->call_read(
         impl_->dialect_->watch_(prefix, from, wait), wait + impl_->timeout_);
     const auto* response = std::get_if<http_response>(&result);
     if (response == nullptr)
         co_return unavailable("connection failed");
     if (response->result() == http::status::gone)
-        co_return base::problem{
-            base::problem_code::exhausted,
-            "the watched version is older than the history the store retains",
-            "list the objects again"};
+        co_return history_lost();
     if (response->result() != http::status::ok)
         co_return unexpected_status(*response);
-    co_return impl_->dialect_->read_changes_(prefix, response->body());
+    const std::uint64_t era = era_of(*response, *impl_->dialect_);
+    if (era != from.era_)
+        co_return history_lost();
+    auto read = impl_->dialect_->read_changes_(prefix, response->body());
+    if (base::ok(read))
+        set_era(base::value(read), era);
+    co_return read;
 }
 
 } // namespace monsoondock::platform
--- /dev/null
+++ b/src/libplatform/http_client_test.cpp
@@ -0,0 +1,191 @@
+#include <monsoondock/platform/http_client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace monsoondock;
+using namespace monsoondock::platform;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Response of the fake store.
+struct scripted_response
+{
+    std::uint64_t era_ = 0;
+    std::string body_;
+};
+
+
+/// Store that sends the responses of a script in the order in which requests
+/// arrive, each on a connection of its own.
+class fake_store
+{
+public:
+    explicit fake_store(std::vector<scripted_response> script)
+        : script_(std::move(script)), thread_([this] { serve(); })
+    {}
+
+    fake_store(const fake_store&) = delete;
+    fake_store& operator=(const fake_store&) = delete;
+
+
+    ~fake_store()
+    {
+        stopping_ = true;
+        tcp::socket wake(context_);
+        boost::system::error_code ignored;
+        wake.connect(address(), ignored);
+        thread_.join();
+    }
+
+
+    tcp::endpoint address() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+
+    std::size_t requests() const
+    {
+        return requests_;
+    }
+
+private:
+    void serve()
+    {
+        for (;;) {
+            tcp::socket socket = acceptor_.accept();
+            if (stopping_)
+                return;
+            boost::beast::flat_buffer buffer;
+            http::request<http::string_body> request;
+            http::read(socket, buffer, request);
+            const scripted_response& r = script_.at(requests_++);
+            http::response<http::string_body> response(http::status::ok, 11);
+            response.set("X-Store-Era", std::to_string(r.era_));
+            response.keep_alive(false);
+            response.body() = r.body_;
+            response.prepare_payload();
+            http::write(socket, response);
+        }
+    }
+
+
+    asio::io_context context_;
+    tcp::acceptor acceptor_{
+        context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    std::vector<scripted_response> script_;
+    std::atomic<std::size_t> requests_{0};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+
+/// A client of a fake store.
+struct session
+{
+    explicit session(std::vector<scripted_response> script)
+        : store_(std::move(script)),
+          client_(context_.get_executor(), {store_.address()}, 10s)
+    {}
+
+
+    template <class Result>
+    Result run(asio::awaitable<Result> call)
+    {
+        auto result =
+            asio::co_spawn(context_, std::move(call), asio::use_future);
+        context_.restart();
+        context_.run();
+        return result.get();
+    }
+
+
+    fake_store store_;
+    asio::io_context context_;
+    http_client client_;
+};
+
+
+const std::string list_of_version_7 = R"({"version":7,"objects":[]})";
+const std::string no_changes = R"({"next":9,"changes":[]})";
+const std::string written_as_8 = R"({"version":8})";
+
+} // namespace
+
+
+Test(http_client, versions_have_the_era_of_their_response)
+{
+    session s({{3, list_of_version_7}});
+    const auto listed = s.run(s.client_.list("a/"));
+    cr_assert(base::ok(listed));
+    cr_assert((base::value(listed).version_ == version{7, 3}));
+    cr_assert_eq(s.client_.era(), 3);
+}
+
+
+// A version that a restored store assigned again was taken for the older one.
+Test(http_client, versions_of_a_later_era_are_higher)
+{
+    cr_assert((version{5, 2} > version{9, 1}));
+    cr_assert((version{5, 1} < version{9, 1}));
+}
+
+
+// A late response of the store from before its restore was applied.
+Test(http_client, responses_of_an_earlier_era_count_as_not_received)
+{
+    session s({{2, list_of_version_7}, {1, list_of_version_7}});
+    s.run(s.client_.list("a/"));
+    cr_assert_not(base::ok(s.run(s.client_.list("a/"))));
+    cr_assert_eq(s.client_.era(), 2);
+}
+
+
+// A watch that went on in a restored store missed the changes before it.
+Test(http_client, a_watch_does_not_go_on_in_another_era)
+{
+    session s({{1, list_of_version_7}, {2, no_changes}});
+    s.run(s.client_.list("a/"));
+    for (int i = 0; i < 2; ++i) {
+        const auto changes = s.run(s.client_.watch("a/", {7, 1}, 10ms));
+        cr_assert_not(base::ok(changes));
+        cr_assert(base::error(changes).code_ == base::problem_code::exhausted);
+    }
+    // The second one is known to be outdated without a call.
+    cr_assert_eq(s.store_.requests(), 2);
+}
+
+
+// A conditional write succeeded because its version had been assigned again.
+Test(http_client, a_write_that_matches_by_coincidence_is_not_confirmed)
+{
+    session s({{1, list_of_version_7}, {2, written_as_8}});
+    s.run(s.client_.list("a/"));
+    const auto outcome = s.run(s.client_.put("a/b", "{}", if_version{{7, 1}}));
+    cr_assert(std::holds_alternative<answer_lost>(outcome));
+}
+
+
+Test(http_client, a_write_on_a_version_of_an_earlier_era_is_not_sent)
+{
+    session s({{2, list_of_version_7}});
+    s.run(s.client_.list("a/"));
+    const auto put = s.run(s.client_.put("a/b", "{}", if_version{{7, 1}}));
+    const auto erased = s.run(s.client_.erase("a/b", {7, 1}));
+    cr_assert(std::holds_alternative<condition_failed>(put));
+    cr_assert(std::holds_alternative<condition_failed>(erased));
+    cr_assert_eq(s.store_.requests(), 1);
+}
--- a/src/libplatform/native_dialect.cpp
+++ b/src/libplatform/native_dialect.cpp
@@ -111,7 +111,8 @@
         read_listing,
         read_changes,
         pvt::parse_version,
-        http::status::precondition_failed};
+        http::status::precondition_failed,
+        "X-Store-Era"};
     return dialect;
 }
 
