entry: follow a store that was restored from an older copy

For the time in which hosts write their entries again, missing hosts are kept, and entries that are older than what is known are set aside. - A host that was leaving stays so until its process restarts, whatever the store lists. - The leader writes its record again by a fresh conditional update, with a term and epochs above all that may have been used, and waits before its next order like any new leader. Without that it sends no orders. - A configuration with the version number in force and another text, from a later era, is newer. Never does a lower number come into force.

--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -6,6 +6,8 @@
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/retry_delay.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::entry::pvt {
 
 namespace asio = boost::asio;
@@ -29,12 +31,15 @@
 // The watchers of a data centre have a new configuration within this time; only
 // then is it worth the traffic to fetch it from another data centre.
 constexpr std::chrono::milliseconds remote_fetch_delay{500};
+// The lowest bits of a rank hold the era.
+constexpr unsigned era_bits = 16;
+constexpr std::uint64_t max_ranked_era = (1U << era_bits) - 1;
 
 
 void apply_object(control_plane& c, const platform::object& o)
 {
     if (o.key_ == c.adapter_.catalog_key_)
-        apply_catalog(c, o.value_, "store");
+        apply_catalog(c, o.value_, o.version_.era_, "store");
 }
 
 
@@ -85,31 +90,60 @@
 }
 
 
+std::uint64_t era_of_rank(std::uint64_t rank)
+{
+    return rank & max_ranked_era;
+}
+
+
+bool is_newer(
+    const catalog_state& active,
+    const catalog::catalog& read,
+    const std::string& text,
+    std::uint64_t era)
+{
+    if (active.catalog_ == nullptr || read.version_ > active.catalog_->version_)
+        return true;
+    return read.version_ == active.catalog_->version_ && era > active.era_ &&
+           text != active.text_;
+}
+
+
 /// Peers with a configuration newer than the one in force here, all with the
 /// newest one known in their scope.
 struct newer_peers
 {
     std::vector<membership::endpoint> local_;
     std::vector<membership::endpoint> remote_;
+    std::uint64_t newest_local_ = 0;
+    std::uint64_t newest_remote_ = 0;
+};
+
+
+/// Peer with a newer configuration, and the rank of that.
+struct newer_peer
+{
+    membership::endpoint address_;
+    std::uint64_t rank_ = 0;
 };
 
 
 newer_peers find_newer_peers(const control_plane& c)
 {
     newer_peers peers;
-    std::uint64_t newest_local = active_version(c) + 1;
-    std::uint64_t newest_remote = active_version(c) + 1;
+    peers.newest_local_ = catalog_rank(c) + 1;
+    peers.newest_remote_ = peers.newest_local_;
     for (const auto& [id, member] : c.node_.members()) {
         const membership::member_record& r = member.record_;
         const bool local = r.data_centre_ == c.config_.data_centre_;
-        auto& newest = local ? newest_local : newest_remote;
+        auto& newest = local ? peers.newest_local_ : peers.newest_remote_;
         auto& list = local ? peers.local_ : peers.remote_;
-        const std::uint64_t version = r.status_.settings_revision_;
-        if (r.state_ == membership::member_state::dead || version < newest)
+        const std::uint64_t rank = r.status_.settings_revision_;
+        if (r.state_ == membership::member_state::dead || rank < newest)
             continue;
-        if (version > newest)
+        if (rank > newest)
             list.clear();
-        newest = version;
+        newest = rank;
         list.push_back(r.peer_);
     }
     return peers;
@@ -119,7 +153,7 @@
 // Returns a random peer that has a newer configuration, so that a new one
 // spreads without overloading the first daemon that has it. A peer of another
 // data centre is returned only when no local one has had it since newer_since.
-std::optional<membership::endpoint> choose_newer_peer(
+std::optional<newer_peer> choose_newer_peer(
     control_plane& c, std::optional<base::time_point>& newer_since)
 {
     const newer_peers peers = find_newer_peers(c);
@@ -134,13 +168,27 @@
     if (!has_local && now - *newer_since < remote_fetch_delay)
         return std::nullopt;
     const auto& list = has_local ? peers.local_ : peers.remote_;
-    return list[c.random_() % list.size()];
+    return newer_peer{
+        list[c.random_() % list.size()],
+        has_local ? peers.newest_local_ : peers.newest_remote_};
 }
 
 } // namespace
 
+std::uint64_t catalog_rank(const control_plane& c)
+{
+    if (c.catalog_.catalog_ == nullptr)
+        return 0;
+    return active_version(c) << era_bits |
+           std::min(c.catalog_.era_, max_ranked_era);
+}
+
+
 bool apply_catalog(
-    control_plane& c, const std::string& text, std::string_view source)
+    control_plane& c,
+    const std::string& text,
+    std::uint64_t era,
+    std::string_view source)
 {
     auto parsed = c.adapter_.parse_catalog_(text);
     if (!base::ok(parsed)) {
@@ -152,20 +200,36 @@
     auto updated =
         std::make_shared<catalog::catalog>(base::value(std::move(parsed)));
     const std::uint64_t previous = active_version(c);
-    if (updated->version_ <= previous)
+    if (!is_newer(c.catalog_, *updated, text, era))
         return false;
     base::event_line("settings_in_force")
         .field("version", updated->version_)
         .field("before", previous)
+        .field("era", era)
         .field("source", source)
         .field("routes", updated->routes_.size());
-    c.catalog_ = {std::move(updated), text};
+    c.catalog_ = {std::move(updated), text, era};
     publish_status(c);
     publish_view(c);
     return true;
 }
 
 
+namespace {
+
+// A peer may have read the text in force in a later era.
+void apply_peer_catalog(
+    control_plane& c, const std::string& text, std::uint64_t era)
+{
+    if (apply_catalog(c, text, era, "peer") || text != c.catalog_.text_ ||
+        era <= c.catalog_.era_)
+        return;
+    c.catalog_.era_ = era;
+    publish_status(c);
+}
+
+} // namespace
+
 asio::awaitable<void> run_catalog_watch(control_plane& c)
 {
     unsigned failures = 0;
@@ -194,15 +258,16 @@
             continue;
         const auto text = co_await http_get(
             c.context_,
-            {asio::ip::address_v4(peer->address_), peer->port_},
+            {asio::ip::address_v4(peer->address_.address_),
+             peer->address_.port_},
             settings_path,
             catalog_fetch_timeout);
         if (text)
-            apply_catalog(c, *text, "peer");
+            apply_peer_catalog(c, *text, era_of_rank(peer->rank_));
         else
             base::event_line(
                 "peer_settings_fetch_failed", base::severity::warning)
-                .field("peer", membership::to_string(*peer));
+                .field("peer", membership::to_string(peer->address_));
     }
 }
 
--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -283,8 +283,7 @@
 void publish_status(control_plane& c)
 {
     membership::member_status status;
-    status.settings_revision_ =
-        c.catalog_.catalog_ == nullptr ? 0 : c.catalog_.catalog_->version_;
+    status.settings_revision_ = catalog_rank(c);
     status.entry_mode_ = is_ready(c) ? membership::entry_mode::open
                                      : membership::entry_mode::draining;
     apply_node_output(c, c.node_.set_status(status, base::boot_clock::now()));
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "host_sync.hpp"
+#include "leaving_hosts.hpp"
 #include "peer_message.hpp"
 
 #include <monsoondock/entry/platform_adapter.hpp>
@@ -33,6 +34,9 @@
     /// Text as stored in the platform's store; served to peers that can't
     /// reach the store.
     std::string text_;
+    /// Era of the store in which the text was read; see platform::version.
+    /// Tells two texts with the same version number apart.
+    std::uint64_t era_ = 0;
 };
 
 
@@ -56,6 +60,13 @@
     host_entries entries_;
     /// Store version up to which changes have been applied.
     platform::version seen_version_;
+    /// Era of the store at the latest list; 0 before the first one.
+    std::uint64_t listed_era_ = 0;
+    /// Entries of a restored store that are older than what is known of their
+    /// hosts. They are applied at the end of the grace period, unless the hosts
+    /// have written them again.
+    host_entries older_entries_;
+    leaving_hosts leaving_;
     /// True once a complete list of hosts has been received.
     bool loaded_ = false;
     /// Hosts whose entries disappeared but may reappear, with the time at which
@@ -260,10 +271,20 @@
 
 
 /// Puts a configuration into force. source is for the log: "store", "check" or
-/// "peer". Returns false when the text is invalid or not newer than the
-/// configuration in force.
+/// "peer"; era is that of the store in which the text was read. Returns false
+/// when the text is invalid or not newer than the configuration in force. A
+/// version number that is in force already is newer when another text with it
+/// is in a store that was restored since.
 bool apply_catalog(
-    control_plane& c, const std::string& text, std::string_view source);
+    control_plane& c,
+    const std::string& text,
+    std::uint64_t era,
+    std::string_view source);
+
+
+/// Returns the rank of the configuration in force, by which daemons compare
+/// theirs: the version, then the era. 0 when there is none.
+std::uint64_t catalog_rank(const control_plane& c);
 
 
 /// Lists the configuration in the store, and watches it there while this daemon
--- a/src/libentry/host_watch.cpp
+++ b/src/libentry/host_watch.cpp
@@ -85,6 +85,7 @@
     if (o.version_ < entry.version_)
         return;
     entry = o;
+    c.hosts_.older_entries_.erase({id});
     auto parsed = c.adapter_.parse_host_(id, o.value_);
     if (!base::ok(parsed)) {
         base::event_line("host_entry_unreadable", base::severity::warning)
@@ -95,6 +96,10 @@
         return;
     }
     fleet::host_info host = base::value(std::move(parsed));
+    if (host.draining_)
+        c.hosts_.leaving_.add(host, base::boot_clock::now());
+    else
+        host.draining_ = c.hosts_.leaving_.contains(host);
     c.hosts_.pending_removals_.erase(host.id_);
     c.hosts_.suspended_.erase(host.id_);
     auto& known = c.hosts_.hosts_[host.id_];
@@ -119,6 +124,35 @@
     c.hosts_.hosts_.erase(id);
     c.hosts_.entries_.erase(entry);
     c.hosts_.pending_removals_.erase(id);
+    c.hosts_.older_entries_.erase(id);
+}
+
+
+// Returns true for an entry of a restored store whose host has not written it
+// again, as far as can be told: versions are assigned again too.
+bool is_older_copy(const control_plane& c, const platform::object& o)
+{
+    const auto known = c.hosts_.entries_.find({host_id_from_key(c, o.key_)});
+    return known != c.hosts_.entries_.end() &&
+           known->second.version_.era_ < o.version_.era_ &&
+           known->second.version_.value_ > o.version_.value_;
+}
+
+
+// Starts the grace period in which hosts write their entries again, when the
+// store has been restored since the latest list.
+void check_era(control_plane& c)
+{
+    const std::uint64_t era = c.store_.era();
+    const std::uint64_t before = std::exchange(c.hosts_.listed_era_, era);
+    if (before == era || before == 0)
+        return;
+    c.hosts_.removal_grace_until_ =
+        base::boot_clock::now() + reappearance_grace;
+    base::event_line("store_restored", base::severity::warning)
+        .field("daemon", c.config_.daemon_)
+        .field("era", era)
+        .field("era_before", before);
 }
 
 
@@ -192,6 +226,18 @@
         handle_removal(c, id, keep_until(c, found->second));
 }
 
+// Applies the entries that their hosts have not written again in time.
+void apply_older_entries(control_plane& c)
+{
+    if (base::boot_clock::now() < c.hosts_.removal_grace_until_ ||
+        c.hosts_.older_entries_.empty())
+        return;
+    const host_entries entries = std::exchange(c.hosts_.older_entries_, {});
+    for (const auto& [id, entry] : entries)
+        apply_entry(c, entry);
+    publish_host_changes(c);
+}
+
 } // namespace
 
 void expire_pending_removals(control_plane& c)
@@ -205,6 +251,8 @@
     std::erase_if(c.hosts_.suspended_, [now](const auto& entry) {
         return now >= entry.second.until_;
     });
+    c.hosts_.leaving_.prune(now);
+    apply_older_entries(c);
     for (const base::host_id& id : expired) {
         const auto found = c.hosts_.hosts_.find(id);
         if (found != c.hosts_.hosts_.end() && keeps_group(c, found->second))
@@ -300,6 +348,7 @@
     begin_reappearance_grace(
         c, std::max(c.hosts_.read_at_, c.leader_.leader_store_contact_at_));
     c.hosts_.read_at_ = base::boot_clock::now();
+    check_era(c);
     apply_host_listing(c, base::value(listed));
     co_return base::value(listed).version_;
 }
@@ -340,10 +389,16 @@
     if (list.version_ < c.hosts_.seen_version_)
         return;
     c.hosts_.seen_version_ = list.version_;
+    const bool in_grace =
+        base::boot_clock::now() < c.hosts_.removal_grace_until_;
     std::set<base::host_id> present;
     for (const platform::object& o : list.objects_) {
-        present.insert({host_id_from_key(c, o.key_)});
-        apply_entry(c, o);
+        const base::host_id id{host_id_from_key(c, o.key_)};
+        present.insert(id);
+        if (in_grace && is_older_copy(c, o))
+            c.hosts_.older_entries_[id] = o;
+        else
+            apply_entry(c, o);
     }
     remove_missing(c, present, [](const base::host_id&) { return true; });
     publish_host_changes(c);
@@ -384,12 +439,16 @@
         return false;
     std::size_t listed = 0;
     for (const platform::object& o : list.objects_) {
-        const auto known =
-            c.hosts_.entries_.find({host_id_from_key(c, o.key_)});
+        const base::host_id id{host_id_from_key(c, o.key_)};
+        ++listed;
+        const auto older = c.hosts_.older_entries_.find(id);
+        if (older != c.hosts_.older_entries_.end() &&
+            older->second.version_ == o.version_)
+            continue;
+        const auto known = c.hosts_.entries_.find(id);
         if (known == c.hosts_.entries_.end() ||
             known->second.version_ < o.version_)
             return true;
-        ++listed;
     }
     return listed < c.hosts_.entries_.size();
 }
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -6,6 +6,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::entry::pvt {
 
 namespace asio = boost::asio;
@@ -39,6 +41,9 @@
 constexpr std::chrono::milliseconds discovery_period{700};
 // Number of epochs that one write of the leader record reserves.
 constexpr std::uint64_t epoch_block_size = 10000;
+// Number of leaders whose records may be missing from a copy of the store that
+// is some seconds old.
+constexpr std::uint64_t max_lost_leaders = 16;
 
 
 /// Record of the placement leader in the platform's store.
@@ -53,6 +58,8 @@
     /// Random number that makes each write a change, and identifies it when
     /// the response to the write is lost.
     std::uint64_t nonce_ = 0;
+    /// Era of the store when the record was written.
+    std::uint64_t era_ = 0;
 };
 
 
@@ -63,7 +70,8 @@
         {"peer", r.peer_address_},
         {"term", r.term_},
         {"epochs_below", r.epoch_limit_},
-        {"stamp", r.nonce_}});
+        {"stamp", r.nonce_},
+        {"era", r.era_}});
 }
 
 
@@ -73,12 +81,14 @@
         const json::value v = json::parse(text);
         const json::object& o = v.as_object();
         const auto* peer = o.if_contains("peer");
+        const auto* era = o.if_contains("era");
         return leader_record{
             std::string(o.at("daemon").as_string()),
             std::string(peer == nullptr ? "" : peer->as_string()),
             o.at("term").to_number<std::uint64_t>(),
             o.at("epochs_below").to_number<std::uint64_t>(),
-            o.at("stamp").to_number<std::uint64_t>()};
+            o.at("stamp").to_number<std::uint64_t>(),
+            era == nullptr ? 0 : era->to_number<std::uint64_t>()};
     } catch (const std::exception&) {
         return std::nullopt;
     }
@@ -120,7 +130,44 @@
         settings::to_string(c.config_.peer_address_),
         c.leader_.term_,
         c.leader_.epoch_limit_,
-        c.random_() >> 1U};
+        c.random_() >> 1U,
+        c.store_.era()};
+}
+
+
+std::uint64_t highest_known_epoch(const control_plane& c)
+{
+    std::uint64_t highest = 0;
+    for (const auto& [id, host] : c.hosts_.hosts_) {
+        if (host.role_)
+            highest = std::max(highest, host.role_->key_.epoch_);
+    }
+    return highest;
+}
+
+
+// Returns the record with which this daemon succeeds the leader of the stored
+// one. Terms and epochs are higher than all that may have been used, also when
+// the stored record is that of an older copy of the store.
+leader_record
+make_next_record(control_plane& c, const std::optional<leader_record>& stored)
+{
+    leader_record next = stored.value_or(leader_record{});
+    if (stored && stored->era_ < c.store_.era()) {
+        next.term_ += max_lost_leaders;
+        next.epoch_limit_ += max_lost_leaders * epoch_block_size;
+    }
+    next.daemon_ = c.config_.daemon_.value_;
+    next.peer_address_ = settings::to_string(c.config_.peer_address_);
+    next.term_ = std::max(next.term_, c.leader_.term_) + 1;
+    next.epoch_limit_ = std::max(
+                            {next.epoch_limit_,
+                             c.leader_.epoch_limit_,
+                             highest_known_epoch(c) + 1}) +
+                        epoch_block_size;
+    next.nonce_ = c.random_() >> 1U;
+    next.era_ = c.store_.era();
+    return next;
 }
 
 
@@ -210,10 +257,10 @@
     if (!base::ok(read_result) || c.stopping_ || !election_is_due(c))
         co_return;
     const auto& stored_object = base::value(read_result);
-    leader_record next;
+    std::optional<leader_record> previous;
     platform::write_condition condition = platform::if_absent{};
     if (stored_object) {
-        const auto previous = parse_record(stored_object->value_);
+        previous = parse_record(stored_object->value_);
         if (previous)
             join_through(c, *previous);
         if (previous && is_initial_election(c)) {
@@ -226,17 +273,44 @@
                 .field("daemon", c.config_.daemon_);
             co_return;
         }
-        next = *previous;
         condition = platform::if_version{stored_object->version_};
     }
-    next.daemon_ = c.config_.daemon_.value_;
-    next.peer_address_ = settings::to_string(c.config_.peer_address_);
-    ++next.term_;
-    next.epoch_limit_ += epoch_block_size;
-    next.nonce_ = c.random_() >> 1U;
+    const bool is_first_leader =
+        !stored_object.has_value() && c.leader_.term_ == 0;
+    const leader_record next = make_next_record(c, previous);
     const auto written = co_await write_record(c, next, condition);
     if (written)
-        assume_leadership(c, next, *written, !stored_object.has_value());
+        assume_leadership(c, next, *written, is_first_leader);
+}
+
+
+// Returns true when the store has been restored since this leader wrote its
+// record.
+bool record_may_be_lost(const control_plane& c)
+{
+    return c.leader_.record_version_.era_ < c.store_.era();
+}
+
+
+// Writes the leader record again after the store lost the latest ones. A new
+// term keeps orders of a daemon that took over meanwhile apart.
+asio::awaitable<void> renew_lost_record(
+    control_plane& c,
+    const std::optional<platform::object>& stored_object,
+    const std::optional<leader_record>& stored)
+{
+    const std::uint64_t term = c.leader_.term_;
+    base::event_line("leader_record_lost", base::severity::warning)
+        .field("term", term)
+        .field("stored_term", stored ? stored->term_ : 0)
+        .field("era", c.store_.era());
+    platform::write_condition condition = platform::if_absent{};
+    if (stored_object)
+        condition = platform::if_version{stored_object->version_};
+    const leader_record next = make_next_record(c, stored);
+    const auto written = co_await write_record(c, next, condition);
+    if (written && c.leader_.leading_ && c.leader_.term_ == term)
+        assume_leadership(c, next, *written, false);
 }
 
 
@@ -259,7 +333,8 @@
     if (!l.leading_)
         co_return false;
     const base::time_point start_time = base::boot_clock::now();
-    if (start_time - l.confirmed_at_ < confirmation_validity &&
+    if (!record_may_be_lost(c) &&
+        start_time - l.confirmed_at_ < confirmation_validity &&
         l.next_epoch_ + epoch_block_size / 2 < l.epoch_limit_)
         co_return true;
     leader_record r = make_record(c);
@@ -273,10 +348,17 @@
     if (!written) {
         const auto stored_object = co_await c.store_.get(record_key);
         record_store_result(c, base::ok(stored_object));
-        if (!base::ok(stored_object) || !base::value(stored_object))
+        if (!base::ok(stored_object) || !l.leading_ || l.term_ != term)
+            co_return false;
+        std::optional<leader_record> stored_record;
+        if (base::value(stored_object))
+            stored_record = parse_record(base::value(stored_object)->value_);
+        if (!base::value(stored_object) ||
+            (stored_record && stored_record->term_ < term)) {
+            co_await renew_lost_record(
+                c, base::value(stored_object), stored_record);
             co_return false;
-        const auto stored_record =
-            parse_record(base::value(stored_object)->value_);
+        }
         // A delayed earlier write of this leader may have reached the store.
         if (stored_record &&
             stored_record->daemon_ == c.config_.daemon_.value_ &&
@@ -332,6 +414,8 @@
             c,
             std::chrono::milliseconds(c.random_() % max_first_delay.count()));
     for (;;) {
+        if (c.leader_.leading_ && record_may_be_lost(c))
+            co_await confirm_leadership(c);
         if (c.leader_.leading_)
             send_heartbeat(c, last_heartbeat);
         else if (!c.stopping_ && election_is_due(c))
--- a/src/libentry/store_checks.cpp
+++ b/src/libentry/store_checks.cpp
@@ -23,7 +23,7 @@
         co_return;
     for (const platform::object& o : base::value(listed).objects_) {
         if (o.key_ == c.adapter_.catalog_key_)
-            apply_catalog(c, o.value_, "check");
+            apply_catalog(c, o.value_, o.version_.era_, "check");
     }
 }
 
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -3,6 +3,7 @@
 entry daemon uses, and inject faults."""
 
 import collections
+import copy
 import http.server
 import json
 import pathlib
@@ -61,6 +62,8 @@
 
     def __init__(self):
         self.revision = 1
+        # Raised by each restore; in a header of every answer.
+        self.era = 1
         self.objects = collections.defaultdict(dict)
         self.events = []
         self.changed = threading.Condition()
@@ -88,8 +91,26 @@
                 else:
                     call(self)
 
+            def answer(self, status, body=b"", headers=()):
+                super().answer(status, body, [
+                    *headers, ("Store-Era", str(store.era))])
+
         self.server = Server(StoreHandler)
 
+    def copy(self):
+        """Returns a copy of the content, for restore."""
+        with self.changed:
+            return self.revision, copy.deepcopy(self.objects)
+
+    def restore(self, saved):
+        """Replaces the content by an older copy. What was written since is
+        gone, and its revisions are given out again."""
+        with self.changed:
+            self.era += 1
+            self.revision, self.objects = copy.deepcopy(saved)
+            self.events = [e for e in self.events if e[0] <= self.revision]
+            self.changed.notify_all()
+
     def put(self, kind, name, spec):
         with self.changed:
             self.revision += 1
@@ -115,8 +136,9 @@
         parts = url.path.strip("/").split("/")
         kind = parts[1]
         if "watch" in query:
-            handler.answer(200, self.watch(
-                kind, int(query["watch"][0]), int(query["wait_ms"][0])))
+            changes = self.watch(
+                kind, int(query["watch"][0]), int(query["wait_ms"][0]))
+            handler.answer(200 if changes else 410, changes or {})
             return
         with self.changed:
             if len(parts) == 3:
@@ -128,9 +150,13 @@
                                  "store_revision": self.revision})
 
     def watch(self, kind, since, wait_ms):
+        """Returns the changes after a revision, or None when there is no such
+        revision."""
         end = time.monotonic() + wait_ms / 1000
         with self.changed:
             while True:
+                if since > self.revision:
+                    return None
                 events = [{"object": item, "removed": removed}
                           for revision, k, item, removed in self.events
                           if k == kind and revision > since]
@@ -363,6 +389,9 @@
     def address(self, key):
         return f"{self.ip}:{self.ports[key]}"
 
+    def stdout_text(self):
+        return pathlib.Path(self.stdout).read_text()
+
 
 def configuration(version, keys, routes=("chat", "payout", "status")):
     """Returns the operators' configuration, with up to three routes and two
