relay: no requests to hosts that are leaving or ask for a pause

A host that leaves says so in its answers, before or against the store's word, and one that rejects a request with 503 may ask for a pause with Retry-After. Neither was looked at: both went on getting requests.

A host that said it was leaving is never chosen again in the lifetime of its process. One that asked for a pause is not chosen during it, by any path: first try, retry, resume. After the pause its share of the requests grows for a second, so that many daemons don't return together. A request for which all hosts pause is refused at once with the end of the first pause, spread over the time after it. Pauses are read in fractions of a second and count for five minutes at most.

--- /dev/null
+++ b/src/include/monsoondock/relay/availability.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/relay/upstream.hpp>
+#include <monsoondock/relay/upstream_table.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoondock::relay {
+
+/// Longest pause that an upstream can ask for. Longer ones are shortened to it,
+/// so that a malformed value does not exclude an upstream for good.
+inline constexpr std::chrono::minutes max_pause{5};
+
+
+/// Time over which the share of requests of an upstream grows to its full one
+/// after a pause.
+inline constexpr std::chrono::milliseconds ramp_time{1000};
+
+
+/// Returns the pause that a Retry-After field in seconds asks for, at most
+/// max_pause. Fractions are allowed. Returns nothing when the text is not a
+/// number of seconds greater than 0.
+std::optional<std::chrono::milliseconds>
+parse_retry_after(std::string_view text);
+
+
+/// Returns the part, from 0 to 1, of its usual requests that an upstream is to
+/// get: 0 when it is leaving or has asked for a pause, and a growing one for
+/// ramp_time after the pause.
+///
+/// Answers upstreams that are full and reject many daemons at the same time:
+/// without the ramp all of them would return together at the end of the pause.
+double usable_share(const upstream_state& s, base::time_point now);
+
+
+/// Returns when the first paused upstream of a model accepts requests again, or
+/// nothing when an upstream of the model accepts them now or none ever will.
+std::optional<base::time_point> earliest_pause_end(
+    const std::vector<upstream>& all,
+    const upstream_table& table,
+    const std::string& model,
+    base::time_point now);
+
+} // namespace monsoondock::relay
--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -48,7 +48,9 @@
 /// then chosen with a probability proportional to the requests it would get.
 /// Without unreported requests the choice falls on the upstream with the lowest
 /// cost. Unhealthy upstreams are chosen only when there is no other. Upstreams
-/// to which the request has already been sent are never chosen.
+/// to which the request has already been sent, that are leaving or that have
+/// asked for a pause are never chosen; after a pause an upstream counts with a
+/// growing part of its slots (see usable_share).
 ///
 /// Designed for many groups with few requests each, some of them slow, and for
 /// up to hundreds of daemons that choose at the same time from loads of about
@@ -62,8 +64,8 @@
 
 
 /// Returns the largest number of free slots of any healthy upstream of a model,
-/// or nothing when there is no healthy one. The number is negative when
-/// requests are queued at all of them.
+/// or nothing when there is no healthy one that accepts requests. The number is
+/// negative when requests are queued at all of them.
 std::optional<long> max_free_slots(
     const std::vector<upstream>& all,
     const upstream_table& table,
--- a/src/include/monsoondock/relay/header_names.hpp
+++ b/src/include/monsoondock/relay/header_names.hpp
@@ -32,6 +32,8 @@
     std::string seal_;
     /// Present when the upstream did not execute the request.
     std::string not_run_;
+    /// Present in the responses of an upstream that is leaving.
+    std::string leaving_;
     /// Address of the host because of which a group cannot serve.
     std::string failed_host_;
     /// Id of the last event of a stream that the receiver has received.
--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -69,6 +69,9 @@
     /// Called when this daemon has received nothing from an upstream for too
     /// long; peers should be asked whether it responds to them.
     std::function<void(const base::host_id&)> on_no_progress_;
+    /// Called once when a response says that an upstream is leaving; peers
+    /// should be told.
+    std::function<void(const base::host_id&)> on_leaving_;
     /// Called with reports that peers should also record.
     std::function<void(const crash_report&)> on_crash_;
     /// Called when a peer reports an upstream as unhealthy that responds to
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -73,6 +73,11 @@
     void mark_healthy(base::host_id host);
 
 
+    /// Sends an upstream nothing more, because its process said to a peer that
+    /// it is leaving.
+    void mark_leaving(base::host_id host, std::int64_t process_start_ms);
+
+
     /// Records a peer's report of a crashed upstream or a completed request.
     void add_crash_report(crash_report report);
 
--- a/src/include/monsoondock/relay/upstream.hpp
+++ b/src/include/monsoondock/relay/upstream.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     /// Factor by which the group's processing times differ from the figures of
     /// the engine.
     double time_factor_ = 1.0;
+    /// Start of the host's process in milliseconds since 1970; 0 when unknown.
+    std::int64_t process_start_ms_ = 0;
     /// Identifies the group and its formation in logs.
     std::string group_;
 };
--- a/src/include/monsoondock/relay/upstream_table.hpp
+++ b/src/include/monsoondock/relay/upstream_table.hpp
@@ -27,6 +27,12 @@
     /// Until this time the upstream counts as unhealthy and is used only when
     /// there is no other.
     base::time_point unhealthy_until_;
+    /// True once a response has said that the upstream is leaving.
+    bool leaving_ = false;
+    /// Until this time the upstream wants no requests of this daemon.
+    base::time_point paused_until_;
+    /// Process of the upstream that leaving_ and paused_until_ are about.
+    std::int64_t process_start_ms_ = 0;
     /// Moving average of the time between two events of a stream; 0 before the
     /// first measurement.
     double event_interval_ms_ = 0;
@@ -63,6 +69,12 @@
     std::unordered_map<base::host_id, unsigned> local_loads() const;
 
 
+    /// Forgets that an upstream was leaving or paused when it is another
+    /// process by now.
+    void
+    detect_restart(const base::host_id& host, std::int64_t process_start_ms);
+
+
     /// Removes hosts that are not listed and have no request of this daemon in
     /// progress.
     void keep_only(const std::unordered_map<base::host_id, bool>& listed);
--- /dev/null
+++ b/src/librelay/availability.cpp
@@ -0,0 +1,61 @@
+#include <monsoondock/relay/availability.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace monsoondock::relay {
+
+std::optional<std::chrono::milliseconds>
+parse_retry_after(std::string_view text)
+{
+    double seconds = 0;
+    const char* const end = text.data() + text.size();
+    const auto [stop, failure] =
+        std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+    if (failure != std::errc() || stop != end || !std::isfinite(seconds) ||
+        seconds <= 0)
+        return std::nullopt;
+    const std::chrono::duration<double> longest = max_pause;
+    const std::chrono::duration<double> pause(
+        std::min(seconds, longest.count()));
+    return std::chrono::ceil<std::chrono::milliseconds>(pause);
+}
+
+
+double usable_share(const upstream_state& s, base::time_point now)
+{
+    if (s.leaving_ || now < s.paused_until_)
+        return 0;
+    if (s.paused_until_ == base::time_point())
+        return 1;
+    const std::chrono::duration<double, std::milli> passed =
+        now - s.paused_until_;
+    return std::min(1.0, passed.count() / double(ramp_time.count()));
+}
+
+
+std::optional<base::time_point> earliest_pause_end(
+    const std::vector<upstream>& all,
+    const upstream_table& table,
+    const std::string& model,
+    base::time_point now)
+{
+    std::optional<base::time_point> earliest;
+    for (const upstream& u : all) {
+        if (u.model_ != model)
+            continue;
+        const upstream_state* s = table.find(u.host_);
+        if (s == nullptr)
+            return std::nullopt;
+        if (s->leaving_)
+            continue;
+        if (s->paused_until_ <= now)
+            return std::nullopt;
+        earliest =
+            std::min(earliest.value_or(s->paused_until_), s->paused_until_);
+    }
+    return earliest;
+}
+
+} // namespace monsoondock::relay
--- a/src/librelay/choose_upstream.cpp
+++ b/src/librelay/choose_upstream.cpp
@@ -1,3 +1,4 @@
+#include <monsoondock/relay/availability.hpp>
 #include <monsoondock/relay/choose_upstream.hpp>
 
 #include <algorithm>
@@ -77,10 +78,13 @@
         if (u.model_ != request.model_ || request.tried_.contains(u.host_))
             continue;
         const upstream_state& s = state_of(table, u);
+        const double share = usable_share(s, request.now_);
+        if (share <= 0)
+            continue;
         double c = cost(u, s, median_ms, request, weights);
         if (is_unhealthy(s, request.now_))
             c += unhealthy_cost;
-        result.push_back({i, double(std::max(1U, u.slots_)), c});
+        result.push_back({i, share * std::max(1U, u.slots_), c});
     }
     std::stable_sort(
         result.begin(),
@@ -141,7 +145,8 @@
     std::optional<long> most;
     for (const upstream& u : all) {
         const upstream_state& s = state_of(table, u);
-        if (u.model_ != model || is_unhealthy(s, now))
+        if (u.model_ != model || is_unhealthy(s, now) ||
+            usable_share(s, now) <= 0)
             continue;
         const long free_slots = long{u.slots_} - long{total_load(s)};
         most = std::max(most.value_or(free_slots), free_slots);
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <cstdio>
+#include <mutex>
 #include <thread>
 
 namespace monsoondock::relay::test {
@@ -46,7 +47,8 @@
 std::string make_header(const scripted_response& r, const std::string& id)
 {
     const bool old = r.framing_ == framing::http_1_0;
-    std::string text = old ? "HTTP/1.0 200 OK\r\n" : "HTTP/1.1 200 OK\r\n";
+    std::string text = old ? "HTTP/1.0 " : "HTTP/1.1 ";
+    text.append(r.status_).append("\r\n").append(r.fields_);
     text.append("X-Request-Id: ").append(id).append("\r\nX-Seal: s\r\n");
     text.append("Content-Type: ");
     text.append(r.body_.empty() ? "text/event-stream" : "application/json");
@@ -94,12 +96,18 @@
     std::thread thread_;
     std::vector<scripted_response> script_;
     std::atomic<std::size_t> requests_{0};
+    mutable std::mutex mutex_;
+    std::vector<std::string> targets_;
 
 
     // Returns false when the connection has ended.
     asio::awaitable<bool> respond(
         tcp::socket& socket, const http::request<http::string_body>& request)
     {
+        {
+            const std::lock_guard lock(mutex_);
+            targets_.emplace_back(request["X-Target"]);
+        }
         const std::size_t number = requests_++;
         if (number >= script_.size())
             co_return false;
@@ -174,6 +182,13 @@
 }
 
 
+std::vector<std::string> fake_upstream::targets() const
+{
+    const std::lock_guard lock(impl_->mutex_);
+    return impl_->targets_;
+}
+
+
 std::string make_events(int first, int last)
 {
     std::string text;
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -43,6 +43,9 @@
     std::string partial_event_;
     /// Body in place of events, as application/json.
     std::string body_;
+    std::string status_ = "200 OK";
+    /// Further header fields, each ending with a line break.
+    std::string fields_;
 };
 
 
@@ -65,6 +68,11 @@
     /// Returns the number of requests received.
     std::size_t requests() const;
 
+
+    /// Returns the host to which each request was addressed, in the order of
+    /// their arrival.
+    std::vector<std::string> targets() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -4,6 +4,7 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/relay/availability.hpp>
 #include <monsoondock/relay/choose_upstream.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -29,6 +30,9 @@
 constexpr milliseconds group_repair_retry_after{1000};
 // A slot becomes free after about the duration of one response.
 constexpr milliseconds busy_retry_after{500};
+// Callers that were told the end of a pause return within at least this time.
+constexpr milliseconds min_pause_spread{200};
+constexpr int pause_spread_divisor = 4;
 // Maximum number of requests that wait for a slot of a group. This many still
 // start within the latency target of callers.
 constexpr long max_queued_requests = 3;
@@ -76,6 +80,26 @@
 }
 
 
+// Returns when the caller may retry, if all upstreams that could serve the
+// request have asked for a pause. Callers are spread over some time after the
+// end of the first pause.
+std::optional<milliseconds> retry_after_pause(forward_context& c)
+{
+    const auto found = c.t_.view_->upstreams_.find(c.deployment_);
+    if (found == c.t_.view_->upstreams_.end())
+        return std::nullopt;
+    const base::time_point now = base::boot_clock::now();
+    const auto end = earliest_pause_end(
+        found->second, c.t_.upstream_table_, c.e_.model_, now);
+    if (!end)
+        return std::nullopt;
+    const auto left = std::chrono::ceil<milliseconds>(*end - now);
+    const auto spread = std::max(min_pause_spread, left / pause_spread_divisor);
+    return left + milliseconds(static_cast<std::int64_t>(
+                      double(spread.count()) * random_fraction(c.t_)));
+}
+
+
 local_response final_response(forward_context& c)
 {
     if (c.may_have_run_) {
@@ -86,6 +110,8 @@
                    : local_response{
                          http::status::bad_gateway, "upstream_failed", {}};
     }
+    if (const auto pause = retry_after_pause(c))
+        return {http::status::service_unavailable, "upstreams_paused", *pause};
     if (c.e_.sends_ == 0)
         return {
             http::status::service_unavailable,
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -36,6 +36,7 @@
     names.answer_estimate_ = "X-Estimate";
     names.seal_ = "X-Seal";
     names.not_run_ = "X-Not-Run";
+    names.leaving_ = "X-Leaving";
     names.failed_host_ = "X-Failed-Host";
     names.last_event_id_ = "Last-Event-Id";
     return names;
@@ -136,6 +137,7 @@
     caller_response result;
     result.status_ = parser.get().result_int();
     result.body_ = parser.get().body();
+    result.retry_after_ = std::string(parser.get()[http::field::retry_after]);
     result.complete_ = !failure;
     return result;
 }
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -16,6 +16,8 @@
 {
     unsigned status_ = 0;
     std::string body_;
+    /// Value of the Retry-After field; empty when there is none.
+    std::string retry_after_;
     /// True when the response ended as its header announced.
     bool complete_ = false;
 };
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -62,8 +62,10 @@
 {
     std::unordered_map<base::host_id, bool> listed;
     for (const auto& [deployment, hosts] : view->upstreams_) {
-        for (const upstream& u : hosts)
+        for (const upstream& u : hosts) {
             listed[u.host_] = true;
+            t.upstream_table_.detect_restart(u.host_, u.process_start_ms_);
+        }
     }
     t.upstream_table_.keep_only(listed);
     t.view_ = std::move(view);
@@ -185,6 +187,18 @@
 }
 
 
+void reverse_proxy::mark_leaving(
+    base::host_id host, std::int64_t process_start_ms)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, host = std::move(host), process_start_ms] {
+        upstream_state& s = t.upstream_table_.state_of(host);
+        s.leaving_ = true;
+        s.process_start_ms_ = process_start_ms;
+    });
+}
+
+
 void reverse_proxy::add_crash_report(crash_report report)
 {
     proxy_thread& t = impl_->thread_state_;
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/keepalive_options.hpp>
+#include <monsoondock/relay/availability.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -206,6 +207,37 @@
 }
 
 
+// Records what the header of a response says about requests that are not sent
+// yet.
+void record_availability(try_context& c, const http_response& response)
+{
+    // Another host may respond at the address of a host that has gone.
+    if (response.result() == http::status::misdirected_request)
+        return;
+    upstream_state& s = c.t_.upstream_table_.state_of(c.target_.host_);
+    s.process_start_ms_ = c.target_.process_start_ms_;
+    if (response.count(c.t_.config_.headers_.leaving_) > 0 && !s.leaving_) {
+        s.leaving_ = true;
+        base::event_line("upstream_leaving")
+            .field("request", c.e_.id_)
+            .field("host", c.target_.host_);
+        if (c.t_.callbacks_.on_leaving_)
+            c.t_.callbacks_.on_leaving_(c.target_.host_);
+    }
+    if (response.result() != http::status::service_unavailable)
+        return;
+    const auto pause = parse_retry_after(response[http::field::retry_after]);
+    if (!pause)
+        return;
+    s.paused_until_ =
+        std::max(s.paused_until_, base::boot_clock::now() + *pause);
+    base::event_line("upstream_paused")
+        .field("request", c.e_.id_)
+        .field("host", c.target_.host_)
+        .field("pause", *pause);
+}
+
+
 void handle_rejection(try_context& c, const http_response& response)
 {
     const auto failed = response[c.t_.config_.headers_.failed_host_];
@@ -350,6 +382,7 @@
     if (parser == nullptr)
         co_return try_outcome::lost;
     c.state_.framing_ = framing_of(*parser);
+    record_availability(c, parser->get());
     if (is_event_stream(e, parser->get()))
         co_return co_await relay_stream(c, *parser);
     const try_outcome outcome = co_await read_buffered_response(c, *parser);
--- a/src/librelay/upstream_table.cpp
+++ b/src/librelay/upstream_table.cpp
@@ -26,6 +26,19 @@
 }
 
 
+void upstream_table::detect_restart(
+    const base::host_id& host, std::int64_t process_start_ms)
+{
+    const auto found = states_.find(host);
+    if (found == states_.end() ||
+        found->second.process_start_ms_ == process_start_ms)
+        return;
+    found->second.leaving_ = false;
+    found->second.paused_until_ = {};
+    found->second.process_start_ms_ = process_start_ms;
+}
+
+
 void upstream_table::keep_only(
     const std::unordered_map<base::host_id, bool>& listed)
 {
