entry: tell peers which hosts say that they are leaving

The daemon that reads the field tells the others at once, so that their traffic threads stop sending there too and the planner treats the host as draining. It stays so until its process restarts, also if the store lists it as ready.

--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -92,6 +92,7 @@
     u.address_ = address;
     u.data_centre_ = host.data_centre_;
     u.slots_ = host.slots_;
+    u.process_start_ms_ = host.process_start_ms_;
     return u;
 }
 
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -469,6 +469,16 @@
 void mark_host_unreachable(control_plane& c, const base::host_id& host);
 
 
+/// Tells the peers that a host said, in a response to this daemon, that it is
+/// leaving, and treats it as leaving.
+void announce_leaving_host(control_plane& c, const base::host_id& id);
+
+
+/// Treats a host as leaving until its process restarts, whatever its entry in
+/// the store says.
+void mark_host_leaving(control_plane& c, const host_leaving_message& m);
+
+
 /// If this daemon leads, probes all hosts of the group whose head is
 /// suspected to have failed.
 void check_group(control_plane& c, const upstream_suspected_message& suspicion);
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -233,6 +233,20 @@
 }
 
 
+void put(wire::body_writer& out, const host_leaving_message& m)
+{
+    wire::write_text(out, m.host_.value_);
+    out(m.process_start_ms_);
+}
+
+
+void get(wire::body_reader& in, host_leaving_message& m)
+{
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+    in(m.process_start_ms_);
+}
+
+
 void put(wire::body_writer&, const relist_hosts_message&) {}
 
 
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -82,6 +82,15 @@
 };
 
 
+/// A host said in a response to the sender that it is leaving.
+struct host_leaving_message
+{
+    base::host_id host_;
+    /// Process that is leaving; see fleet::host_info.
+    std::int64_t process_start_ms_ = 0;
+};
+
+
 /// Demand of the sender's callers over an interval.
 struct demand_message
 {
@@ -155,6 +164,7 @@
     upstream_query_message,
     demand_message,
     host_unreachable_message,
+    host_leaving_message,
     relist_hosts_message,
     host_changes_message,
     data_centre_load_message,
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -57,6 +57,16 @@
 }
 
 
+Test(peer_message, leaving_message_round_trip)
+{
+    const auto got =
+        pvt::decode(pvt::encode(pvt::host_leaving_message{{"h"}, 42}));
+    const auto& m = std::get<pvt::host_leaving_message>(*got);
+    cr_assert(m.host_.value_ == "h");
+    cr_assert_eq(m.process_start_ms_, 42);
+}
+
+
 Test(peer_message, load_sums_round_trip)
 {
     const pvt::load_sum_message sent{{{{"a"}, 3}}, {{{"a"}, 2}, {{"b"}, 9}}};
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -166,6 +166,7 @@
             [&](const host_unreachable_message& m) {
                 mark_host_unreachable(c, m.host_);
             },
+            [&](const host_leaving_message& m) { mark_host_leaving(c, m); },
             [&](const demand_message& m) { record_demand(c, m); },
             [&](const crash_message& m) {
                 c.proxy_->add_crash_report(m.report_);
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -54,6 +54,10 @@
             pvt::send_nearby(c, pvt::upstream_query_message{host});
         });
     };
+    callbacks.on_leaving_ = [&c](const base::host_id& host) {
+        asio::post(
+            c.context_, [&c, host] { pvt::announce_leaving_host(c, host); });
+    };
     callbacks.on_crash_ = [&c](const relay::crash_report& report) {
         asio::post(c.context_, [&c, report] {
             pvt::broadcast(c, pvt::crash_message{report});
--- a/testsuite/entry-store-restored/run.py
+++ b/testsuite/entry-store-restored/run.py
@@ -4,7 +4,7 @@
 
 import re
 
-from entry_calls import call, serves
+from entry_calls import call, serves, status, wait_until_unused
 from session import Session, wait_until
 from users_platform import (
     EngineWorker, EntryDaemon, PlainWorker, Store, configuration,
@@ -15,8 +15,7 @@
 
 
 def seal_of(daemon, request_id):
-    return call(daemon, request_id, "/status/1", method="GET").headers.get(
-        "x-response-seal")
+    return status(daemon, request_id).headers.get("x-response-seal")
 
 
 def wait_until_leaving(daemons, worker):
@@ -24,15 +23,7 @@
     known = re.compile(f"event=host_changed host={worker.name} .*draining=yes")
     wait_until(lambda: all(known.search(d.stdout_text()) for d in daemons),
                f"the news that {worker.name} leaves")
-
-    def is_unused():
-        before = sum(worker.runs.values())
-        for d in daemons:
-            for i in range(5):
-                seal_of(d, f"probe-{i}")
-        return sum(worker.runs.values()) == before
-
-    wait_until(is_unused, f"the last request to {worker.name}")
+    wait_until_unused(daemons, worker)
 
 
 def main():
@@ -79,7 +70,7 @@
                     f"{record['epochs_below'] > lost['epochs_below']}")
 
         before = sum(leaving.runs.values())
-        states = {call(d, f"r-2-{i}", "/status/1", method="GET").status
+        states = {status(d, f"r-2-{i}").status
                   for i in range(20) for d in daemons}
         session.say(f"status while entries are written again: {states}")
         session.say("requests to the host that was leaving: "
--- a/testsuite/entry_calls.py
+++ b/testsuite/entry_calls.py
@@ -20,6 +20,23 @@
         "X-Model-Name": "m1", "X-Token-Counts": "100,60", **headers})
 
 
+def status(daemon, request_id):
+    """Sends a request of the kind that may be repeated."""
+    return call(daemon, request_id, "/status/1", method="GET")
+
+
+def wait_until_unused(daemons, worker):
+    """Waits until some requests to the daemons don't reach the worker."""
+    def is_unused():
+        before = sum(worker.runs.values())
+        for d in daemons:
+            for i in range(20):
+                status(d, f"probe-{i}")
+        return sum(worker.runs.values()) == before
+
+    wait_until(is_unused, f"the last request to {worker.name}")
+
+
 def event_ids(text):
     return re.findall(r"^id: (\d+)$", text, re.MULTILINE)
 
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -236,10 +236,20 @@
         self.requests = []
         self.answers_to_drop = 0
         self.requests_to_hang = 0
+        # Header fields of all answers.
+        self.fields = []
+        # Seconds of the pause that the next request is rejected with.
+        self.pause = None
         super().__init__(store, name, service, zone)
 
     def serve(self, handler, body):
         with self.lock:
+            if self.pause:
+                handler.answer(503, {}, [
+                    *self.seal_headers(handler), ("X-Not-Executed", "1"),
+                    ("Retry-After", str(self.pause))])
+                self.pause = None
+                return
             self.runs[handler.headers["X-Request-Id"]] += 1
             self.requests.append((
                 handler.command, handler.path, body.decode(),
@@ -257,7 +267,8 @@
             handler.close_connection = True
             handler.connection.shutdown(socket.SHUT_RDWR)
             return
-        handler.answer(200, b"done " + body, self.seal_headers(handler))
+        handler.answer(200, b"done " + body,
+                       [*self.seal_headers(handler), *self.fields])
 
 
 class EngineWorker(Worker):
