soak: restored stores, hosts that leave or pause, streams without framing

The soak's stand-ins do all four at random: the store comes back from an older copy, a ledger host says that it is leaving while it is listed as ready, one asks for a pause, and streams end with their connection, some inside an event. A run in which the daemons don't serve after the start keeps its logs like any other failure. golden-entry-path has a stream that ends with its connection, and one that is broken off so.

--- a/testsuite/entry-path/run.py
+++ b/testsuite/entry-path/run.py
@@ -64,6 +64,23 @@
             "end of the stream at its engine")
         session.say("the stream of a disconnected caller ended at its engine")
 
+        for engine in engines:
+            engine.unframed_streams = 1
+        answer = chat(first, "r-10")
+        session.say(f"stream that ends with its connection: {answer.status} "
+                    f"events {' '.join(event_ids(answer.text()))}")
+        for engine in engines:
+            engine.unframed_streams = 0
+        broken = next(e for e in engines if e.is_open_head())
+        broken.truncate_at_event = 6
+        broken.unframed_streams = 1
+        answer = wait_until(
+            lambda: (lambda a: not broken.unframed_streams and a)(
+                chat(first, f"t-{time.time_ns()}")), "the broken stream")
+        session.say("the same, broken off inside an event: "
+                    f"{answer.status} events "
+                    f"{' '.join(event_ids(answer.text()))}")
+
         for engine in engines:
             if engine.is_open_head():
                 engine.crash_at_event = 6
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -31,6 +31,7 @@
 DAEMONS = 3
 DOMAINS = 3
 CALLERS = 6
+START_SECONDS = 30
 RECOVERY_SECONDS = 20
 NOT_RUN = (408, 421, 429, 503)
 
@@ -54,6 +55,8 @@
                 self.add_engine(f"e{domain}{number}", f"d{domain}")
         self.ledgers = [PlainWorker(self.store, f"l{i}", "ledger", "z1")
                         for i in range(2)]
+        # The latest copy of the store's content, for restore_store.
+        self.saved = self.store.copy()
         self.ports = daemon_ports()
         self.daemons = {}
         # Two fault sequences must not start one daemon twice on the same ports.
@@ -200,6 +203,38 @@
         self.random.choice(
             self.ledgers).answers_to_drop = self.random.randint(1, 5)
 
+    def break_streams(self):
+        engine = self.random.choice(self.engines)
+        engine.truncate_at_event = self.random.choice(
+            [None, *range(1, EngineWorker.EVENTS + 1)])
+        engine.unframed_streams = self.random.randint(1, 5)
+
+    def pause_ledger(self):
+        self.random.choice(
+            self.ledgers).pause = self.random.choice([0.2, 0.7, 1, 2])
+
+    def replace_ledger(self):
+        """A ledger host says in its answers that it is leaving, while the store
+        lists it as ready, and another one takes its place."""
+        leaving = self.random.choice(self.ledgers)
+        self.ledgers.remove(leaving)
+        self.ledgers.append(PlainWorker(
+            self.store, f"l{time.time_ns()}", "ledger", "z1"))
+        leaving.fields = [("Server-Leaving", "1")]
+
+    def restore_store(self):
+        """The store comes back from the copy that was made last; the operator
+        and the workers write again what they wrote since."""
+        saved, self.saved = self.saved, self.store.copy()
+        self.store.down.set()
+        time.sleep(self.random.uniform(0.1, 1.0))
+        self.store.restore(saved)
+        self.store.down.clear()
+        time.sleep(self.random.uniform(0.0, 1.0))
+        self.publish_configuration()
+        for worker in [*self.engines, *self.ledgers]:
+            worker.publish()
+
     def change_configuration(self):
         self.version += self.random.randint(1, 5)
         self.keys = ["k1"] if "k2" in self.keys else ["k1", "k2"]
@@ -222,6 +257,8 @@
 FAULTS = [SoakRun.kill_daemon, SoakRun.stop_daemon, SoakRun.pause_daemon,
           SoakRun.reload_daemon, SoakRun.lose_engine, SoakRun.drain_engine,
           SoakRun.lose_answers, SoakRun.change_configuration, SoakRun.cut_store,
+          SoakRun.break_streams, SoakRun.break_streams, SoakRun.pause_ledger,
+          SoakRun.replace_ledger, SoakRun.restore_store,
           SoakRun.inject_worker_network_fault,
           SoakRun.inject_worker_network_fault,
           SoakRun.inject_store_network_fault]
@@ -263,33 +300,46 @@
         thread.join()
 
 
+def wait_for_service(soak_run, when, timeout):
+    """Returns whether the daemons serve in time; if not, it is a violation."""
+    try:
+        wait_until(lambda: serves(soak_run), "service", timeout)
+        return True
+    except TimeoutError:
+        soak_run.record_violation(f"no service within {timeout} s {when}")
+        return False
+
+
+def report(soak_run, seed, keep):
+    """Prints the result of a seed and keeps the logs of one that failed.
+    Returns whether it passed."""
+    print(f"seed {seed}: {soak_run.served} served, "
+          f"{len(soak_run.violations)} violations", flush=True)
+    for text in soak_run.violations[:10]:
+        print(f"  {text}")
+    if soak_run.violations:
+        for log in pathlib.Path(
+                soak_run.session.scratch.name).glob("*.std*"):
+            (keep / f"seed-{seed}-{log.name}").write_bytes(log.read_bytes())
+    return not soak_run.violations
+
+
 def run_seed(seed, seconds, keep):
     with Session() as session:
         soak_run = SoakRun(session, seed)
-        wait_until(lambda: serves(soak_run), "service at the start", 30)
+        if not wait_for_service(soak_run, "after the start", START_SECONDS):
+            return report(soak_run, seed, keep)
         callers = [threading.Thread(target=soak_run.run_caller, args=(f"{i}",))
                    for i in range(CALLERS)]
         for caller in callers:
             caller.start()
         inject_faults(soak_run, seconds)
-        try:
-            wait_until(lambda: serves(soak_run), "service", RECOVERY_SECONDS)
-        except TimeoutError:
-            soak_run.record_violation(
-                f"no service within {RECOVERY_SECONDS} s after the faults")
+        wait_for_service(soak_run, "after the faults", RECOVERY_SECONDS)
         soak_run.running = False
         for caller in callers:
             caller.join()
         soak_run.check_runs()
-        print(f"seed {seed}: {soak_run.served} served, "
-              f"{len(soak_run.violations)} violations", flush=True)
-        for text in soak_run.violations[:10]:
-            print(f"  {text}")
-        if soak_run.violations:
-            for log in pathlib.Path(session.scratch.name).glob("*.std*"):
-                (keep / f"seed-{seed}-{log.name}").write_bytes(
-                    log.read_bytes())
-        return not soak_run.violations
+        return report(soak_run, seed, keep)
 
 
 def main():
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -278,6 +278,10 @@
 
     def __init__(self, store, name, service, zone, domain):
         self.crash_at_event = None
+        # Number of next streams that have neither a length nor chunks, and the
+        # event inside which those end; None for complete ones.
+        self.unframed_streams = 0
+        self.truncate_at_event = None
         self.disconnected_requests = []
         self.timers = []
         super().__init__(store, name, service, zone, domain=domain,
@@ -333,10 +337,18 @@
             handler.answer(503, {}, [("X-Not-Executed", "1")])
             return
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        with self.lock:
+            unframed = self.unframed_streams > 0
+            self.unframed_streams -= 1 if unframed else 0
         handler.send_response(200)
         for name, value in self.seal_headers(handler):
             handler.send_header(name, value)
         handler.send_header("Content-Type", "text/event-stream")
+        if unframed:
+            handler.send_header("Connection", "close")
+            handler.end_headers()
+            self.send_unframed(handler, first)
+            return
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         try:
@@ -344,7 +356,7 @@
                 if number == self.crash_at_event:
                     self.crash(handler)
                     return
-                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                event = self.event(number)
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
                 time.sleep(EVENT_SECONDS)
             handler.wfile.write(b"0\r\n\r\n")
@@ -352,6 +364,21 @@
             self.disconnected_requests.append(handler.headers["X-Request-Id"])
             handler.close_connection = True
 
+    def event(self, number):
+        return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+    def send_unframed(self, handler, first):
+        handler.close_connection = True
+        try:
+            for number in range(first, self.EVENTS + 1):
+                if number == self.truncate_at_event:
+                    handler.wfile.write(self.event(number)[:9])
+                    return
+                handler.wfile.write(self.event(number))
+                time.sleep(EVENT_SECONDS)
+        except OSError:
+            self.disconnected_requests.append(handler.headers["X-Request-Id"])
+
     def crash(self, handler):
         """Simulates a crash in the middle of an event: resets the connection,
         closes the listener and removes the entry of the worker."""
