testsuite: the load tool's fake server queues the connections of its test

Its server queued five connections at most; what comes while it doesn't accept is retransmitted by the kernel after up to half a minute, the tool's timeout.

--- a/testsuite/load-tool/fake_daemon.py
+++ b/testsuite/load-tool/fake_daemon.py
@@ -115,10 +115,16 @@
         self.wfile.write(b"0\r\n\r\n")
 
 
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    # As many as the load tool opens before a busy machine accepts one. With a
+    # full queue, connections wait for retransmissions of the kernel.
+    request_queue_size = 1024
+
+
 def start(closed_address):
     """Starts the server in a background thread and returns it."""
-    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-    server.daemon_threads = True
+    server = Server(("127.0.0.1", 0), Handler)
     server.closed_address = closed_address
     server.runs = {}
     server.connections = 0
