--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -21,6 +21,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr unsigned http_version_1_1 = 11;
 // Maximum number of tries per request, including those that upstreams rejected.
 constexpr unsigned max_sends = 4;
 // Callers are told to retry within a third of their remaining time.
@@ -154,11 +155,15 @@
 }
 
 
-// Closes the connection without the last chunk, so that a stream that cannot be
-// resumed does not look complete.
+// Closes the connection without the last chunk, or resets one whose end would
+// mark the end of the stream, so that a stream that cannot be resumed does not
+// look complete.
 bool abort_stream(forward_context& c)
 {
     boost::system::error_code ignored;
+    if (!c.state_.chunked_)
+        c.e_.caller_->socket_.set_option(
+            asio::socket_base::linger(true, 0), ignored);
     c.e_.caller_->socket_.close(ignored);
     c.outcome_ = {
         c.e_.stop_reason_ == stop_reason::deadline ? "stream_timeout"
@@ -331,7 +336,7 @@
 {
     if (outcome == try_outcome::relayed) {
         c.outcome_ = {"answered", 200};
-        co_return c.state_.keep_alive_;
+        co_return c.state_.keep_alive_&& c.state_.chunked_;
     }
     if (outcome == try_outcome::caller_gone) {
         c.outcome_ = {"caller_left", 0};
@@ -444,6 +449,7 @@
 {
     forward_context c{t, *e, {}, {}, {}, {}, {}};
     c.state_.keep_alive_ = e->request_.keep_alive() && !t.view_->stopping_;
+    c.state_.chunked_ = e->request_.version() >= http_version_1_1;
     const auto* chosen =
         catalog::choose_deployment(*e->route_, random_fraction(t));
     if (chosen != nullptr)
--- a/src/librelay/http_serializer.cpp
+++ b/src/librelay/http_serializer.cpp
@@ -168,12 +168,13 @@
 }
 
 
-std::string
-serialize_stream_header(const http_response& response, bool keep_alive)
+std::string serialize_stream_header(
+    const http_response& response, bool keep_alive, bool chunked)
 {
     std::string text = status_line(response);
-    append_field(text, "Transfer-Encoding", "chunked");
-    append_connection(text, keep_alive);
+    if (chunked)
+        append_field(text, "Transfer-Encoding", "chunked");
+    append_connection(text, keep_alive && chunked);
     text.append("\r\n");
     return text;
 }
--- a/src/librelay/http_serializer.hpp
+++ b/src/librelay/http_serializer.hpp
@@ -41,9 +41,9 @@
 
 
 /// Serializes the status line and header of a streamed response, whose body
-/// follows in chunks.
-std::string
-serialize_stream_header(const http_response& response, bool keep_alive);
+/// follows in chunks or, if not chunked, ends with the connection.
+std::string serialize_stream_header(
+    const http_response& response, bool keep_alive, bool chunked);
 
 
 /// Serializes one chunk of a streamed response.
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -121,9 +121,10 @@
 }
 
 
-caller_response proxy_session::call()
+caller_response proxy_session::call(unsigned http_version)
 {
-    http::request<http::string_body> request(http::verb::post, "/x", 11);
+    http::request<http::string_body> request(
+        http::verb::post, "/x", http_version);
     request.set(http::field::host, host_name);
     request.set("X-Request-Id", "r-1");
     request.set("X-Time-Left", "60000");
@@ -138,6 +139,7 @@
     result.status_ = parser.get().result_int();
     result.body_ = parser.get().body();
     result.retry_after_ = std::string(parser.get()[http::field::retry_after]);
+    result.chunked_ = parser.chunked();
     result.complete_ = !failure;
     return result;
 }
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -18,6 +18,7 @@
     std::string body_;
     /// Value of the Retry-After field; empty when there is none.
     std::string retry_after_;
+    bool chunked_ = false;
     /// True when the response ended as its header announced.
     bool complete_ = false;
 };
@@ -33,8 +34,9 @@
         catalog::request_kind kind, std::vector<scripted_response> script);
 
 
-    /// Sends a request and reads the response.
-    caller_response call();
+    /// Sends a request of HTTP/1.1, or of another version, and reads the
+    /// response.
+    caller_response call(unsigned http_version = 11);
 
 
     fake_upstream upstream_;
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -296,6 +296,21 @@
 }
 
 
+// Returns true when the upstream broke the stream off, although its body ended
+// as its header announced: inside an event, or with the connection before the
+// first event.
+bool has_broken_off(const try_context& c)
+{
+    const event_splitter& events = c.state_.splitter_;
+    if (ends_inside_event(events))
+        return true;
+    const bool resumed =
+        c.e_.request_.count(c.t_.config_.headers_.last_event_id_) > 0;
+    return c.state_.framing_ == body_framing::connection_close &&
+           events.events_ == 0 && !resumed;
+}
+
+
 // Relays the received part of a stream. Returns false when writing to the
 // caller fails.
 asio::awaitable<bool>
@@ -306,21 +321,22 @@
     std::string events = extract_events(s.splitter_, body);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
-    const bool ends =
-        last && !s.splitter_.gap_ && !ends_inside_event(s.splitter_);
+    const bool ends = last && !s.splitter_.gap_ && !has_broken_off(c);
     if (ends)
         events.append(std::exchange(s.splitter_.pending_, {}));
     if (events.empty() && !ends)
         co_return true;
     std::string text;
     if (!s.header_sent_) {
-        text = serialize_stream_header(parser.get(), s.keep_alive_);
+        text = serialize_stream_header(parser.get(), s.keep_alive_, s.chunked_);
         s.first_response_at_ = base::boot_clock::now();
         s.header_sent_ = true;
     }
-    if (!events.empty())
+    if (!s.chunked_)
+        text.append(events);
+    else if (!events.empty())
         text.append(serialize_chunk(events));
-    if (ends)
+    if (ends && s.chunked_)
         text.append(last_chunk);
     const bool sent = co_await write_to_caller(c, text);
     enter_phase(c.e_, wait_phase::next_event);
@@ -344,7 +360,7 @@
             co_return try_outcome::caller_gone;
         if (c.state_.splitter_.gap_)
             co_return try_outcome::lost;
-        if (last && ends_inside_event(c.state_.splitter_))
+        if (last && has_broken_off(c))
             co_return try_outcome::lost;
         if (last)
             break;
@@ -355,12 +371,6 @@
             e.upstream_->buffer_,
             parser,
             base::await_tuple);
-        if (failure == http::error::end_of_stream && parser.need_eof()) {
-            boost::system::error_code ended;
-            parser.put_eof(ended);
-            if (!ended)
-                continue;
-        }
         if (failure)
             co_return try_outcome::lost;
     }
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -44,6 +44,8 @@
     base::time_point first_response_at_;
     /// True when the caller's connection stays open after the response.
     bool keep_alive_ = true;
+    /// False for a caller of HTTP/1.0, whose streams end with the connection.
+    bool chunked_ = true;
 };
 
 
