entry: replace a leader that has lost the store, heartbeats or not

In a large cluster the followers learn from the leader alone who leaves. Ruled out: the changes for restored stores, which the trace does not meet (era 0).

Whether to try to become leader is a pure function now. One of the four daemons first by precedence does so when the leader's last contact with the store is 1.5 s old; if the store is away for all, it fails at its first read like before. election/a_leader_without_the_store_is_replaced_within_the_drain_time fails without the new condition.

--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "election.hpp"
 #include "peer_topology.hpp"
 
 #include <monsoondock/base/event_line.hpp>
@@ -21,11 +22,6 @@
 constexpr const char* record_key = "leaders/placement";
 constexpr std::chrono::milliseconds leadership_poll_period{100};
 constexpr std::chrono::milliseconds heartbeat_period{250};
-// A leader without heartbeats for this time is considered failed. Each daemon
-// waits rank_delay longer than its predecessor by precedence, so that they
-// don't all try to become leader at once.
-constexpr std::chrono::milliseconds heartbeat_timeout{1000};
-constexpr std::chrono::milliseconds rank_delay{250};
 // On the first start of the system there is no leader to wait for, so all
 // daemons try within this time.
 constexpr std::chrono::milliseconds max_first_delay{80};
@@ -111,15 +107,16 @@
 
 bool election_is_due(const control_plane& c)
 {
-    const base::time_point now = base::boot_clock::now();
-    if (is_initial_election(c))
-        return true;
-    if (c.leader_.resigned_)
-        return now - c.leader_.last_heartbeat_at_ >=
-               election_rank(c) * rank_delay;
-    const base::time_point since =
-        std::max(c.leader_.last_heartbeat_at_, c.started_at_);
-    return now - since > heartbeat_timeout + election_rank(c) * rank_delay;
+    const leader_state& l = c.leader_;
+    const leader_knowledge k{
+        election_rank(c),
+        l.term_,
+        is_initial_election(c),
+        l.resigned_,
+        c.started_at_,
+        l.last_heartbeat_at_,
+        l.leader_store_contact_at_};
+    return is_election_due(k, base::boot_clock::now());
 }
 
 
@@ -266,6 +263,7 @@
         if (previous && is_initial_election(c)) {
             c.leader_.term_ = previous->term_;
             c.leader_.last_heartbeat_at_ = base::boot_clock::now();
+            c.leader_.leader_store_contact_at_ = c.leader_.last_heartbeat_at_;
             co_return;
         }
         if (!previous) {
@@ -367,6 +365,8 @@
             co_return false;
         }
         l.leading_ = false;
+        // The new leader has just written its record.
+        l.leader_store_contact_at_ = base::boot_clock::now();
         c.planners_.clear();
         base::event_line("leadership_lost", base::severity::warning)
             .field(
