--- a/testsuite/run_case.py
+++ b/testsuite/run_case.py
@@ -14,6 +14,9 @@
 import signal
 import subprocess
 import sys
+import tempfile
+
+LOG_LINES = 40
 
 
 def parse_arguments():
@@ -32,12 +35,24 @@
         pass
 
 
-def run(arguments):
-    """Returns the output and the exit status of the case."""
+def print_logs(folder):
+    """Prints the last lines of the logs that a killed case has left."""
+    for log in sorted(pathlib.Path(folder).rglob("*")):
+        if not log.is_file() or log.suffix == ".toml":
+            continue
+        lines = log.read_text(errors="replace").splitlines()
+        print(f"--- {log.name}")
+        print("\n".join(lines[-LOG_LINES:]))
+
+
+def run(arguments, scratch):
+    """Returns the output and the exit status of the case, whose temporary files
+    are in the folder scratch."""
     environment = dict(os.environ)
     environment["MONSOONDOCK_BIN"] = str(arguments.bin.resolve())
     environment["PYTHONPATH"] = str(pathlib.Path(__file__).resolve().parent)
     environment["PYTHONDONTWRITEBYTECODE"] = "1"
+    environment["TMPDIR"] = scratch
     process = subprocess.Popen(
         [sys.executable, str(arguments.folder / "run.py")],
         stdout=subprocess.PIPE,
@@ -50,6 +65,7 @@
     except subprocess.TimeoutExpired:
         kill_group(process)
         output, _ = process.communicate()
+        print_logs(scratch)
         return output + "TIMEOUT\n", 1
     finally:
         kill_group(process)
@@ -57,7 +73,8 @@
 
 def main():
     arguments = parse_arguments()
-    output, status = run(arguments)
+    with tempfile.TemporaryDirectory(prefix="monsoondock-case-") as scratch:
+        output, status = run(arguments, scratch)
     reference = arguments.folder / "ref" / "out.txt"
     if arguments.update:
         reference.write_text(output)
