relay, entry: log what the end of the process cuts

Change: request_cut for each request in progress at the end of the traffic thread, with its host, phase and age; connections_closed with the number of idle, unread, reading and busy connections; elapsed of stopped. No change of behaviour.

--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -29,6 +29,7 @@
     const base::time_point start_time = base::boot_clock::now();
     base::event_line("stopping")
         .field("daemon", c.config_.daemon_)
+        .field("grace", c.config_.grace_)
         .field("active_requests", c.proxy_->active_requests());
     c.stopping_ = true;
     if (c.leader_.leading_)
@@ -52,6 +53,7 @@
     apply_node_output(c, c.node_.depart(base::boot_clock::now()));
     base::event_line("stopped")
         .field("daemon", c.config_.daemon_)
+        .field("elapsed", base::boot_clock::now() - start_time)
         .field("cut_requests", c.proxy_->active_requests());
     c.context_.stop();
 }
--- a/src/librelay/exchange.cpp
+++ b/src/librelay/exchange.cpp
@@ -40,4 +40,20 @@
     return "unknown";
 }
 
+
+const char* to_string(wait_phase phase) noexcept
+{
+    switch (phase) {
+    case wait_phase::none:
+        return "none";
+    case wait_phase::connect:
+        return "connect";
+    case wait_phase::first_response:
+        return "first_response";
+    case wait_phase::next_event:
+        return "next_event";
+    }
+    return "unknown";
+}
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -96,7 +96,8 @@
 bool may_run_again(const exchange& e) noexcept;
 
 
-/// Returns the name of a reason as it appears in logs.
+/// Returns the name of a reason or phase as it appears in logs.
 const char* to_string(stop_reason reason) noexcept;
+const char* to_string(wait_phase phase) noexcept;
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -1,4 +1,5 @@
 #include "caller_session.hpp"
+#include "cut_log.hpp"
 #include "proxy_thread.hpp"
 #include "wait_limits.hpp"
 
@@ -245,8 +246,10 @@
 void reverse_proxy::stop()
 {
     impl_->thread_state_.context_.stop();
-    if (impl_->thread_.joinable())
-        impl_->thread_.join();
+    if (!impl_->thread_.joinable())
+        return;
+    impl_->thread_.join();
+    pvt::log_cut_work(impl_->thread_state_);
 }
 
 } // namespace monsoondock::relay
