--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -116,8 +117,16 @@
         const int first = last_id.empty() ? 1 : std::stoi(last_id) + 1;
         const std::string text =
             make_response(r, std::string(request["X-Request-Id"]), first);
+        const std::size_t half =
+            r.pause_.count() > 0 ? text.size() / 2 : text.size();
         co_await asio::async_write(
-            socket, asio::buffer(text), base::await_tuple);
+            socket, asio::buffer(text.data(), half), base::await_tuple);
+        asio::steady_timer pause(context_, r.pause_);
+        co_await pause.async_wait(base::await_tuple);
+        co_await asio::async_write(
+            socket,
+            asio::buffer(text.data() + half, text.size() - half),
+            base::await_tuple);
         if (r.ending_ == ending::keep_open)
             co_return true;
         end_connection(socket, r.ending_);
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,6 +47,8 @@
     std::string status_ = "200 OK";
     /// Further header fields, each ending with a line break.
     std::string fields_;
+    /// Pause in the middle of the response.
+    std::chrono::milliseconds pause_{0};
 };
 
 
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -43,21 +43,20 @@
 }
 
 
-proxy_config make_config()
+proxy_config make_config(const session_options& options)
 {
     proxy_config config;
+    config.retry_limit_.slack_ = options.retry_slack_;
     config.headers_ = make_header_names();
     config.data_centre_ = {"here"};
     return config;
 }
 
 
-// A step of the engine is so long that no wait for an event exceeds its limit,
-// however slowly the test runs.
-catalog::engine make_engine()
+catalog::engine make_engine(double step_ms)
 {
     catalog::engine engine;
-    engine.step_ms_ = 60000;
+    engine.step_ms_ = step_ms;
     catalog::model model;
     model.name_ = model_name;
     engine.models_.push_back(model);
@@ -65,7 +64,8 @@
 }
 
 
-std::shared_ptr<const catalog::catalog> make_catalog(catalog::request_kind kind)
+std::shared_ptr<const catalog::catalog>
+make_catalog(catalog::request_kind kind, const session_options& options)
 {
     auto c = std::make_shared<catalog::catalog>();
     c->version_ = 1;
@@ -77,19 +77,22 @@
     route.deployments_.push_back({{"d"}, 1.0});
     route.max_attempts_ = 2;
     route.timeout_ = 60s;
-    route.target_latency_ = 60s;
+    route.target_latency_ = options.target_latency_;
     c->routes_.push_back(route);
-    c->deployments_[{"d"}] = {{"d"}, 100, make_engine()};
+    c->deployments_[{"d"}] = {{"d"}, 100, make_engine(options.step_ms_)};
     catalog::index_routes(*c);
     return c;
 }
 
 
-view_pointer make_view(catalog::request_kind kind, const tcp::endpoint& address)
+view_pointer make_view(
+    catalog::request_kind kind,
+    const session_options& options,
+    const tcp::endpoint& address)
 {
     auto view = std::make_shared<serving_view>();
-    view->catalog_ = make_catalog(kind);
-    for (const char* host : {"a", "b", "c"}) {
+    view->catalog_ = make_catalog(kind, options);
+    for (const char* host : options.hosts_) {
         upstream u;
         u.host_ = {host};
         u.address_ = address;
@@ -111,12 +114,14 @@
 } // namespace
 
 proxy_session::proxy_session(
-    catalog::request_kind kind, std::vector<scripted_response> script)
-    : upstream_(std::move(script)), proxy_(make_config(), {}, metrics_)
+    catalog::request_kind kind,
+    std::vector<scripted_response> script,
+    const session_options& options)
+    : upstream_(std::move(script)), proxy_(make_config(options), {}, metrics_)
 {
     const tcp::endpoint address = free_address(context_);
     cr_assert(base::ok(proxy_.start(address)));
-    proxy_.publish(make_view(kind, upstream_.address()));
+    proxy_.publish(make_view(kind, options, upstream_.address()));
     socket_.connect(address);
 }
 
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -24,6 +24,19 @@
 };
 
 
+/// What a proxy session differs in from the usual one.
+struct session_options
+{
+    /// Time for a step of the engine. By default so long that no wait for an
+    /// event exceeds its limit, however slowly the test runs.
+    double step_ms_ = 60000;
+    std::chrono::milliseconds target_latency_{60000};
+    /// Retries that are permitted beside a share of the requests.
+    double retry_slack_ = 1000;
+    std::vector<const char*> hosts_{"a", "b", "c"};
+};
+
+
 /// A reverse proxy with one route to a fake upstream, which it takes for three
 /// hosts, and a caller with a connection to it.
 class proxy_session
@@ -31,7 +44,9 @@
 public:
     /// Requests of the route are of the given kind and may be executed twice.
     proxy_session(
-        catalog::request_kind kind, std::vector<scripted_response> script);
+        catalog::request_kind kind,
+        std::vector<scripted_response> script,
+        const session_options& options = {});
 
 
     /// Sends a request of HTTP/1.1, or of another version, and reads the
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -282,6 +282,9 @@
         # event inside which those end; None for complete ones.
         self.unframed_streams = 0
         self.truncate_at_event = None
+        self.event_seconds = EVENT_SECONDS
+        # Number of streams that were begun.
+        self.streams = 0
         self.disconnected_requests = []
         self.timers = []
         super().__init__(store, name, service, zone, domain=domain,
@@ -338,6 +341,7 @@
             return
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
         with self.lock:
+            self.streams += 1
             unframed = self.unframed_streams > 0
             self.unframed_streams -= 1 if unframed else 0
         handler.send_response(200)
@@ -358,7 +362,7 @@
                     return
                 event = self.event(number)
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-                time.sleep(EVENT_SECONDS)
+                time.sleep(self.event_seconds)
             handler.wfile.write(b"0\r\n\r\n")
         except OSError:
             self.disconnected_requests.append(handler.headers["X-Request-Id"])
@@ -375,7 +379,7 @@
                     handler.wfile.write(self.event(number)[:9])
                     return
                 handler.wfile.write(self.event(number))
-                time.sleep(EVENT_SECONDS)
+                time.sleep(self.event_seconds)
         except OSError:
             self.disconnected_requests.append(handler.headers["X-Request-Id"])
 
@@ -402,7 +406,7 @@
     """A monsoondockd --entry process; its log is written to a file."""
 
     def __init__(self, session, store, name, zone, ip, ports, seeds=(),
-                 first_start=True, platform_address=None):
+                 first_start=True, platform_address=None, grace="6s"):
         self.name = name
         self.ip = ip
         self.ports = ports
@@ -414,7 +418,7 @@
             f'daemon = "{name}"\nregion = "r"\ndata_centre = "{zone}"\n'
             f"{addresses}seed_hosts = [{listed}]\n"
             f'platform_address = "{platform_address or store.server.address}"\n'
-            f"first_start = {str(first_start).lower()}\ngrace = \"6s\"\n"
+            f'first_start = {str(first_start).lower()}\ngrace = "{grace}"\n'
             'directory_ttl = "500ms"\n[retries]\nratio = 0.2\nslack = 100\n'))
         self.stdout = session.scratch_path(f"{name}.stdout")
         self.log = pathlib.Path(session.scratch_path(f"{name}.stderr"))
@@ -431,7 +435,8 @@
         return pathlib.Path(self.stdout).read_text()
 
 
-def configuration(version, keys, routes=("chat", "payout", "status")):
+def configuration(version, keys, routes=("chat", "payout", "status"),
+                  timeout_ms=4000, step_ms=4.0):
     """Returns the operators' configuration, with up to three routes and two
     services."""
     fields = {
@@ -445,13 +450,13 @@
     return {
         "version": version,
         "routes": [{"name": name, "host": "sheds.example", "priority": 1,
-                    "timeout_ms": 4000, "target_latency_ms": 400,
+                    "timeout_ms": timeout_ms, "target_latency_ms": 400,
                     "attempts": 2, "public": False, **fields[name]}
                    for name in routes],
         "services": [
             {"name": "llm", "health_path": "/health", "max_conns": 50,
              "engine": {
-                 "slots": 4, "kv_capacity_tokens": 100000, "step_ms": 4.0,
+                 "slots": 4, "kv_capacity_tokens": 100000, "step_ms": step_ms,
                  "per_seq_ms": 0.1, "read_per_s": 45900.0, "chunk": 2048,
                  "stride": 5, "loads_per_s": 5.0, "loads_at_once": 7,
                  "keeps": 1, "form_ms": 50.0,
