entry: further stop signals leave a shutdown as it is

Cause: a second SIGTERM or SIGINT stopped the daemon at once, with all that was in progress. Whoever signals a process and its process group, or repeats a signal, sends two; the platform has SIGKILL for an end at once. Evidence: golden-entry-planned-stop, 6 of 6 streams cut by a second SIGTERM 50 ms after the first. Change: repeated signals are logged (stop_signal_repeated), the shutdown goes on. Result: 6 of 6 streams whole, after SIGTERM, SIGTERM, SIGHUP and SIGINT.

--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -489,8 +489,8 @@
 void start_http_endpoints(control_plane& c);
 
 
-/// Stops the daemon on SIGTERM and SIGINT: gracefully on the first signal,
-/// immediately on the second one.
+/// Stops the daemon gracefully on the first SIGTERM or SIGINT. Further signals
+/// are logged.
 boost::asio::awaitable<void> run_signals(control_plane& c);
 
 } // namespace monsoondock::entry::pvt
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -73,14 +73,15 @@
                 .field("daemon", c.config_.daemon_);
             continue;
         }
-        if (stop_requested)
-            break;
-        stop_requested = true;
+        // Supervisors may signal a process and its process group.
+        if (std::exchange(stop_requested, true)) {
+            base::event_line("stop_signal_repeated")
+                .field("daemon", c.config_.daemon_)
+                .field("signal", number);
+            continue;
+        }
         asio::co_spawn(c.context_, stop_gracefully(c), asio::detached);
     }
-    base::event_line("stopped_at_once", base::severity::warning)
-        .field("cut_requests", c.proxy_->active_requests());
-    c.context_.stop();
 }
 
 } // namespace monsoondock::entry::pvt
