relay: give up a slow host only for a replacement that responds

Cause: a stream without events for a while was ended at its host first, then the retry limiter was asked for the retry that was to replace it. A daemon that has just started has next to no retries, so it cut what merely stood still; so did one that had no other host left, or whose other host rejected the request. The same for requests that are no stream (502). Class: what one has is given up before its replacement is granted. Change: the try ends only when another healthy host has room, the request may run again and the limiter has granted the retry. Its connection then stays open, suspended, until the replacement responds; the try goes on when the replacement is rejected or lost, or when its own host responds first. A caller that reads slowly no longer counts as silence of the host.

--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -63,13 +63,15 @@
     const choice_weights& weights = {});
 
 
-/// Returns the largest number of free slots of any healthy upstream of a model,
-/// or nothing when there is no healthy one that accepts requests. The number is
-/// negative when requests are queued at all of them.
+/// Returns the largest number of free slots of any healthy upstream of a model
+/// but the excluded ones, or nothing when there is no such upstream that
+/// accepts requests. The number is negative when requests are queued at all of
+/// them.
 std::optional<long> max_free_slots(
     const std::vector<upstream>& all,
     const upstream_table& table,
     const std::string& model,
+    const std::set<base::host_id>& excluded,
     base::time_point now);
 
 } // namespace monsoondock::relay
--- a/src/librelay/choose_upstream.cpp
+++ b/src/librelay/choose_upstream.cpp
@@ -140,13 +140,14 @@
     const std::vector<upstream>& all,
     const upstream_table& table,
     const std::string& model,
+    const std::set<base::host_id>& excluded,
     base::time_point now)
 {
     std::optional<long> most;
     for (const upstream& u : all) {
         const upstream_state& s = state_of(table, u);
-        if (u.model_ != model || is_unhealthy(s, now) ||
-            usable_share(s, now) <= 0)
+        if (u.model_ != model || excluded.contains(u.host_) ||
+            is_unhealthy(s, now) || usable_share(s, now) <= 0)
             continue;
         const long free_slots = long{u.slots_} - long{total_load(s)};
         most = std::max(most.value_or(free_slots), free_slots);
--- a/src/librelay/choose_upstream_test.cpp
+++ b/src/librelay/choose_upstream_test.cpp
@@ -103,7 +103,8 @@
     s.upstream_table_.state_of({"a"}).in_flight_ = 12;
     s.upstream_table_.state_of({"b"}).in_flight_ = 11;
     s.upstream_table_.state_of({"c"}).unhealthy_until_ = start + 1s;
-    cr_assert_eq(*max_free_slots(s.all_, s.upstream_table_, "m", start), -1);
-    cr_assert_not(
-        max_free_slots(s.all_, s.upstream_table_, "other", start).has_value());
+    cr_assert_eq(
+        *max_free_slots(s.all_, s.upstream_table_, "m", {}, start), -1);
+    cr_assert_not(max_free_slots(s.all_, s.upstream_table_, "other", {}, start)
+                      .has_value());
 }
--- a/src/librelay/exchange.cpp
+++ b/src/librelay/exchange.cpp
@@ -10,7 +10,10 @@
     if (e.upstream_ == nullptr)
         return;
     boost::system::error_code ignored;
-    e.upstream_->socket_.close(ignored);
+    if (reason == stop_reason::rerouted)
+        e.upstream_->socket_.cancel(ignored);
+    else
+        e.upstream_->socket_.close(ignored);
 }
 
 
@@ -36,6 +39,8 @@
         return "connect_timeout";
     case stop_reason::rerouted:
         return "rerouted";
+    case stop_reason::resumed:
+        return "resumed";
     }
     return "unknown";
 }
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -19,6 +19,11 @@
 using http_request =
     boost::beast::http::request<boost::beast::http::string_body>;
 
+/// Maximum number of tries per request, including those that upstreams
+/// rejected.
+inline constexpr unsigned max_sends = 4;
+
+
 /// Why the wait for an upstream was ended.
 enum class stop_reason
 {
@@ -26,9 +31,11 @@
     caller_left,
     deadline,
     connect_timeout,
-    /// The upstream is slow or unresponsive, and another one may respond in
-    /// time.
-    rerouted
+    /// The upstream is slow or unresponsive, and another one has been found
+    /// that may respond in time.
+    rerouted,
+    /// The upstream of the suspended try responds after all.
+    resumed
 };
 
 
@@ -44,6 +51,9 @@
 };
 
 
+struct suspended_try;
+
+
 /// Request of a caller while it is being served. A periodic sweep checks all
 /// exchanges and stops waits that have exceeded their limit.
 struct exchange
@@ -51,6 +61,7 @@
     std::shared_ptr<caller_connection> caller_;
     view_pointer view_;
     const catalog::route* route_ = nullptr;
+    base::deployment_id deployment_;
     http_request request_;
     /// Request id that the caller sent.
     std::string id_;
@@ -75,6 +86,12 @@
     /// When the phase began or the last event was relayed.
     base::time_point phase_start_;
     stop_reason stop_reason_ = stop_reason::none;
+    /// Earlier try that goes on when its replacement fails.
+    std::shared_ptr<suspended_try> suspended_;
+    /// True when the retry limiter has granted a retry that is not used yet.
+    bool retry_granted_ = false;
+    /// True when the log says that the current try may not be replaced.
+    bool refusal_logged_ = false;
 
     /// Upstreams tried so far.
     std::set<base::host_id> tried_;
@@ -87,8 +104,9 @@
 };
 
 
-/// Ends the wait for the upstream by closing the connection to it. Only the
-/// first reason is kept.
+/// Ends the wait for the upstream. Closes the connection to it, except when the
+/// exchange is rerouted, since the try may be resumed. Only the first reason is
+/// kept.
 void stop(exchange& e, stop_reason reason);
 
 
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -1,11 +1,12 @@
 #include "forward.hpp"
 
+#include "suspended_try.hpp"
 #include "try_upstream.hpp"
+#include "upstream_choice.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/relay/availability.hpp>
-#include <monsoondock/relay/choose_upstream.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -22,8 +23,6 @@
 using std::chrono::milliseconds;
 
 constexpr unsigned http_version_1_1 = 11;
-// Maximum number of tries per request, including those that upstreams rejected.
-constexpr unsigned max_sends = 4;
 // Callers are told to retry within a third of their remaining time.
 constexpr int retry_after_divisor = 3;
 constexpr milliseconds min_retry_after{50};
@@ -34,9 +33,6 @@
 // Callers that were told the end of a pause return within at least this time.
 constexpr milliseconds min_pause_spread{200};
 constexpr int pause_spread_divisor = 4;
-// Maximum number of requests that wait for a slot of a group. This many still
-// start within the latency target of callers.
-constexpr long max_queued_requests = 3;
 
 
 /// Outcome of a request, for its log line.
@@ -52,11 +48,8 @@
     proxy_thread& t_;
     exchange& e_;
     response_state state_;
-    base::deployment_id deployment_;
     /// Error response of an upstream, used when no other upstream succeeds.
     std::optional<http_response> failed_response_;
-    /// True when a try without a response may have executed the request.
-    bool may_have_run_ = false;
     request_outcome outcome_;
 };
 
@@ -86,7 +79,7 @@
 // end of the first pause.
 std::optional<milliseconds> retry_after_pause(forward_context& c)
 {
-    const auto found = c.t_.view_->upstreams_.find(c.deployment_);
+    const auto found = c.t_.view_->upstreams_.find(c.e_.deployment_);
     if (found == c.t_.view_->upstreams_.end())
         return std::nullopt;
     const base::time_point now = base::boot_clock::now();
@@ -103,7 +96,7 @@
 
 local_response final_response(forward_context& c)
 {
-    if (c.may_have_run_) {
+    if (c.e_.possible_runs_ > 0) {
         const bool timed_out = c.e_.stop_reason_ == stop_reason::deadline ||
                                time_left(c.e_).count() <= 0;
         return timed_out
@@ -191,65 +184,7 @@
         return false;
     if (e.connected_sends_ == 0)
         return true;
-    const bool taken =
-        retry_limiter_of(c.t_, c.deployment_)
-            .take_retry(c.t_.view_->daemons_, base::boot_clock::now());
-    if (!taken)
-        base::event_line("retry_refused")
-            .field("request", e.id_)
-            .field("deployment", c.deployment_);
-    return taken;
-}
-
-
-// Estimates the requests that all daemons send within the age of the load
-// reports from the rate of this daemon. Callers are distributed evenly over the
-// daemons.
-double unreported_requests(const forward_context& c)
-{
-    const auto found = c.t_.arrival_meters_.find({c.deployment_, c.e_.model_});
-    if (found == c.t_.arrival_meters_.end())
-        return 0;
-    return found->second.rate_per_second(base::boot_clock::now()) *
-           c.t_.view_->daemons_ *
-           std::chrono::duration<double>(c.t_.view_->load_report_age_).count();
-}
-
-
-std::optional<upstream> choose(forward_context& c)
-{
-    exchange& e = c.e_;
-    const auto found = c.t_.view_->upstreams_.find(c.deployment_);
-    if (found == c.t_.view_->upstreams_.end())
-        return std::nullopt;
-    const choice_request request{
-        e.model_,
-        c.t_.config_.data_centre_,
-        e.tried_,
-        base::boot_clock::now(),
-        random_fraction(c.t_),
-        unreported_requests(c)};
-    const auto i =
-        choose_upstream(found->second, c.t_.upstream_table_, request);
-    if (!i)
-        return std::nullopt;
-    return found->second[*i];
-}
-
-
-// Returns true when so many requests are queued at every healthy upstream that
-// this one would not start in time.
-bool is_overloaded(const forward_context& c)
-{
-    const auto found = c.t_.view_->upstreams_.find(c.deployment_);
-    if (found == c.t_.view_->upstreams_.end() || c.e_.model_.empty())
-        return false;
-    const auto most = max_free_slots(
-        found->second,
-        c.t_.upstream_table_,
-        c.e_.model_,
-        base::boot_clock::now());
-    return most && *most <= -max_queued_requests;
+    return take_retry(c.t_, c.e_, base::boot_clock::now());
 }
 
 
@@ -262,7 +197,6 @@
 void record_possible_crash(forward_context& c)
 {
     const exchange& e = c.e_;
-    c.may_have_run_ = true;
     c.t_.metrics_.add(metrics::counter::upstream_failures, label_of(e));
     if (e.stop_reason_ != stop_reason::none)
         return;
@@ -299,25 +233,40 @@
 }
 
 
-// Tries upstreams until one has responded or no other may be tried.
+void handle_outcome(forward_context& c, const upstream& u, try_outcome outcome)
+{
+    if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
+        log_try(c, u, outcome);
+    if (outcome == try_outcome::lost)
+        record_possible_crash(c);
+    if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
+        record_completion(c);
+    if (outcome == try_outcome::not_sent &&
+        c.e_.stop_reason_ != stop_reason::deadline)
+        report_unhealthy(c.t_, {u.host_, unhealthy_reason::unreachable, {}});
+}
+
+
+// Tries upstreams until one has responded or no other may be tried. A suspended
+// try goes on when the one that was to replace it has failed.
 asio::awaitable<try_outcome> try_all(forward_context& c)
 {
     try_outcome outcome = try_outcome::not_sent;
-    while (may_try_again(c)) {
-        const auto u = choose(c);
-        if (!u)
+    for (;;) {
+        const bool replacing =
+            outcome == try_outcome::suspended || c.e_.suspended_ == nullptr;
+        std::optional<upstream> u;
+        if (replacing && may_try_again(c))
+            u = choose(c.t_, c.e_);
+        if (u) {
+            outcome = co_await try_upstream(c.t_, c.e_, c.state_, *u);
+        } else if (c.e_.suspended_ != nullptr) {
+            u = c.e_.suspended_->target_;
+            outcome = co_await resume_try(c.t_, c.e_, c.state_);
+        } else {
             break;
-        outcome = co_await try_upstream(c.t_, c.e_, c.state_, *u);
-        if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
-            log_try(c, *u, outcome);
-        if (outcome == try_outcome::lost)
-            record_possible_crash(c);
-        if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
-            record_completion(c);
-        if (outcome == try_outcome::not_sent &&
-            c.e_.stop_reason_ != stop_reason::deadline)
-            report_unhealthy(
-                c.t_, {u->host_, unhealthy_reason::unreachable, {}});
+        }
+        handle_outcome(c, *u, outcome);
         if (outcome == try_outcome::relayed ||
             outcome == try_outcome::caller_gone)
             break;
@@ -404,11 +353,11 @@
 
 void record_demand(forward_context& c)
 {
-    c.t_.arrival_meters_[{c.deployment_, c.e_.model_}].add(
+    c.t_.arrival_meters_[{c.e_.deployment_, c.e_.model_}].add(
         base::boot_clock::now());
     if (c.e_.model_.empty())
         return;
-    model_demand& demand = c.t_.demand_[{c.deployment_, c.e_.model_}];
+    model_demand& demand = c.t_.demand_[{c.e_.deployment_, c.e_.model_}];
     ++demand.requests_;
     demand.prompt_tokens_ += c.e_.prompt_tokens_;
     demand.answer_tokens_ += c.e_.answer_tokens_;
@@ -432,13 +381,13 @@
             {http::status::service_unavailable,
              "request_crashes_upstreams",
              jittered_retry_after(c, milliseconds(60000))});
-    if (is_overloaded(c))
+    if (is_overloaded(c.t_, c.e_))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
              "overloaded",
              jittered_retry_after(c, busy_retry_after)});
-    retry_limiter_of(c.t_, c.deployment_).add_request(now);
+    retry_limiter_of(c.t_, c.e_.deployment_).add_request(now);
     const try_outcome outcome = co_await try_all(c);
     co_return co_await respond_to_caller(c, outcome);
 }
@@ -447,13 +396,13 @@
 
 asio::awaitable<bool> forward(proxy_thread& t, std::shared_ptr<exchange> e)
 {
-    forward_context c{t, *e, {}, {}, {}, {}, {}};
+    forward_context c{t, *e, {}, {}, {}};
     c.state_.keep_alive_ = e->request_.keep_alive() && !t.view_->stopping_;
     c.state_.chunked_ = e->request_.version() >= http_version_1_1;
     const auto* chosen =
         catalog::choose_deployment(*e->route_, random_fraction(t));
     if (chosen != nullptr)
-        c.deployment_ = *chosen;
+        e->deployment_ = *chosen;
     t.exchanges_.insert(e);
     ++t.active_;
     e->caller_->on_disconnect_ = [weak = std::weak_ptr(e)] {
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -1,5 +1,8 @@
 #include "proxy_thread.hpp"
 
+#include "peek_socket.hpp"
+#include "suspended_try.hpp"
+#include "upstream_choice.hpp"
 #include "wait_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -23,20 +26,24 @@
 constexpr std::chrono::milliseconds peer_query_timeout{40};
 
 
-// Ends the current try when the request may be sent to another upstream.
-void reroute_if_allowed(exchange& e, base::time_point now)
+// Ends the current try when the request can be sent to another upstream. A try
+// whose upstream may still respond is ended only for a replacement that has
+// been granted.
+void reroute_if_allowed(proxy_thread& t, exchange& e, base::time_point now)
 {
-    const bool counted = e.phase_ != wait_phase::connect;
-    if (counted && e.possible_runs_ + 1 > e.route_->max_attempts_)
-        return;
-    if (counted && !catalog::may_repeat(e.route_->kind_))
-        return;
-    if (e.view_->catalog_ == nullptr || now >= e.deadline_)
-        return;
-    stop(
-        e,
-        e.phase_ == wait_phase::connect ? stop_reason::connect_timeout
-                                        : stop_reason::rerouted);
+    if (e.phase_ == wait_phase::connect)
+        stop(e, stop_reason::connect_timeout);
+    else if (grant_replacement(t, e, now))
+        stop(e, stop_reason::rerouted);
+}
+
+
+// Returns true when the upstream of the suspended try has sent something.
+bool suspended_try_responds(const exchange& e)
+{
+    return e.suspended_ != nullptr &&
+           peek_socket(e.suspended_->connection_->socket_) ==
+               socket_content::bytes;
 }
 
 
@@ -65,6 +72,10 @@
 
 void check_wait(proxy_thread& t, exchange& e, base::time_point now)
 {
+    if (suspended_try_responds(e)) {
+        stop(e, stop_reason::resumed);
+        return;
+    }
     const auto limit = wait_limit(e);
     if (limit.count() == 0 || now - e.phase_start_ < limit)
         return;
@@ -77,7 +88,7 @@
             t.upstream_table_.state_of(e.host_).unhealthy_until_ <= now)
             report_unhealthy(t, {e.host_, unhealthy_reason::silent, {}});
     }
-    reroute_if_allowed(e, now);
+    reroute_if_allowed(t, e, now);
 }
 
 
--- /dev/null
+++ b/src/librelay/suspended_try.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "upstream_connection.hpp"
+
+#include <monsoondock/relay/upstream.hpp>
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <string>
+
+namespace monsoondock::relay::pvt {
+
+using http_response_parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+
+/// Try whose upstream was silent for too long. Its connection stays open until
+/// another upstream has responded, so that the response can still go on.
+struct suspended_try
+{
+    upstream target_;
+    std::shared_ptr<upstream_connection> connection_;
+    /// What has been received of the response.
+    std::unique_ptr<http_response_parser> parser_;
+    /// Bytes of the event that was incomplete.
+    std::string partial_event_;
+};
+
+} // namespace monsoondock::relay::pvt
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,5 +1,7 @@
 #include "try_upstream.hpp"
 
+#include "suspended_try.hpp"
+
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/keepalive_options.hpp>
@@ -20,8 +22,6 @@
 
 namespace {
 
-using http_response_parser = http::response_parser<http::string_body>;
-
 constexpr std::size_t max_buffered_body_bytes = std::size_t{16} * 1024 * 1024;
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
 // Maximum number of responses to earlier requests that are skipped.
@@ -41,6 +41,8 @@
     exchange& e_;
     response_state& state_;
     upstream target_;
+    /// Parser of the response; null before the request has been sent.
+    std::unique_ptr<http_response_parser> parser_;
 };
 
 
@@ -109,49 +111,62 @@
 }
 
 
+std::unique_ptr<http_response_parser> make_parser(const exchange& e)
+{
+    auto parser = std::make_unique<http_response_parser>();
+    parser->header_limit(max_response_header_bytes);
+    parser->body_limit(max_buffered_body_bytes);
+    parser->eager(true);
+    if (e.request_.method() == http::verb::head)
+        parser->skip(true);
+    return parser;
+}
+
+
 // Reads the status line and header of the response. Responses that carry the id
 // of another request are read and discarded.
-asio::awaitable<std::unique_ptr<http_response_parser>>
-read_response_header(try_context& c)
+asio::awaitable<bool> read_response_header(try_context& c)
 {
     exchange& e = c.e_;
     const std::string& id_name = c.t_.config_.headers_.request_id_;
     for (int skipped = 0; skipped <= max_mismatched_responses;) {
-        auto parser = std::make_unique<http_response_parser>();
-        parser->header_limit(max_response_header_bytes);
-        parser->body_limit(max_buffered_body_bytes);
-        parser->eager(true);
-        if (e.request_.method() == http::verb::head)
-            parser->skip(true);
+        if (c.parser_ == nullptr)
+            c.parser_ = make_parser(e);
         const auto [failure, size] = co_await http::async_read_header(
             e.upstream_->socket_,
             e.upstream_->buffer_,
-            *parser,
+            *c.parser_,
             base::await_tuple);
         if (failure)
-            co_return nullptr;
-        if (http::to_status_class(parser->get().result()) ==
-            http::status_class::informational)
+            co_return false;
+        http_response_parser& parser = *c.parser_;
+        if (http::to_status_class(parser.get().result()) ==
+            http::status_class::informational) {
+            c.parser_.reset();
             continue;
-        const auto id = parser->get()[id_name];
+        }
+        const auto id = parser.get()[id_name];
         if (id == e.id_)
-            co_return parser;
+            co_return true;
         base::event_line("mismatched_response", base::severity::warning)
             .field("request", e.id_)
             .field("response_to", std::string_view(id))
             .field("host", c.target_.host_);
-        if (parser->need_eof())
-            co_return nullptr;
+        if (parser.need_eof()) {
+            c.parser_.reset();
+            co_return false;
+        }
         const auto [body_failure, body_size] = co_await http::async_read(
             e.upstream_->socket_,
             e.upstream_->buffer_,
-            *parser,
+            parser,
             base::await_tuple);
+        c.parser_.reset();
         if (body_failure)
-            co_return nullptr;
+            co_return false;
         ++skipped;
     }
-    co_return nullptr;
+    co_return false;
 }
 
 
@@ -338,6 +353,8 @@
         text.append(serialize_chunk(events));
     if (ends && s.chunked_)
         text.append(last_chunk);
+    // A slow caller is no reason to doubt the upstream.
+    enter_phase(c.e_, wait_phase::none);
     const bool sent = co_await write_to_caller(c, text);
     enter_phase(c.e_, wait_phase::next_event);
     co_return sent;
@@ -354,8 +371,11 @@
     parser.body_limit(boost::none);
     for (;;) {
         const bool last = parser.is_done();
-        if (!parser.get().body().empty())
+        if (!parser.get().body().empty()) {
             record_progress(c);
+            // The replacement responds.
+            e.suspended_.reset();
+        }
         if (!co_await relay_events(c, parser, last))
             co_return try_outcome::caller_gone;
         if (c.state_.splitter_.gap_)
@@ -364,6 +384,9 @@
             co_return try_outcome::lost;
         if (last)
             break;
+        // An event that arrives as the exchange is rerouted revives the try.
+        if (e.stop_reason_ == stop_reason::rerouted)
+            e.stop_reason_ = stop_reason::none;
         if (e.stop_reason_ != stop_reason::none)
             co_return try_outcome::lost;
         const auto [failure, size] = co_await http::async_read_some(
@@ -379,6 +402,23 @@
 }
 
 
+asio::awaitable<try_outcome> receive_response(try_context& c)
+{
+    exchange& e = c.e_;
+    const bool has_header = c.parser_ != nullptr && c.parser_->is_header_done();
+    if (!has_header && !co_await read_response_header(c))
+        co_return try_outcome::lost;
+    c.state_.framing_ = framing_of(*c.parser_);
+    record_availability(c, c.parser_->get());
+    if (is_event_stream(e, c.parser_->get()))
+        co_return co_await relay_stream(c, *c.parser_);
+    const try_outcome outcome = co_await read_buffered_response(c, *c.parser_);
+    if (outcome == try_outcome::rejected)
+        --e.possible_runs_;
+    co_return outcome;
+}
+
+
 asio::awaitable<try_outcome> run_try(try_context& c)
 {
     exchange& e = c.e_;
@@ -388,17 +428,44 @@
     ++e.connected_sends_;
     if (!co_await send_request(c))
         co_return try_outcome::lost;
-    const auto parser = co_await read_response_header(c);
-    if (parser == nullptr)
-        co_return try_outcome::lost;
-    c.state_.framing_ = framing_of(*parser);
-    record_availability(c, parser->get());
-    if (is_event_stream(e, parser->get()))
-        co_return co_await relay_stream(c, *parser);
-    const try_outcome outcome = co_await read_buffered_response(c, *parser);
-    if (outcome == try_outcome::rejected)
-        --e.possible_runs_;
-    co_return outcome;
+    c.parser_ = make_parser(e);
+    co_return co_await receive_response(c);
+}
+
+
+// Keeps the connection of a try that was rerouted while it waited for its
+// response. It replaces a try that was suspended before.
+try_outcome suspend(try_context& c)
+{
+    exchange& e = c.e_;
+    auto suspended = std::make_shared<suspended_try>();
+    suspended->target_ = c.target_;
+    suspended->connection_ = std::move(e.upstream_);
+    suspended->parser_ = std::move(c.parser_);
+    suspended->partial_event_ = c.state_.splitter_.pending_;
+    e.suspended_ = std::move(suspended);
+    return try_outcome::suspended;
+}
+
+
+// Ends a try whose last operation has ended with an outcome.
+try_outcome finish_try(try_context& c, try_outcome outcome)
+{
+    exchange& e = c.e_;
+    e.phase_ = wait_phase::none;
+    const bool was_rerouted = outcome == try_outcome::lost &&
+                              e.stop_reason_ == stop_reason::rerouted &&
+                              c.parser_ != nullptr;
+    if (was_rerouted && e.upstream_ != nullptr && !e.caller_->disconnected_)
+        return suspend(c);
+    if (e.upstream_ != nullptr) {
+        boost::system::error_code ignored;
+        e.upstream_->socket_.close(ignored);
+        e.upstream_.reset();
+    }
+    if (e.stop_reason_ == stop_reason::caller_left || e.caller_->disconnected_)
+        return try_outcome::caller_gone;
+    return outcome;
 }
 
 } // namespace
@@ -406,13 +473,14 @@
 asio::awaitable<try_outcome> try_upstream(
     proxy_thread& t, exchange& e, response_state& state, upstream target)
 {
-    try_context c{t, e, state, std::move(target)};
+    try_context c{t, e, state, std::move(target), nullptr};
     e.host_ = c.target_.host_;
     e.stop_reason_ =
         e.caller_->disconnected_ ? stop_reason::caller_left : stop_reason::none;
     if (e.stop_reason_ != stop_reason::none)
         co_return try_outcome::caller_gone;
     e.tried_.insert(e.host_);
+    e.refusal_logged_ = false;
     ++e.sends_;
     discard_partial_event(state.splitter_);
     state.framing_ = body_framing::none;
@@ -420,15 +488,33 @@
     ++t.upstream_table_.state_of(e.host_).in_flight_;
     const try_outcome outcome = co_await run_try(c);
     --t.upstream_table_.state_of(e.host_).in_flight_;
-    e.phase_ = wait_phase::none;
-    if (e.upstream_ != nullptr) {
-        boost::system::error_code ignored;
-        e.upstream_->socket_.close(ignored);
-        e.upstream_.reset();
-    }
-    if (e.stop_reason_ == stop_reason::caller_left || e.caller_->disconnected_)
+    co_return finish_try(c, outcome);
+}
+
+
+asio::awaitable<try_outcome>
+resume_try(proxy_thread& t, exchange& e, response_state& state)
+{
+    const auto suspended = std::exchange(e.suspended_, nullptr);
+    try_context c{
+        t, e, state, suspended->target_, std::move(suspended->parser_)};
+    e.host_ = c.target_.host_;
+    e.stop_reason_ =
+        e.caller_->disconnected_ ? stop_reason::caller_left : stop_reason::none;
+    if (e.stop_reason_ != stop_reason::none)
         co_return try_outcome::caller_gone;
-    co_return outcome;
+    e.refusal_logged_ = false;
+    e.upstream_ = std::move(suspended->connection_);
+    state.splitter_.pending_ = std::move(suspended->partial_event_);
+    enter_phase(
+        e,
+        c.parser_->is_header_done() && state.splitter_.events_ > 0
+            ? wait_phase::next_event
+            : wait_phase::first_response);
+    ++t.upstream_table_.state_of(e.host_).in_flight_;
+    const try_outcome outcome = co_await receive_response(c);
+    --t.upstream_table_.state_of(e.host_).in_flight_;
+    co_return finish_try(c, outcome);
 }
 
 
@@ -445,6 +531,8 @@
         return "relayed";
     case try_outcome::lost:
         return "lost";
+    case try_outcome::suspended:
+        return "suspended";
     case try_outcome::caller_gone:
         return "caller_gone";
     }
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -24,6 +24,9 @@
     relayed,
     /// The request may have been executed, but there is no complete response.
     lost,
+    /// The upstream is slow, and another one is to respond in its place; the
+    /// try can be resumed.
+    suspended,
     /// The caller disconnected, or writing to it failed.
     caller_gone
 };
@@ -55,6 +58,11 @@
     proxy_thread& t, exchange& e, response_state& state, upstream target);
 
 
+/// Goes on with the suspended try of the exchange.
+boost::asio::awaitable<try_outcome>
+resume_try(proxy_thread& t, exchange& e, response_state& state);
+
+
 /// Returns the name of an outcome as it appears in logs.
 const char* to_string(try_outcome outcome) noexcept;
 
--- /dev/null
+++ b/src/librelay/upstream_choice.cpp
@@ -0,0 +1,108 @@
+#include "upstream_choice.hpp"
+
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/relay/choose_upstream.hpp>
+
+namespace monsoondock::relay::pvt {
+
+namespace {
+
+// Maximum number of requests that wait for a slot of a group. This many still
+// start within the latency target of callers.
+constexpr long max_queued_requests = 3;
+
+
+// Estimates the requests that all daemons send within the age of the load
+// reports from the rate of this daemon. Callers are distributed evenly over the
+// daemons.
+double unreported_requests(const proxy_thread& t, const exchange& e)
+{
+    const auto found = t.arrival_meters_.find({e.deployment_, e.model_});
+    if (found == t.arrival_meters_.end())
+        return 0;
+    return found->second.rate_per_second(base::boot_clock::now()) *
+           t.view_->daemons_ *
+           std::chrono::duration<double>(t.view_->load_report_age_).count();
+}
+
+
+const std::vector<upstream>*
+upstreams_of(const proxy_thread& t, const exchange& e)
+{
+    const auto found = t.view_->upstreams_.find(e.deployment_);
+    return found == t.view_->upstreams_.end() ? nullptr : &found->second;
+}
+
+
+void log_refusal(exchange& e, std::string_view reason)
+{
+    if (std::exchange(e.refusal_logged_, true))
+        return;
+    base::event_line("retry_refused")
+        .field("request", e.id_)
+        .field("deployment", e.deployment_)
+        .field("reason", reason);
+}
+
+} // namespace
+
+std::optional<upstream> choose(proxy_thread& t, const exchange& e)
+{
+    const auto* upstreams = upstreams_of(t, e);
+    if (upstreams == nullptr)
+        return std::nullopt;
+    const choice_request request{
+        e.model_,
+        t.config_.data_centre_,
+        e.tried_,
+        base::boot_clock::now(),
+        random_fraction(t),
+        unreported_requests(t, e)};
+    const auto i = choose_upstream(*upstreams, t.upstream_table_, request);
+    if (!i)
+        return std::nullopt;
+    return (*upstreams)[*i];
+}
+
+
+bool is_overloaded(const proxy_thread& t, const exchange& e)
+{
+    const auto* upstreams = upstreams_of(t, e);
+    if (upstreams == nullptr || e.model_.empty())
+        return false;
+    const auto most = max_free_slots(
+        *upstreams, t.upstream_table_, e.model_, {}, base::boot_clock::now());
+    return most && *most <= -max_queued_requests;
+}
+
+
+bool take_retry(proxy_thread& t, exchange& e, base::time_point now)
+{
+    if (std::exchange(e.retry_granted_, false))
+        return true;
+    const bool taken =
+        retry_limiter_of(t, e.deployment_).take_retry(t.view_->daemons_, now);
+    if (!taken)
+        log_refusal(e, "retry_limit");
+    return taken;
+}
+
+
+bool grant_replacement(proxy_thread& t, exchange& e, base::time_point now)
+{
+    if (!may_run_again(e) || e.sends_ >= max_sends)
+        return false;
+    const auto* upstreams = upstreams_of(t, e);
+    if (upstreams == nullptr)
+        return false;
+    const auto room =
+        max_free_slots(*upstreams, t.upstream_table_, e.model_, e.tried_, now);
+    if (room.value_or(0) <= 0) {
+        log_refusal(e, "no_upstream");
+        return false;
+    }
+    e.retry_granted_ = take_retry(t, e, now);
+    return e.retry_granted_;
+}
+
+} // namespace monsoondock::relay::pvt
