entry, relay: a planned stop ends what it has begun, and takes no more

Cause: the shutdown knew only requests that were read and admitted. It took new ones for 3.5 s whatever they might take, and cut them 0.4 s before the end of the grace period; when none was in progress it ended at once, with connections that were being read, waited in the listen queue, or had a response in the socket's buffer. Evidence: golden-entry-planned-stop, a stream sent 3.2 s after SIGTERM was cut at 7.6 s; a request whose second half arrived after the callers' addresses had expired got no answer. Change: a request is accepted when its response is due before the end, or, for as long as callers may use the daemon's address, when it is expected to end by then (drain_schedule). The others are rejected at once. When no connection is busy the listener is closed, with its queue answered; idle connections end in order; the daemon waits for those that still send. At the end, requests without a response get a last one instead of a closed connection. 'Connection: close' follows the state at the response, not at the request.

--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/relay/drain_schedule.hpp>
 #include <monsoondock/relay/header_names.hpp>
 #include <monsoondock/relay/proxy_callbacks.hpp>
 #include <monsoondock/relay/retry_limiter.hpp>
@@ -97,8 +98,29 @@
     std::uint64_t active_requests() const noexcept;
 
 
-    /// Refuses all further requests with status 503 without executing them.
-    void refuse_new() noexcept;
+    /// Returns the number of connections on which a caller is sending a request
+    /// or waits for the rest of a response.
+    std::uint64_t busy_connections() const noexcept;
+
+
+    /// Starts a graceful shutdown. Requests that might not be finished by its
+    /// end are rejected with status 503 without being executed.
+    void drain(const drain_schedule& schedule);
+
+
+    /// Stops listening and closes idle connections. Requests that have arrived
+    /// on any connection before are still answered.
+    void close_idle_connections();
+
+
+    /// Returns true when close_idle_connections has been called and all
+    /// connections of callers have ended.
+    bool is_closed() const noexcept;
+
+
+    /// Aborts requests in progress, each with a last response if none has
+    /// begun.
+    void abort_requests();
 
 
     /// Stops the traffic thread; requests in progress are aborted.
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -18,10 +18,48 @@
 // Callers may use the address of this daemon for the directory TTL and this
 // margin after they received it.
 constexpr std::chrono::milliseconds directory_cache_margin{300};
-// New requests are refused this long before the end of the grace period, since
-// they might outlast it.
-constexpr std::chrono::milliseconds refuse_before_deadline{4500};
 constexpr std::chrono::milliseconds exit_before_deadline{400};
+// Time to write the last responses of aborted requests.
+constexpr std::chrono::milliseconds abort_time{150};
+
+
+// Polls until done returns true; returns false when the time is over first.
+template <class Condition>
+asio::awaitable<bool>
+wait_for(control_plane& c, base::time_point until, Condition done)
+{
+    for (;;) {
+        co_await sleep_for(c, shutdown_poll_period);
+        if (done())
+            co_return true;
+        if (base::boot_clock::now() >= until)
+            co_return false;
+    }
+}
+
+
+// Ends the requests in progress: callers first learn of other daemons while
+// this one still serves, then idle connections are closed.
+asio::awaitable<void> drain_proxy(control_plane& c, base::time_point start_time)
+{
+    relay::reverse_proxy& proxy = *c.proxy_;
+    const relay::drain_schedule schedule{
+        start_time + c.config_.directory_ttl_ + directory_cache_margin,
+        start_time + c.config_.grace_ - exit_before_deadline};
+    proxy.drain(schedule);
+    co_await wait_for(c, schedule.exit_at_, [&] {
+        return proxy.busy_connections() == 0 &&
+               base::boot_clock::now() >= schedule.accept_until_;
+    });
+    proxy.close_idle_connections();
+    const auto is_closed = [&proxy] {
+        return proxy.is_closed();
+    };
+    if (co_await wait_for(c, schedule.exit_at_, is_closed))
+        co_return;
+    proxy.abort_requests();
+    co_await wait_for(c, schedule.exit_at_ + abort_time, is_closed);
+}
 
 
 asio::awaitable<void> stop_gracefully(control_plane& c)
@@ -38,18 +76,7 @@
     publish_status(c);
     publish_view(c);
     apply_node_output(c, c.node_.leave(start_time));
-    const auto directory_cache_period =
-        c.config_.directory_ttl_ + directory_cache_margin;
-    for (;;) {
-        co_await sleep_for(c, shutdown_poll_period);
-        const auto elapsed = base::boot_clock::now() - start_time;
-        if (elapsed > c.config_.grace_ - refuse_before_deadline)
-            c.proxy_->refuse_new();
-        const bool done = c.proxy_->active_requests() == 0 &&
-                          elapsed > directory_cache_period;
-        if (done || elapsed > c.config_.grace_ - exit_before_deadline)
-            break;
-    }
+    co_await drain_proxy(c, start_time);
     apply_node_output(c, c.node_.depart(base::boot_clock::now()));
     base::event_line("stopped")
         .field("daemon", c.config_.daemon_)
--- a/src/librelay/caller_connection.cpp
+++ b/src/librelay/caller_connection.cpp
@@ -2,10 +2,37 @@
 
 #include "peek_socket.hpp"
 
+#include <algorithm>
+
 namespace monsoondock::relay::pvt {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr std::chrono::milliseconds close_timeout{300};
+// Time for the first request on a new connection.
+constexpr std::chrono::milliseconds first_request_time{200};
+
+} // namespace
+
+void close_when_idle(caller_connection& connection)
+{
+    if (peek_socket(connection.socket_) == socket_content::bytes)
+        return;
+    const base::time_point now = base::boot_clock::now();
+    if (!connection.used_) {
+        connection.phase_deadline_ =
+            std::min(connection.phase_deadline_, now + first_request_time);
+        return;
+    }
+    boost::system::error_code ignored;
+    connection.socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    connection.half_closed_ = true;
+    connection.phase_deadline_ = now + close_timeout;
+}
+
+
 void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection)
 {
     if (connection->read_wait_pending_ || connection->disconnected_)
--- a/src/librelay/caller_connection.hpp
+++ b/src/librelay/caller_connection.hpp
@@ -36,6 +36,10 @@
     base::time_point phase_deadline_ = base::time_point::max();
     /// True when the phase has timed out.
     bool timed_out_ = false;
+    /// True when the connection has carried a request.
+    bool used_ = false;
+    /// True when this side has closed the connection.
+    bool half_closed_ = false;
     /// True while a wait for the socket to become readable is pending.
     bool read_wait_pending_ = false;
     /// True when the caller has closed the connection.
@@ -49,4 +53,11 @@
 /// data.
 void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection);
 
+
+/// Closes an idle connection: ends this side and gives the caller a short time
+/// to end the other, in which no request is read. A connection with unread
+/// bytes stays open, since they are a request; a new one stays open for a short
+/// time.
+void close_when_idle(caller_connection& connection);
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -35,7 +35,6 @@
 // response. Closing the connection earlier would reset it before the caller has
 // read the response.
 constexpr milliseconds discard_time{300};
-
 // The connection has ended or cannot be used any longer.
 struct closed
 {};
@@ -79,23 +78,30 @@
 }
 
 
-asio::awaitable<bool>
-wait_for_bytes(caller_connection& connection, milliseconds limit)
+// Returns false when no further request is to be read.
+asio::awaitable<bool> wait_for_bytes(
+    const proxy_thread& t, caller_connection& connection, milliseconds limit)
 {
     if (connection.buffer_.size() > 0)
         co_return true;
     enter_phase(connection, caller_phase::idle, limit);
+    if (t.closing_)
+        close_when_idle(connection);
     const auto [failure] = co_await connection.socket_.async_wait(
         asio::ip::tcp::socket::wait_read, base::await_tuple);
-    co_return !failure && !connection.timed_out_ && !connection.disconnected_;
+    co_return !failure && !connection.timed_out_ && !connection.disconnected_ &&
+        !connection.half_closed_;
 }
 
 
 asio::awaitable<read_result> read_request(
-    caller_connection& connection, const catalog::caller_limits& limits)
+    const proxy_thread& t,
+    caller_connection& connection,
+    const catalog::caller_limits& limits)
 {
-    if (!co_await wait_for_bytes(connection, limits.idle_timeout_))
+    if (!co_await wait_for_bytes(t, connection, limits.idle_timeout_))
         co_return closed{};
+    connection.used_ = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes_));
     parser.body_limit(limits.max_body_bytes_);
@@ -293,7 +299,7 @@
         catalog::caller_limits limits;
         if (t.view_->catalog_ != nullptr)
             limits = t.view_->catalog_->limits_;
-        auto read = co_await read_request(*connection, limits);
+        auto read = co_await read_request(t, *connection, limits);
         if (std::holds_alternative<closed>(read))
             co_return;
         if (const auto* response = std::get_if<local_response>(&read)) {
@@ -323,8 +329,10 @@
     const auto connection =
         std::make_shared<caller_connection>(std::move(socket));
     t.caller_connections_.insert(connection);
+    t.open_connections_ = t.caller_connections_.size();
     co_await run_requests(t, connection);
     t.caller_connections_.erase(connection);
+    t.open_connections_ = t.caller_connections_.size();
     boost::system::error_code ignored;
     connection->socket_.close(ignored);
 }
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -35,7 +35,9 @@
     /// that may respond in time.
     rerouted,
     /// The upstream of the suspended try responds after all.
-    resumed
+    resumed,
+    /// The daemon is about to end.
+    shutdown
 };
 
 
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -3,6 +3,7 @@
 #include "suspended_try.hpp"
 #include "try_upstream.hpp"
 #include "upstream_choice.hpp"
+#include "wait_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -96,6 +97,11 @@
 
 local_response final_response(forward_context& c)
 {
+    if (c.t_.aborting_ && c.e_.possible_runs_ == 0)
+        return {
+            http::status::service_unavailable,
+            "stopping",
+            jittered_retry_after(c, min_retry_after)};
     if (c.e_.possible_runs_ > 0) {
         const bool timed_out = c.e_.stop_reason_ == stop_reason::deadline ||
                                time_left(c.e_).count() <= 0;
@@ -121,7 +127,7 @@
 asio::awaitable<bool>
 send_local_response(forward_context& c, const local_response& response)
 {
-    const bool keep_alive = c.state_.keep_alive_;
+    const bool keep_alive = c.state_.keep_alive_ && !c.t_.view_->stopping_;
     c.outcome_ = {response.reason_, static_cast<unsigned>(response.status_)};
     c.t_.metrics_.add(
         metrics::counter::refusals,
@@ -138,7 +144,7 @@
 asio::awaitable<bool>
 send_buffered_response(forward_context& c, http_response response)
 {
-    const bool keep_alive = c.state_.keep_alive_;
+    const bool keep_alive = c.state_.keep_alive_ && !c.t_.view_->stopping_;
     c.outcome_ = {"answered", response.result_int()};
     c.state_.first_response_at_ = base::boot_clock::now();
     const std::string text = serialize_response(response, keep_alive);
@@ -176,6 +182,8 @@
 bool may_try_again(forward_context& c)
 {
     const exchange& e = c.e_;
+    if (c.t_.aborting_)
+        return false;
     if (e.sends_ == 0)
         return true;
     if (e.sends_ >= max_sends || !may_run_again(e))
@@ -260,7 +268,7 @@
             u = choose(c.t_, c.e_);
         if (u) {
             outcome = co_await try_upstream(c.t_, c.e_, c.state_, *u);
-        } else if (c.e_.suspended_ != nullptr) {
+        } else if (c.e_.suspended_ != nullptr && !c.t_.aborting_) {
             u = c.e_.suspended_->target_;
             outcome = co_await resume_try(c.t_, c.e_, c.state_);
         } else {
@@ -367,13 +375,14 @@
 asio::awaitable<bool> serve(forward_context& c)
 {
     record_demand(c);
-    if (c.t_.refusing_)
+    const base::time_point now = base::boot_clock::now();
+    if (c.t_.drain_ &&
+        !accepts(*c.t_.drain_, now, c.e_.deadline_, expected_end(c.e_, now)))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
              "stopping",
              jittered_retry_after(c, min_retry_after)});
-    const base::time_point now = base::boot_clock::now();
     if (c.t_.crash_tracker_.crash_count(c.e_.fingerprint_, now) >=
         crash_tracker::max_crashes)
         co_return co_await send_local_response(
@@ -397,7 +406,7 @@
 asio::awaitable<bool> forward(proxy_thread& t, std::shared_ptr<exchange> e)
 {
     forward_context c{t, *e, {}, {}, {}};
-    c.state_.keep_alive_ = e->request_.keep_alive() && !t.view_->stopping_;
+    c.state_.keep_alive_ = e->request_.keep_alive();
     c.state_.chunked_ = e->request_.version() >= http_version_1_1;
     const auto* chosen =
         catalog::choose_deployment(*e->route_, random_fraction(t));
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -1,5 +1,6 @@
 #include "proxy_session_test.hpp"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -7,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include <limits>
+#include <sstream>
 
 namespace monsoondock::relay::test {
 
@@ -119,23 +121,28 @@
     const session_options& options)
     : upstream_(std::move(script)), proxy_(make_config(options), {}, metrics_)
 {
-    const tcp::endpoint address = free_address(context_);
-    cr_assert(base::ok(proxy_.start(address)));
+    address_ = free_address(context_);
+    cr_assert(base::ok(proxy_.start(address_)));
     proxy_.publish(make_view(kind, options, upstream_.address()));
-    socket_.connect(address);
+    socket_.connect(address_);
 }
 
 
 caller_response proxy_session::call(unsigned http_version)
 {
-    http::request<http::string_body> request(
-        http::verb::post, "/x", http_version);
-    request.set(http::field::host, host_name);
-    request.set("X-Request-Id", "r-1");
-    request.set("X-Time-Left", "60000");
-    request.set("X-Model", model_name);
-    request.prepare_payload();
-    http::write(socket_, request);
+    send(http_version);
+    return receive();
+}
+
+
+void proxy_session::send(unsigned http_version)
+{
+    asio::write(socket_, asio::buffer(make_request(http_version)));
+}
+
+
+caller_response proxy_session::receive()
+{
     http::response_parser<http::string_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     boost::system::error_code failure;
@@ -149,4 +156,27 @@
     return result;
 }
 
+
+tcp::socket proxy_session::connect()
+{
+    tcp::socket socket(context_);
+    socket.connect(address_);
+    return socket;
+}
+
+
+std::string make_request(unsigned http_version)
+{
+    http::request<http::string_body> request(
+        http::verb::post, "/x", http_version);
+    request.set(http::field::host, host_name);
+    request.set("X-Request-Id", "r-1");
+    request.set("X-Time-Left", "60000");
+    request.set("X-Model", model_name);
+    request.prepare_payload();
+    std::ostringstream text;
+    text << request;
+    return text.str();
+}
+
 } // namespace monsoondock::relay::test
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -54,14 +54,31 @@
     caller_response call(unsigned http_version = 11);
 
 
-    fake_upstream upstream_;
+    /// Sends a request without reading the response.
+    void send(unsigned http_version = 11);
 
-private:
+
+    /// Reads the response to a request that was sent.
+    caller_response receive();
+
+
+    /// Opens another connection and returns it.
+    boost::asio::ip::tcp::socket connect();
+
+
+    fake_upstream upstream_;
     metrics::registry metrics_;
     reverse_proxy proxy_;
     boost::asio::io_context context_;
     boost::asio::ip::tcp::socket socket_{context_};
     boost::beast::flat_buffer buffer_;
+
+private:
+    boost::asio::ip::tcp::endpoint address_;
 };
 
+
+/// Returns a request of a caller as it is sent.
+std::string make_request(unsigned http_version = 11);
+
 } // namespace monsoondock::relay::test
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::relay::pvt {
 
 namespace asio = boost::asio;
@@ -117,8 +119,21 @@
 }
 
 
+void count_connections(proxy_thread& t)
+{
+    const auto busy = std::count_if(
+        t.caller_connections_.begin(),
+        t.caller_connections_.end(),
+        [](const auto& connection) {
+            return connection->phase_ != caller_phase::idle;
+        });
+    t.busy_connections_ = static_cast<std::uint64_t>(busy);
+}
+
+
 void sweep(proxy_thread& t, base::time_point now)
 {
+    count_connections(t);
     for (const auto& e : t.exchanges_)
         sweep_exchange(t, *e, now);
     for (const auto& connection : t.caller_connections_)
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <random>
 #include <unordered_map>
 #include <unordered_set>
@@ -48,10 +49,18 @@
         arrival_meters_;
     std::unordered_set<std::shared_ptr<caller_connection>> caller_connections_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
+    /// Set when the daemon is shutting down.
+    std::optional<drain_schedule> drain_;
+    /// True when requests in progress are aborted.
+    bool aborting_ = false;
     /// Number of requests in progress.
     std::atomic<std::uint64_t> active_{0};
-    /// True when new requests are to be refused.
-    std::atomic<bool> refusing_{false};
+    /// Number of connections of callers that are not idle, as of the latest
+    /// sweep.
+    std::atomic<std::uint64_t> busy_connections_{0};
+    std::atomic<std::uint64_t> open_connections_{0};
+    /// True when the listener is closed and idle connections are being closed.
+    std::atomic<bool> closing_{false};
 };
 
 
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -98,6 +98,34 @@
     s.confirmed_by_peer_at_ = base::boot_clock::now();
 }
 
+
+// Accepts the connections that wait in the queue of the listener, which would
+// otherwise be reset, and closes it.
+void close_listener(proxy_thread& t)
+{
+    boost::system::error_code failure;
+    t.acceptor_.non_blocking(true, failure);
+    while (!failure) {
+        asio::ip::tcp::socket socket(t.context_);
+        t.acceptor_.accept(socket, failure);
+        if (!failure)
+            asio::co_spawn(
+                t.context_,
+                pvt::run_session(t, std::move(socket)),
+                asio::detached);
+    }
+    t.acceptor_.close(failure);
+}
+
+
+void close_idle_callers(const proxy_thread& t)
+{
+    for (const auto& connection : t.caller_connections_) {
+        if (connection->phase_ == pvt::caller_phase::idle)
+            pvt::close_when_idle(*connection);
+    }
+}
+
 } // namespace
 
 struct reverse_proxy::impl
@@ -237,9 +265,45 @@
 }
 
 
-void reverse_proxy::refuse_new() noexcept
+std::uint64_t reverse_proxy::busy_connections() const noexcept
+{
+    return impl_->thread_state_.busy_connections_;
+}
+
+
+bool reverse_proxy::is_closed() const noexcept
 {
-    impl_->thread_state_.refusing_ = true;
+    const proxy_thread& t = impl_->thread_state_;
+    return t.closing_ && t.open_connections_ == 0;
+}
+
+
+void reverse_proxy::drain(const drain_schedule& schedule)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, schedule] { t.drain_ = schedule; });
+}
+
+
+void reverse_proxy::close_idle_connections()
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t] {
+        close_listener(t);
+        t.closing_ = true;
+        close_idle_callers(t);
+    });
+}
+
+
+void reverse_proxy::abort_requests()
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t] {
+        t.aborting_ = true;
+        for (const auto& e : t.exchanges_)
+            pvt::stop(*e, pvt::stop_reason::shutdown);
+    });
 }
 
 
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -343,6 +343,7 @@
         co_return true;
     std::string text;
     if (!s.header_sent_) {
+        s.keep_alive_ = s.keep_alive_ && !c.t_.view_->stopping_;
         text = serialize_stream_header(parser.get(), s.keep_alive_, s.chunked_);
         s.first_response_at_ = base::boot_clock::now();
         s.header_sent_ = true;
--- a/src/librelay/wait_limits.cpp
+++ b/src/librelay/wait_limits.cpp
@@ -88,6 +88,9 @@
 // A stream without an event for this multiple of the wait limit has been
 // dropped by its upstream.
 constexpr int stall_factor = 3;
+// Expected end of a response as a multiple of the time that its prompt and the
+// estimated answer take while all slots are busy.
+constexpr double duration_factor = 2.0;
 
 } // namespace
 
@@ -122,4 +125,19 @@
         static_cast<std::int64_t>(double(target.count()) * rerouting_share));
 }
 
+
+base::time_point expected_end(const exchange& e, base::time_point now)
+{
+    const serving_engine s = find_engine(e);
+    if (s.engine_ == nullptr)
+        return e.deadline_;
+    const catalog::engine& engine = *s.engine_;
+    const double step =
+        engine.step_ms_ + engine.step_per_request_ms_ * engine.slots_;
+    const double ms = e.prompt_tokens_ / engine.prefill_tokens_per_ms_ +
+                      e.answer_tokens_ * step;
+    return std::min(
+        e.deadline_, now + from_ms(ms * s.time_factor_ * duration_factor));
+}
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/wait_limits.hpp
+++ b/src/librelay/wait_limits.hpp
@@ -25,4 +25,9 @@
 /// for responses that are not streams.
 std::chrono::nanoseconds stall_limit(const exchange& e);
 
+
+/// Returns when the response of a request that starts now is expected to end at
+/// the latest, with a margin; at its deadline when the duration is unknown.
+base::time_point expected_end(const exchange& e, base::time_point now);
+
 } // namespace monsoondock::relay::pvt
--- a/testsuite/entry-planned-stop/run.py
+++ b/testsuite/entry-planned-stop/run.py
@@ -93,7 +93,7 @@
     host, port = deployment.daemon.address("caller").rsplit(":", 1)
     with socket.create_connection((host, int(port)), timeout=10) as caller:
         caller.sendall(b"GET /status/1 HTTP/1.1\r\nHost: sheds.example\r\n"
-                       b"X-Request-Id: half-1\r\n")
+                       b"X-Request-Id: half-1\r\nX-Deadline-Ms: 2500\r\n")
         time.sleep(0.2)
         deployment.daemon.popen.send_signal(signal.SIGTERM)
         # Beyond the time for which callers keep the address of the daemon.
