--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -39,8 +39,10 @@
 
 
 // Ends the requests in progress: callers first learn of other daemons while
-// this one still serves, then idle connections are closed.
-asio::awaitable<void> drain_proxy(control_plane& c, base::time_point start_time)
+// this one still serves, then idle connections are closed. Returns the number
+// of requests that had to be aborted.
+asio::awaitable<std::uint64_t>
+drain_proxy(control_plane& c, base::time_point start_time)
 {
     relay::reverse_proxy& proxy = *c.proxy_;
     const relay::drain_schedule schedule{
@@ -55,10 +57,13 @@
     const auto is_closed = [&proxy] {
         return proxy.is_closed();
     };
-    if (co_await wait_for(c, schedule.exit_at_, is_closed))
-        co_return;
+    const bool closed = co_await wait_for(c, schedule.exit_at_, is_closed);
+    if (closed)
+        co_return 0;
+    const std::uint64_t aborted = proxy.active_requests();
     proxy.abort_requests();
-    co_await wait_for(c, schedule.exit_at_ + abort_time, is_closed);
+    co_await wait_for(c, base::boot_clock::now() + abort_time, is_closed);
+    co_return aborted;
 }
 
 
@@ -76,12 +81,12 @@
     publish_status(c);
     publish_view(c);
     apply_node_output(c, c.node_.leave(start_time));
-    co_await drain_proxy(c, start_time);
+    const std::uint64_t aborted = co_await drain_proxy(c, start_time);
     apply_node_output(c, c.node_.depart(base::boot_clock::now()));
     base::event_line("stopped")
         .field("daemon", c.config_.daemon_)
         .field("elapsed", base::boot_clock::now() - start_time)
-        .field("cut_requests", c.proxy_->active_requests());
+        .field("cut_requests", aborted);
     c.context_.stop();
 }
 
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -329,12 +329,11 @@
     const auto connection =
         std::make_shared<caller_connection>(std::move(socket));
     t.caller_connections_.insert(connection);
-    t.open_connections_ = t.caller_connections_.size();
     co_await run_requests(t, connection);
     t.caller_connections_.erase(connection);
-    t.open_connections_ = t.caller_connections_.size();
     boost::system::error_code ignored;
     connection->socket_.close(ignored);
+    --t.open_connections_;
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -58,6 +58,8 @@
     /// Number of connections of callers that are not idle, as of the latest
     /// sweep.
     std::atomic<std::uint64_t> busy_connections_{0};
+    /// Number of connections that were accepted and whose session has not
+    /// ended.
     std::atomic<std::uint64_t> open_connections_{0};
     /// True when the listener is closed and idle connections are being closed.
     std::atomic<bool> closing_{false};
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -30,6 +30,14 @@
 constexpr std::chrono::milliseconds recent_progress{80};
 
 
+void start_session(proxy_thread& t, asio::ip::tcp::socket socket)
+{
+    ++t.open_connections_;
+    asio::co_spawn(
+        t.context_, pvt::run_session(t, std::move(socket)), asio::detached);
+}
+
+
 asio::awaitable<void> accept_callers(proxy_thread& t)
 {
     asio::steady_timer pause(t.context_);
@@ -51,8 +59,7 @@
                 .field("connections", t.caller_connections_.size());
             continue;
         }
-        asio::co_spawn(
-            t.context_, pvt::run_session(t, std::move(socket)), asio::detached);
+        start_session(t, std::move(socket));
     }
 }
 
@@ -109,10 +116,7 @@
         asio::ip::tcp::socket socket(t.context_);
         t.acceptor_.accept(socket, failure);
         if (!failure)
-            asio::co_spawn(
-                t.context_,
-                pvt::run_session(t, std::move(socket)),
-                asio::detached);
+            start_session(t, std::move(socket));
     }
     t.acceptor_.close(failure);
 }
--- a/src/librelay/shutdown_test.cpp
+++ b/src/librelay/shutdown_test.cpp
@@ -50,6 +50,9 @@
     proxy_session s(
         request_kind::idempotent,
         std::vector<scripted_response>(count, make_body()));
+    // Keeps the traffic thread from accepting them.
+    s.proxy_.take_traffic_stats(
+        [](const auto&) { std::this_thread::sleep_for(200ms); });
     std::vector<tcp::socket> sockets;
     for (std::size_t i = 0; i < count; ++i) {
         sockets.push_back(s.connect());
--- a/src/librelay/wait_limits.cpp
+++ b/src/librelay/wait_limits.cpp
@@ -129,15 +129,22 @@
 base::time_point expected_end(const exchange& e, base::time_point now)
 {
     const serving_engine s = find_engine(e);
-    if (s.engine_ == nullptr)
-        return e.deadline_;
-    const catalog::engine& engine = *s.engine_;
-    const double step =
-        engine.step_ms_ + engine.step_per_request_ms_ * engine.slots_;
-    const double ms = e.prompt_tokens_ / engine.prefill_tokens_per_ms_ +
-                      e.answer_tokens_ * step;
-    return std::min(
-        e.deadline_, now + from_ms(ms * s.time_factor_ * duration_factor));
+    double ms = 0;
+    if (s.engine_ == nullptr) {
+        ms =
+            std::chrono::duration<double, std::milli>(e.route_->target_latency_)
+                .count();
+    } else {
+        const catalog::engine& engine = *s.engine_;
+        const double step =
+            engine.step_ms_ + engine.step_per_request_ms_ * engine.slots_;
+        const double prefill = e.prompt_tokens_ / engine.prefill_tokens_per_ms_;
+        ms = e.answer_tokens_ == 0
+                 ? 0
+                 : (prefill + e.answer_tokens_ * step) * s.time_factor_;
+    }
+    return ms <= 0 ? e.deadline_
+                   : std::min(e.deadline_, now + from_ms(ms * duration_factor));
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/wait_limits.hpp
+++ b/src/librelay/wait_limits.hpp
@@ -27,7 +27,8 @@
 
 
 /// Returns when the response of a request that starts now is expected to end at
-/// the latest, with a margin; at its deadline when the duration is unknown.
+/// the latest, with a margin: by the estimated tokens, or by the target latency
+/// of a service without an engine. At its deadline when neither is known.
 base::time_point expected_end(const exchange& e, base::time_point now);
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/wait_limits_test.cpp
+++ b/src/librelay/wait_limits_test.cpp
@@ -92,3 +92,28 @@
     cr_assert(wait_limit(s.exchange_) == 0ns);
     cr_assert(stall_limit(s.exchange_) == 0ns);
 }
+
+
+// During a shutdown, requests to a service without an engine were rejected for
+// their deadline alone, although they would have ended in time.
+Test(wait_limits, a_service_without_an_engine_ends_by_its_target_latency)
+{
+    sample s(catalog::request_kind::at_most_once);
+    const base::time_point now{1000s};
+    s.exchange_.model_ = "";
+    s.exchange_.deadline_ = now + 20s;
+    cr_assert(expected_end(s.exchange_, now) == now + 600ms);
+}
+
+
+// A stream without token counts was accepted at any time of a shutdown and cut.
+Test(wait_limits, a_stream_of_unknown_length_ends_by_its_deadline)
+{
+    sample s(catalog::request_kind::resumable_stream);
+    const base::time_point now{1000s};
+    s.exchange_.deadline_ = now + 8s;
+    s.exchange_.answer_tokens_ = 0;
+    cr_assert(expected_end(s.exchange_, now) == now + 8s);
+    s.exchange_.answer_tokens_ = 170;
+    cr_assert(expected_end(s.exchange_, now) < now + 5s);
+}
--- a/testsuite/entry-planned-stop/run.py
+++ b/testsuite/entry-planned-stop/run.py
@@ -33,7 +33,7 @@
             self.outcome = "cut" if dropped.partial else "dropped"
             return
         if answer.status != 200:
-            self.outcome = "refused"
+            self.outcome = "refused" if answer.status == 503 else "failed"
             return
         events = event_ids(answer.text())
         whole = len(events) == EngineWorker.EVENTS
@@ -53,7 +53,7 @@
                    for i in range(2)]
         PlainWorker(self.store, "l1", "ledger", "z1")
         self.daemon = EntryDaemon(
-            session, self.store, f"a{grace}", "z1", ip, daemon_ports(),
+            session, self.store, f"a-{ip}", "z1", ip, daemon_ports(),
             grace=grace)
         wait_until(lambda: is_ready(self.daemon) and serves(self.daemon),
                    "open group")
@@ -87,13 +87,16 @@
     session.say(f"exit status: {popen.wait(15)}")
 
 
-def half_a_request(session):
-    session.say("== a request whose second half follows later")
-    deployment = Deployment(session, "127.0.0.2", "6s", 0.02)
+def half_a_request(session, ip, deadline):
+    """Sends the second half of a request when callers no longer use the address
+    of the daemon. Without a deadline it could outlast the daemon."""
+    named = "" if deadline else ", without a deadline"
+    session.say(f"== a request whose second half follows later{named}")
+    deployment = Deployment(session, ip, "6s", 0.02)
     host, port = deployment.daemon.address("caller").rsplit(":", 1)
     with socket.create_connection((host, int(port)), timeout=10) as caller:
         caller.sendall(b"GET /status/1 HTTP/1.1\r\nHost: sheds.example\r\n"
-                       b"X-Request-Id: half-1\r\nX-Deadline-Ms: 2500\r\n")
+                       b"X-Request-Id: half-1\r\n" + deadline)
         time.sleep(0.2)
         deployment.daemon.popen.send_signal(signal.SIGTERM)
         # Beyond the time for which callers keep the address of the daemon.
@@ -101,7 +104,7 @@
         answer = b""
         try:
             caller.sendall(b"Authorization: Bearer k1\r\n\r\n")
-            while b"done" not in answer:
+            while b"done" not in answer and b"stopping" not in answer:
                 part = caller.recv(4096)
                 if not part:
                     break
@@ -109,7 +112,7 @@
         except ConnectionError:
             pass
     status = answer.split(b" ")[1].decode() if answer else "none"
-    session.say(f"answer: {status}")
+    session.say(f"answer: {status}, Retry-After: {b'Retry-After' in answer}")
     session.say(f"exit status: {deployment.daemon.popen.wait(15)}")
 
 
@@ -132,7 +135,8 @@
 def main():
     with Session() as session:
         repeated_signals(session)
-        half_a_request(session)
+        half_a_request(session, "127.0.0.2", b"X-Deadline-Ms: 2500\r\n")
+        half_a_request(session, "127.0.0.4", b"")
         late_request(session)
 
 
