relay: bytes without end are no response

An upstream could send bytes without end. The buffer of its connection had no maximum, so that a chunk header, a chunk extension or trailers were kept until the request's deadline; so was an event (max_event_bytes was not used), whose bytes were searched anew after each read. Informational responses and header fields were read until the deadline, the body of a response to another request up to 16 MiB, and each of several bodies at once up to 16 MiB. An idle connection on which a host sent bytes stayed open for its announced time.

Now a connection keeps 64 KiB that are not parsed; a header is limited to 64 KiB with all its fields and the informational responses before it; an event to 1 MiB; a body for another request to 1 MiB; bodies and events together to 48 MiB, without those below 32 KiB. The splitter searches each byte once. Idle connections that are not reusable are closed by the pool check. A body is written to its caller without a copy. The try ends at once with outcome=lost and a reason in its log line.

--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -1,25 +1,31 @@
 #include "event_splitter.hpp"
 
 #include <charconv>
+#include <utility>
 
 namespace monsoondock::relay::pvt {
 
 namespace {
 
-// Returns the length of the first event in text, including the blank line that
-// ends it, or 0 when the event is incomplete.
-std::size_t event_length(std::string_view text)
+// Returns the end of the event that begins before the last line, including the
+// blank line that ends it, or 0 when the event is incomplete. Each byte is
+// searched once, however many calls its event takes.
+std::size_t find_event_end(event_splitter& s)
 {
-    std::size_t line = 0;
+    const std::string_view text = s.pending_;
     for (;;) {
-        const std::size_t end = text.find('\n', line);
-        if (end == std::string_view::npos)
+        const std::size_t end = text.find('\n', s.searched_);
+        if (end == std::string_view::npos) {
+            s.searched_ = text.size();
             return 0;
-        const std::size_t length = end - line;
-        const bool blank = length == 0 || (length == 1 && text[line] == '\r');
+        }
+        const std::size_t length = end - s.line_begin_;
+        const bool blank =
+            length == 0 || (length == 1 && text[s.line_begin_] == '\r');
+        s.line_begin_ = end + 1;
+        s.searched_ = end + 1;
         if (blank)
             return end + 1;
-        line = end + 1;
     }
 }
 
@@ -74,16 +80,17 @@
     std::size_t begin = 0;
     const std::string_view all = splitter.pending_;
     while (!splitter.gap_) {
-        const std::string_view rest = all.substr(begin);
-        const std::size_t length = event_length(rest);
-        if (length == 0)
+        const std::size_t end = find_event_end(splitter);
+        if (end == 0)
             break;
-        const std::string_view event = rest.substr(0, length);
+        const std::string_view event = all.substr(begin, end - begin);
         if (accept_event(splitter, event_id(event)))
             complete.append(event);
-        begin += length;
+        begin = end;
     }
     splitter.pending_.erase(0, begin);
+    splitter.line_begin_ -= begin;
+    splitter.searched_ -= begin;
     return complete;
 }
 
@@ -105,7 +112,22 @@
 
 void discard_partial_event(event_splitter& splitter)
 {
-    splitter.pending_.clear();
+    take_partial_event(splitter);
+}
+
+
+std::string take_partial_event(event_splitter& splitter)
+{
+    splitter.line_begin_ = 0;
+    splitter.searched_ = 0;
+    return std::exchange(splitter.pending_, {});
+}
+
+
+void restore_partial_event(event_splitter& splitter, std::string bytes)
+{
+    discard_partial_event(splitter);
+    splitter.pending_ = std::move(bytes);
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/event_splitter.hpp
+++ b/src/librelay/event_splitter.hpp
@@ -14,6 +14,10 @@
 {
     /// Bytes of the incomplete event at the end.
     std::string pending_;
+    /// Where the last line of pending_ begins.
+    std::size_t line_begin_ = 0;
+    /// Bytes of pending_ that have been searched for the end of that line.
+    std::size_t searched_ = 0;
     /// Id of the last event returned; empty before the first one.
     std::optional<std::uint64_t> last_id_;
     /// True while each id has been one greater than the previous one.
@@ -24,7 +28,8 @@
     std::uint64_t events_ = 0;
 };
 
-/// Not used. Intended as the maximum size of an event, in bytes.
+/// Maximum size of an incomplete event, in bytes. An upstream that sends more
+/// without completing it sends no event.
 inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 
 
@@ -42,4 +47,13 @@
 /// upstream.
 void discard_partial_event(event_splitter& splitter);
 
+
+/// Returns the incomplete event and removes it from the splitter.
+std::string take_partial_event(event_splitter& splitter);
+
+
+/// Goes on with the bytes of an incomplete event in place of those that the
+/// splitter has.
+void restore_partial_event(event_splitter& splitter, std::string bytes);
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/event_splitter_test.cpp
+++ b/src/librelay/event_splitter_test.cpp
@@ -71,3 +71,47 @@
         cr_assert_not(pvt::ends_inside_event(s), "%s", rest);
     }
 }
+
+
+// Each call searched the whole incomplete event again, so that the time for an
+// event of many parts grew with the square of its size.
+Test(event_splitter, searches_each_byte_once)
+{
+    const std::string part = "data: a\n";
+    pvt::event_splitter s;
+    std::string event;
+    for (int i = 0; i < 1000; ++i) {
+        event += part;
+        cr_assert(pvt::extract_events(s, part).empty());
+        cr_assert_eq(s.searched_, s.pending_.size());
+        cr_assert_eq(s.line_begin_, s.pending_.size());
+    }
+    cr_assert(pvt::extract_events(s, "\nid: 2") == event + "\n");
+    cr_assert_eq(s.line_begin_, 0);
+    cr_assert_eq(s.searched_, s.pending_.size());
+}
+
+
+Test(event_splitter, returns_the_same_events_at_every_split_point)
+{
+    const std::string text = "id: 1\ndata: a\n\n\r\n: c\n\nid: 2\r\n\r\nid: 3";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        pvt::event_splitter s;
+        std::string events = pvt::extract_events(s, text.substr(0, cut));
+        events += pvt::extract_events(s, text.substr(cut));
+        cr_assert(events + s.pending_ == text, "%zu", cut);
+        cr_assert(s.pending_ == "id: 3", "%zu", cut);
+    }
+}
+
+
+Test(event_splitter, goes_on_with_an_incomplete_event)
+{
+    pvt::event_splitter s;
+    pvt::extract_events(s, "id: 1\ndata: a\nda");
+    const std::string part = pvt::take_partial_event(s);
+    cr_assert(s.pending_.empty());
+    pvt::restore_partial_event(s, part);
+    cr_assert(
+        pvt::extract_events(s, "ta: b\n\n") == "id: 1\ndata: a\ndata: b\n\n");
+}
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -29,14 +29,6 @@
 constexpr std::size_t missing_bytes = 7;
 
 
-std::string make_chunk(const std::string& text)
-{
-    char size[20];
-    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-    return size + text + "\r\n";
-}
-
-
 std::string make_body(const scripted_response& r, int first_event)
 {
     if (!r.body_.empty())
@@ -57,9 +49,21 @@
 }
 
 
+std::string insert_id(std::string text, const std::string& id)
+{
+    static constexpr std::string_view mark = "$ID";
+    const std::size_t at = text.find(mark);
+    if (at != std::string::npos)
+        text.replace(at, mark.size(), id);
+    return text;
+}
+
+
 std::string
 make_response(const scripted_response& r, const std::string& id, int first)
 {
+    if (!r.verbatim_.empty())
+        return insert_id(r.verbatim_, id);
     const std::string body = make_body(r, first);
     const std::string header = make_header(r, id);
     switch (r.framing_) {
@@ -97,10 +101,26 @@
     std::thread thread_;
     std::vector<scripted_response> script_;
     std::atomic<std::size_t> requests_{0};
+    std::atomic<std::size_t> repeated_bytes_{0};
+    std::atomic<int> repetitions_{0};
     mutable std::mutex mutex_;
     std::vector<std::string> targets_;
 
 
+    asio::awaitable<void> repeat(tcp::socket& socket, const std::string& part)
+    {
+        for (std::size_t sent = 0; sent < max_endless_bytes;) {
+            const auto [failure, size] = co_await asio::async_write(
+                socket, asio::buffer(part), base::await_tuple);
+            repeated_bytes_ += size;
+            sent += size;
+            if (failure)
+                break;
+        }
+        --repetitions_;
+    }
+
+
     // Returns false when the connection has ended.
     asio::awaitable<bool> respond(
         tcp::socket& socket, const http::request<http::string_body>& request)
@@ -117,6 +137,8 @@
         const int first = last_id.empty() ? 1 : std::stoi(last_id) + 1;
         const std::string text =
             make_response(r, std::string(request["X-Request-Id"]), first);
+        if (!r.repeated_.empty())
+            ++repetitions_;
         const std::size_t half =
             r.pause_.count() > 0 ? text.size() / 2 : text.size();
         co_await asio::async_write(
@@ -127,6 +149,12 @@
             socket,
             asio::buffer(text.data() + half, text.size() - half),
             base::await_tuple);
+        if (!r.repeated_.empty()) {
+            asio::steady_timer idle(context_, r.idle_pause_);
+            co_await idle.async_wait(base::await_tuple);
+            co_await repeat(socket, r.repeated_);
+            co_return false;
+        }
         if (r.ending_ == ending::keep_open)
             co_return true;
         end_connection(socket, r.ending_);
@@ -191,6 +219,26 @@
 }
 
 
+bool fake_upstream::wait_for_end_of_repetition(
+    std::chrono::milliseconds time) const
+{
+    static constexpr std::chrono::milliseconds poll_period{5};
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (impl_->repetitions_ > 0) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(poll_period);
+    }
+    return true;
+}
+
+
+std::size_t fake_upstream::repeated_bytes() const
+{
+    return impl_->repeated_bytes_;
+}
+
+
 std::vector<std::string> fake_upstream::targets() const
 {
     const std::lock_guard lock(impl_->mutex_);
@@ -198,6 +246,14 @@
 }
 
 
+std::string make_chunk(const std::string& text)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+
 std::string make_events(int first, int last)
 {
     std::string text;
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -49,8 +49,20 @@
     std::string fields_;
     /// Pause in the middle of the response.
     std::chrono::milliseconds pause_{0};
+    /// Sent as it is in place of a response of the form above; `$ID` stands for
+    /// the id of the request.
+    std::string verbatim_;
+    /// Sent again and again after the response, until the proxy closes the
+    /// connection or max_endless_bytes have been sent.
+    std::string repeated_;
+    /// Pause between the response and the repeated part.
+    std::chrono::milliseconds idle_pause_{0};
 };
 
+/// Bytes after which a repeated part ends, so that a proxy which reads all of
+/// them fails its test instead of running out of memory.
+inline constexpr std::size_t max_endless_bytes = std::size_t{96} * 1024 * 1024;
+
 
 /// Upstream on a thread of its own. Sends the responses of a script in the
 /// order in which requests arrive, and closes the connection of requests after
@@ -72,6 +84,15 @@
     std::size_t requests() const;
 
 
+    /// Waits until all repeated parts have ended. Returns false when one goes
+    /// on after the time.
+    bool wait_for_end_of_repetition(std::chrono::milliseconds time) const;
+
+
+    /// Returns the number of bytes of repeated parts that could be sent.
+    std::size_t repeated_bytes() const;
+
+
     /// Returns the host to which each request was addressed, in the order of
     /// their arrival.
     std::vector<std::string> targets() const;
@@ -82,6 +103,10 @@
 };
 
 
+/// Returns text as a chunk of a body.
+std::string make_chunk(const std::string& text);
+
+
 /// Returns the events with the ids first to last.
 std::string make_events(int first, int last);
 
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace monsoondock::relay::pvt {
 
@@ -51,6 +52,7 @@
     response_state state_;
     /// Error response of an upstream, used when no other upstream succeeds.
     std::optional<http_response> failed_response_;
+    base::byte_lease failed_response_memory_;
     request_outcome outcome_;
 };
 
@@ -147,9 +149,11 @@
     const bool keep_alive = c.state_.keep_alive_ && !c.t_.view_->stopping_;
     c.outcome_ = {"answered", response.result_int()};
     c.state_.first_response_at_ = base::boot_clock::now();
-    const std::string text = serialize_response(response, keep_alive);
+    const std::string header = serialize_response_header(response, keep_alive);
+    const std::array<asio::const_buffer, 2> text{
+        asio::buffer(header), asio::buffer(response.body())};
     const auto [failure, sent] = co_await asio::async_write(
-        c.e_.caller_->socket_, asio::buffer(text), base::await_tuple);
+        c.e_.caller_->socket_, text, base::await_tuple);
     co_return !failure && keep_alive;
 }
 
@@ -235,6 +239,7 @@
         .field("send", c.e_.sends_)
         .field("outcome", to_string(outcome))
         .field("stop_reason", to_string(c.e_.stop_reason_))
+        .field("reason", c.state_.failure_)
         .field("events", c.state_.splitter_.events_)
         .field("framing", to_string(c.state_.framing_))
         .field("partial_bytes", c.state_.partial_event_bytes_);
@@ -284,6 +289,7 @@
             break;
         c.failed_response_ =
             std::exchange(c.state_.buffered_response_, std::nullopt);
+        c.failed_response_memory_ = std::move(c.state_.memory_);
     }
     co_return outcome;
 }
@@ -405,7 +411,7 @@
 
 asio::awaitable<bool> forward(proxy_thread& t, std::shared_ptr<exchange> e)
 {
-    forward_context c{t, *e, {}, {}, {}};
+    forward_context c{t, *e, {}, {}, {}, {}};
     c.state_.keep_alive_ = e->request_.keep_alive();
     c.state_.chunked_ = e->request_.version() >= http_version_1_1;
     const auto* chosen =
--- a/src/librelay/http_serializer.cpp
+++ b/src/librelay/http_serializer.cpp
@@ -154,7 +154,8 @@
 }
 
 
-std::string serialize_response(const http_response& response, bool keep_alive)
+std::string
+serialize_response_header(const http_response& response, bool keep_alive)
 {
     std::string text = status_line(response);
     const bool no_body = response.result() == http::status::no_content ||
@@ -163,7 +164,7 @@
         append_field(
             text, "Content-Length", std::to_string(response.body().size()));
     append_connection(text, keep_alive);
-    text.append("\r\n").append(response.body());
+    text.append("\r\n");
     return text;
 }
 
--- a/src/librelay/http_serializer.hpp
+++ b/src/librelay/http_serializer.hpp
@@ -36,8 +36,10 @@
     const forwarding_fields& fields);
 
 
-/// Serializes a complete response of an upstream for the caller.
-std::string serialize_response(const http_response& response, bool keep_alive);
+/// Serializes the status line and header of a complete response of an upstream
+/// for the caller; the body follows as it is.
+std::string
+serialize_response_header(const http_response& response, bool keep_alive);
 
 
 /// Serializes the status line and header of a streamed response, whose body
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -2,6 +2,7 @@
 
 #include "exchange.hpp"
 
+#include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/relay/arrival_meter.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 #include <monsoondock/relay/reverse_proxy.hpp>
@@ -19,6 +20,14 @@
 
 namespace monsoondock::relay::pvt {
 
+/// Memory for the responses that are received at the same time, without those
+/// that are smaller than the second number. A large response that does not fit
+/// is not received to its end.
+inline constexpr std::size_t max_response_memory_bytes =
+    std::size_t{48} * 1024 * 1024;
+inline constexpr std::size_t small_response_bytes = std::size_t{32} * 1024;
+
+
 /// State of the traffic thread. Other threads may access only the atomic
 /// members.
 struct proxy_thread
@@ -35,6 +44,8 @@
     proxy_config config_;
     proxy_callbacks callbacks_;
     metrics::registry& metrics_;
+    base::byte_budget response_memory_{
+        max_response_memory_bytes, small_response_bytes, 0};
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer sweep_timer_;
--- a/src/librelay/suspended_try.hpp
+++ b/src/librelay/suspended_try.hpp
@@ -2,9 +2,10 @@
 
 #include "upstream_connection.hpp"
 
+#include <monsoondock/base/bounded_parser.hpp>
+#include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/relay/upstream.hpp>
 
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
@@ -13,7 +14,7 @@
 namespace monsoondock::relay::pvt {
 
 using http_response_parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+    base::bounded_response_parser<boost::beast::http::string_body>;
 
 
 /// Try whose upstream was silent for too long. Its connection stays open until
@@ -26,6 +27,8 @@
     std::unique_ptr<http_response_parser> parser_;
     /// Bytes of the event that was incomplete.
     std::string partial_event_;
+    /// Memory of the body or event.
+    base::byte_lease memory_;
 };
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -24,8 +24,10 @@
 
 constexpr std::size_t max_buffered_body_bytes = std::size_t{16} * 1024 * 1024;
 constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
-// Maximum number of responses to earlier requests that are skipped.
+// Maximum number of responses to earlier requests that are skipped, and the
+// maximum size of their bodies.
 constexpr int max_mismatched_responses = 2;
+constexpr std::size_t max_mismatched_body_bytes = std::size_t{1024} * 1024;
 // How long an upstream keeps an idle connection open when it does not say so.
 constexpr std::chrono::milliseconds default_keep_alive{700};
 // Subtracted because the upstream may close the connection while a request is
@@ -70,6 +72,41 @@
 }
 
 
+// Returns what an error says about a response, as it appears in logs.
+std::string_view reason_of(const boost::system::error_code& failure)
+{
+    if (failure == http::error::header_limit)
+        return "header_too_large";
+    if (failure == http::error::body_limit)
+        return "body_too_large";
+    if (failure == http::error::buffer_overflow)
+        return "chunk_header_too_large";
+    if (failure == asio::error::operation_aborted)
+        return "stopped";
+    const bool ended = failure == http::error::end_of_stream ||
+                       failure == http::error::partial_message;
+    if (!ended && failure.category() ==
+                      http::make_error_code(http::error::bad_method).category())
+        return "malformed";
+    return "connection_lost";
+}
+
+
+// Records why the try fails. Returns false.
+bool fail(try_context& c, std::string_view reason)
+{
+    c.state_.failure_ = reason;
+    return false;
+}
+
+
+try_outcome lose(try_context& c, std::string_view reason)
+{
+    fail(c, reason);
+    return try_outcome::lost;
+}
+
+
 asio::awaitable<bool> connect(try_context& c)
 {
     exchange& e = c.e_;
@@ -105,16 +142,19 @@
     const std::string text =
         serialize_upstream_request(e, c.t_.config_.headers_, fields);
     enter_phase(e, wait_phase::first_response);
+    e.upstream_->header_bytes_ = 0;
     const auto [failure, sent] = co_await asio::async_write(
         e.upstream_->socket_, asio::buffer(text), base::await_tuple);
-    co_return !failure;
+    if (failure)
+        co_return fail(c, reason_of(failure));
+    co_return true;
 }
 
 
 std::unique_ptr<http_response_parser> make_parser(const exchange& e)
 {
-    auto parser = std::make_unique<http_response_parser>();
-    parser->header_limit(max_response_header_bytes);
+    auto parser =
+        std::make_unique<http_response_parser>(max_response_header_bytes);
     parser->body_limit(max_buffered_body_bytes);
     parser->eager(true);
     if (e.request_.method() == http::verb::head)
@@ -138,11 +178,14 @@
             *c.parser_,
             base::await_tuple);
         if (failure)
-            co_return false;
+            co_return fail(c, reason_of(failure));
+        e.upstream_->header_bytes_ += size;
         http_response_parser& parser = *c.parser_;
         if (http::to_status_class(parser.get().result()) ==
             http::status_class::informational) {
             c.parser_.reset();
+            if (e.upstream_->header_bytes_ > max_response_header_bytes)
+                co_return fail(c, "informational_responses");
             continue;
         }
         const auto id = parser.get()[id_name];
@@ -152,10 +195,13 @@
             .field("request", e.id_)
             .field("response_to", std::string_view(id))
             .field("host", c.target_.host_);
-        if (parser.need_eof()) {
+        const auto length = parser.content_length();
+        const bool too_large = length && *length > max_mismatched_body_bytes;
+        if (parser.need_eof() || too_large) {
             c.parser_.reset();
-            co_return false;
+            co_return fail(c, "other_request");
         }
+        parser.body_limit(max_mismatched_body_bytes);
         const auto [body_failure, body_size] = co_await http::async_read(
             e.upstream_->socket_,
             e.upstream_->buffer_,
@@ -163,10 +209,10 @@
             base::await_tuple);
         c.parser_.reset();
         if (body_failure)
-            co_return false;
+            co_return fail(c, "other_request");
         ++skipped;
     }
-    co_return false;
+    co_return fail(c, "other_request");
 }
 
 
@@ -276,14 +322,18 @@
 read_buffered_response(try_context& c, http_response_parser& parser)
 {
     exchange& e = c.e_;
-    if (!parser.is_done()) {
-        const auto [failure, size] = co_await http::async_read(
+    for (;;) {
+        if (!c.state_.memory_.resize(parser.get().body().capacity()))
+            co_return lose(c, "response_memory");
+        if (parser.is_done())
+            break;
+        const auto [failure, size] = co_await http::async_read_some(
             e.upstream_->socket_,
             e.upstream_->buffer_,
             parser,
             base::await_tuple);
         if (failure)
-            co_return try_outcome::lost;
+            co_return lose(c, reason_of(failure));
     }
     record_progress(c);
     return_to_pool(c, parser);
@@ -297,7 +347,7 @@
     const bool success = http::to_status_class(response.result()) ==
                          http::status_class::successful;
     if (success && (!sealed || encoded))
-        co_return try_outcome::lost;
+        co_return lose(c, "not_sealed");
     c.state_.buffered_response_ = std::move(response);
     co_return try_outcome::answered;
 }
@@ -338,7 +388,7 @@
     s.partial_event_bytes_ = s.splitter_.pending_.size();
     const bool ends = last && !s.splitter_.gap_ && !has_broken_off(c);
     if (ends)
-        events.append(std::exchange(s.splitter_.pending_, {}));
+        events.append(take_partial_event(s.splitter_));
     if (events.empty() && !ends)
         co_return true;
     std::string text;
@@ -367,7 +417,7 @@
 {
     exchange& e = c.e_;
     if (parser.get().count(c.t_.config_.headers_.seal_) == 0)
-        co_return try_outcome::lost;
+        co_return lose(c, "not_sealed");
     // The limit is for buffered responses; a stream may be longer.
     parser.body_limit(boost::none);
     for (;;) {
@@ -379,12 +429,17 @@
         }
         if (!co_await relay_events(c, parser, last))
             co_return try_outcome::caller_gone;
-        if (c.state_.splitter_.gap_)
-            co_return try_outcome::lost;
+        const event_splitter& events = c.state_.splitter_;
+        if (events.gap_)
+            co_return lose(c, "missing_event");
         if (last && has_broken_off(c))
-            co_return try_outcome::lost;
+            co_return lose(c, "broken_off");
         if (last)
             break;
+        if (events.pending_.size() > max_event_bytes)
+            co_return lose(c, "event_too_large");
+        if (!c.state_.memory_.resize(events.pending_.capacity()))
+            co_return lose(c, "response_memory");
         // An event that arrives as the exchange is rerouted revives the try.
         if (e.stop_reason_ == stop_reason::rerouted)
             e.stop_reason_ = stop_reason::none;
@@ -396,7 +451,7 @@
             parser,
             base::await_tuple);
         if (failure)
-            co_return try_outcome::lost;
+            co_return lose(c, reason_of(failure));
     }
     return_to_pool(c, parser);
     co_return try_outcome::relayed;
@@ -443,7 +498,8 @@
     suspended->target_ = c.target_;
     suspended->connection_ = std::move(e.upstream_);
     suspended->parser_ = std::move(c.parser_);
-    suspended->partial_event_ = c.state_.splitter_.pending_;
+    suspended->partial_event_ = take_partial_event(c.state_.splitter_);
+    suspended->memory_ = std::move(c.state_.memory_);
     e.suspended_ = std::move(suspended);
     return try_outcome::suspended;
 }
@@ -459,6 +515,10 @@
                               c.parser_ != nullptr;
     if (was_rerouted && e.upstream_ != nullptr && !e.caller_->disconnected_)
         return suspend(c);
+    if (outcome == try_outcome::lost) {
+        discard_partial_event(c.state_.splitter_);
+        c.state_.memory_ = {};
+    }
     if (e.upstream_ != nullptr) {
         boost::system::error_code ignored;
         e.upstream_->socket_.close(ignored);
@@ -484,6 +544,8 @@
     e.refusal_logged_ = false;
     ++e.sends_;
     discard_partial_event(state.splitter_);
+    state.memory_ = base::byte_lease(t.response_memory_);
+    state.failure_ = {};
     state.framing_ = body_framing::none;
     state.partial_event_bytes_ = 0;
     ++t.upstream_table_.state_of(e.host_).in_flight_;
@@ -506,7 +568,10 @@
         co_return try_outcome::caller_gone;
     e.refusal_logged_ = false;
     e.upstream_ = std::move(suspended->connection_);
-    state.splitter_.pending_ = std::move(suspended->partial_event_);
+    restore_partial_event(
+        state.splitter_, std::move(suspended->partial_event_));
+    state.memory_ = std::move(suspended->memory_);
+    state.failure_ = {};
     enter_phase(
         e,
         c.parser_->is_header_done() && state.splitter_.events_ > 0
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
+#include <string_view>
 
 namespace monsoondock::relay::pvt {
 
@@ -36,6 +37,11 @@
 struct response_state
 {
     event_splitter splitter_;
+    /// Memory of the body or of the incomplete event.
+    base::byte_lease memory_;
+    /// Why the last try failed, as it appears in logs; empty when it did not,
+    /// or when nothing was sent.
+    std::string_view failure_;
     /// True when the header of a streamed response has been sent to the caller.
     bool header_sent_ = false;
     std::optional<http_response> buffered_response_;
--- a/src/librelay/upstream_connection.cpp
+++ b/src/librelay/upstream_connection.cpp
@@ -45,7 +45,8 @@
 {
     for (auto& [address, connections] : idle_) {
         std::erase_if(connections, [&](const auto& connection) {
-            return connection->usable_until_ <= now;
+            return connection->usable_until_ <= now ||
+                   !is_reusable(*connection);
         });
     }
     std::erase_if(
--- a/src/librelay/upstream_connection.hpp
+++ b/src/librelay/upstream_connection.hpp
@@ -22,6 +22,12 @@
     std::chrono::milliseconds(3000)};
 
 
+/// Maximum number of bytes received from an upstream that are not parsed yet.
+/// A header, the size and extensions of a chunk, and the trailer fields are
+/// parsed when they are complete.
+inline constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
+
+
 /// Connection to an upstream. It carries one exchange at a time and is reused
 /// only after a complete response.
 struct upstream_connection
@@ -31,7 +37,10 @@
     {}
 
     boost::asio::ip::tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_unparsed_bytes};
+    /// Size in bytes of the response headers of the current try, those of
+    /// informational responses included.
+    std::size_t header_bytes_ = 0;
     /// When the connection expires, because the upstream may close it.
     base::time_point usable_until_;
 };
@@ -63,7 +72,8 @@
         std::shared_ptr<upstream_connection> connection);
 
 
-    /// Closes connections that have expired.
+    /// Closes connections that have expired, that their upstream has closed, or
+    /// on which it has sent bytes.
     void close_expired(base::time_point now);
 
 private:
