relay: requests without end are rejected

A caller could send chunk headers, chunk extensions or trailers until its body timed out, with all of them in the buffer of its connection, and any number of header fields if each of its segments ended after the first letter of a field line. The header limit now counts all fields, and the buffer of a connection has the size of the header limit, at least 64 KiB.

--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "http_serializer.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/bounded_parser.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/keepalive_options.hpp>
 #include <monsoondock/base/stable_hash.hpp>
@@ -13,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <variant>
 
@@ -35,6 +37,11 @@
 // response. Closing the connection earlier would reset it before the caller has
 // read the response.
 constexpr milliseconds discard_time{300};
+// Maximum size of the buffer of a connection where the limit of a header is
+// smaller.
+constexpr std::size_t min_buffer_bytes = std::size_t{64} * 1024;
+
+
 // The connection has ended or cannot be used any longer.
 struct closed
 {};
@@ -102,8 +109,13 @@
     if (!co_await wait_for_bytes(t, connection, limits.idle_timeout_))
         co_return closed{};
     connection.used_ = true;
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes_));
+    base::bounded_parser<true, http::string_body> parser(
+        static_cast<std::uint32_t>(limits.max_header_bytes_));
+    // A chunk header and the trailer fields have the limit of the header.
+    connection.buffer_.max_size(std::max(
+        {limits.max_header_bytes_,
+         min_buffer_bytes,
+         connection.buffer_.size()}));
     parser.body_limit(limits.max_body_bytes_);
     enter_phase(connection, caller_phase::header, limits.header_timeout_);
     const auto [head_failure, head_size] = co_await http::async_read_header(
