testsuite: stand-ins of workers record their work

Cause: what a worker did for a request, and who ended it, could not be told after a run, so that the soak could not check for requests that a daemon lost. Change: each worker has a list of works (work_record.py): request, begin, end, and whether it was whole, rejected, broken off by the worker, or left by its sender. How long an engine waits after an event can be overridden.

--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -15,6 +15,7 @@
 import urllib.parse
 
 from session import free_port
+from work_record import Work
 
 JOIN_SECONDS = 0.05
 EVENT_SECONDS = 0.02
@@ -191,6 +192,7 @@
                       "slots": 4, "state": "ready", "seq_no": 0,
                       "born": int(time.time() * 1000), **fields}
         self.lock = threading.RLock()
+        self.work = []
         worker = self
 
         class WorkerHandler(Handler):
@@ -218,7 +220,14 @@
         elif handler.path == "/order":
             self.order(handler, json.loads(body))
         else:
-            self.serve(handler, body)
+            handler.work = Work(handler.headers["X-Request-Id"])
+            self.work.append(handler.work)
+            try:
+                self.serve(handler, body)
+            except OSError:
+                handler.work.end("left")
+                raise
+            handler.work.end("whole")
 
     def seal_headers(self, handler):
         return [("X-Request-Id", handler.headers["X-Request-Id"]),
@@ -245,6 +254,7 @@
     def serve(self, handler, body):
         with self.lock:
             if self.pause:
+                handler.work.end("rejected")
                 handler.answer(503, {}, [
                     *self.seal_headers(handler), ("X-Not-Executed", "1"),
                     ("Retry-After", str(self.pause))])
@@ -261,9 +271,11 @@
             self.requests_to_hang -= 1 if hangs else 0
         if hangs:
             time.sleep(self.HANG_SECONDS)
+            handler.work.end("broke_off")
             handler.close_connection = True
             return
         if drops:
+            handler.work.end("broke_off")
             handler.close_connection = True
             handler.connection.shutdown(socket.SHUT_RDWR)
             return
@@ -337,6 +349,7 @@
 
     def serve(self, handler, _body):
         if not self.is_open_head():
+            handler.work.end("rejected")
             handler.answer(503, {}, [("X-Not-Executed", "1")])
             return
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
@@ -362,12 +375,19 @@
                     return
                 event = self.event(number)
                 handler.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
-                time.sleep(self.event_seconds)
+                self.wait_after_event(handler, number)
             handler.wfile.write(b"0\r\n\r\n")
         except OSError:
-            self.disconnected_requests.append(handler.headers["X-Request-Id"])
+            self.leave(handler)
             handler.close_connection = True
 
+    def leave(self, handler):
+        handler.work.end("left")
+        self.disconnected_requests.append(handler.headers["X-Request-Id"])
+
+    def wait_after_event(self, _handler, _number):
+        time.sleep(self.event_seconds)
+
     def event(self, number):
         return f"id: {number}\ndata: piece {number}\n\n".encode()
 
@@ -376,16 +396,18 @@
         try:
             for number in range(first, self.EVENTS + 1):
                 if number == self.truncate_at_event:
+                    handler.work.end("broke_off")
                     handler.wfile.write(self.event(number)[:9])
                     return
                 handler.wfile.write(self.event(number))
-                time.sleep(self.event_seconds)
+                self.wait_after_event(handler, number)
         except OSError:
-            self.disconnected_requests.append(handler.headers["X-Request-Id"])
+            self.leave(handler)
 
     def crash(self, handler):
         """Simulates a crash in the middle of an event: resets the connection,
         closes the listener and removes the entry of the worker."""
+        handler.work.end("broke_off")
         handler.wfile.write(b"a\r\nid: ")
         handler.connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- /dev/null
+++ b/testsuite/work_record.py
@@ -0,0 +1,19 @@
+"""The record of what a stand-in of a worker did for each request."""
+
+import time
+
+
+class Work:
+    """The work of a worker on a request. Its outcome is "working", "whole",
+    "rejected", "broke_off" (by the worker) or "left" (by the sender)."""
+
+    def __init__(self, request_id):
+        self.request_id = request_id
+        self.begun = time.monotonic()
+        self.ended = None
+        self.outcome = "working"
+
+    def end(self, outcome):
+        if self.ended is None:
+            self.ended = time.monotonic()
+            self.outcome = outcome
