daemon: further stop signals leave a shutdown as it is

A second SIGTERM or SIGINT ended monsoondockd at once. Cause: wait_for_signals took the second signal as an order to abort. Whoever signals a process and its process group, or repeats a signal, sends two. Change: repeated signals are logged (stop_signal_repeated), the shutdown goes on.

--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -8,11 +8,11 @@
 #include "settings_feed.hpp"
 #include "suspect_control.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/daemon/run_daemon.hpp>
 #include <monsoondock/traffic/server.hpp>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <utility>
 
 namespace monsoondock::daemon {
 
@@ -132,15 +133,23 @@
 asio::awaitable<void>
 wait_for_signals(control_state& state, traffic::server& server)
 {
-    constexpr auto await_tuple = asio::as_tuple(asio::use_awaitable);
     asio::signal_set signals(state.context_, SIGTERM, SIGINT);
-    co_await signals.async_wait(await_tuple);
-    asio::co_spawn(
-        state.context_, stop_gracefully(state, server), asio::detached);
-    co_await signals.async_wait(await_tuple);
-    base::event_line("stopped_at_once", base::severity::warning)
-        .field("cut_requests", server.active_requests());
-    state.context_.stop();
+    bool stop_requested = false;
+    for (;;) {
+        const auto [failure, number] =
+            co_await signals.async_wait(base::await_tuple);
+        if (failure)
+            co_return;
+        // Supervisors may signal a process and its process group.
+        if (std::exchange(stop_requested, true)) {
+            base::event_line("stop_signal_repeated")
+                .field("daemon", state.config_.daemon_)
+                .field("signal", number);
+            continue;
+        }
+        asio::co_spawn(
+            state.context_, stop_gracefully(state, server), asio::detached);
+    }
 }
 
 
--- a/testsuite/planned-stop/run.py
+++ b/testsuite/planned-stop/run.py
@@ -1,29 +1,37 @@
 """Planned stops: a stream in progress is completed, callers that follow the
-list of entry hosts are never refused, and a rolling restart of all daemons
-under load neither cuts nor refuses a request."""
+list of entry hosts are never refused, a rolling restart of all daemons under
+load neither cuts nor refuses a request, and further stop signals change
+nothing."""
 
 import json
 import signal
 import threading
+import time
 
 from cluster import API_KEYS, Cluster, bearer
-from session import Session, chat, parse_stream, request, wait_until
+from session import (
+    ConnectionDropped, Session, chat, parse_stream, request, wait_until)
 
 COMPLETIONS = "/v1/chat/completions"
 DAEMONS = 4
 LOAD_MS = 12000
 LOAD_RATE = 30
+STREAMS = 3
+SIGNAL_INTERVAL_SECONDS = 0.05
 
 
 def stream_in_background(address, tokens):
     """Starts a completion in a thread. Returns the thread and the list to which
-    it appends the response."""
+    it appends the response, unless the connection is dropped."""
     answers = []
     body = chat("a long lot description", tokens, model="copal-llm")
 
     def run():
-        answers.append(request(address, "POST", COMPLETIONS, body,
-                               bearer("sheds-central"), timeout=60))
+        try:
+            answers.append(request(address, "POST", COMPLETIONS, body,
+                                   bearer("sheds-central"), timeout=60))
+        except ConnectionDropped:
+            pass
 
     thread = threading.Thread(target=run)
     thread.start()
@@ -58,6 +66,27 @@
     session.say(f"exit status: {process.wait()}")
 
 
+def repeated_signals(session, cluster):
+    session.say("== stop signals after a SIGTERM")
+    name = "heredia-2"
+    address, process = cluster.daemons[name], cluster.processes[name]
+    started_before = started_requests(cluster)
+    streams = [stream_in_background(address, 1000) for _ in range(STREAMS)]
+    wait_until(lambda: started_requests(cluster) >= started_before + STREAMS,
+               "the streams to start")
+    for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+        process.send_signal(number)
+        time.sleep(SIGNAL_INTERVAL_SECONDS)
+    for number, (thread, answers) in enumerate(streams, 1):
+        thread.join()
+        complete = bool(answers) and parse_stream(answers[0].body)[1]
+        session.say(f"stream {number}: complete: {complete}")
+    session.say(f"exit status: {process.wait()}")
+    log = process.log.read_text()
+    session.say("signals logged as repeated: "
+                f"{log.count('event=stop_signal_repeated')}")
+
+
 def restart(cluster, name):
     """Restarts a daemon with the same addresses, as a supervisor does."""
     process = cluster.processes[name]
@@ -104,6 +133,7 @@
         cluster.wait_for_group()
         rolling_restart(session, cluster)
         stop_with_a_stream(session, cluster)
+        repeated_signals(session, cluster)
 
 
 main()
