traffic: give up a silent group only for a replacement that is granted

A completion whose group sent nothing for timeouts.upstream_idle was ended there first; the retry budget, another group and the permission to dispatch were asked for afterwards. Change: while the read goes on, a replacement is sought after each such silence: another group, the permission of the quarantine, and last a retry. A replacement whose predecessor fails its probe is dropped, since the request is a suspect then and needs another permission. Reads are bounded by the caller's deadline alone. Left: the silent attempt ends when the replacement is granted, not when that responds. An exchange with a plain service still ends after upstream_idle.

--- a/src/include/monsoondock/traffic/limits.hpp
+++ b/src/include/monsoondock/traffic/limits.hpp
@@ -24,8 +24,9 @@
     /// Time-out for connecting to an upstream; also used for probing a group
     /// after a failed exchange.
     std::chrono::milliseconds connect_timeout_{};
-    /// Longest time without data from a group that is answering. For a call of
-    /// a plain service it limits the complete exchange after connecting.
+    /// Time without data from a group after which another one is sought. The
+    /// group is given up when that is granted or the group is gone. For a call
+    /// of a plain service it limits the complete exchange after connecting.
     std::chrono::milliseconds upstream_idle_timeout_{};
     /// Time for which a caller may cache the list of entry hosts.
     std::chrono::milliseconds entry_host_ttl_{};
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -7,6 +7,8 @@
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -15,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <tuple>
 
 namespace monsoondock::traffic::pvt {
 
@@ -80,9 +83,22 @@
 }
 
 
-// The next read ends at the caller's deadline or after the upstream idle
-// time-out, whichever comes first.
-void set_read_timeout(attempt& a)
+// Reads end at the caller's deadline.
+void set_read_deadline(attempt& a)
+{
+    if (!a.context_.deadline_) {
+        a.upstream_->stream_.expires_never();
+        return;
+    }
+    a.upstream_->stream_.expires_after(std::max<std::chrono::nanoseconds>(
+        *a.context_.deadline_ - base::boot_clock::now(),
+        std::chrono::nanoseconds::zero()));
+}
+
+
+// A write ends at the caller's deadline or after the upstream idle time-out,
+// whichever comes first.
+void set_write_timeout(attempt& a)
 {
     std::chrono::nanoseconds timeout = limits_of(a).upstream_idle_timeout_;
     if (a.context_.deadline_)
@@ -93,6 +109,60 @@
 }
 
 
+// Returns true when the current snapshot lists the group in the generation of
+// the attempt, with evidence that its hosts are alive.
+bool is_group_alive(const attempt& a)
+{
+    const auto snapshot = a.thread_.options_.snapshots_.get();
+    const base::time_point now = base::boot_clock::now();
+    return std::any_of(
+        snapshot->groups_.begin(),
+        snapshot->groups_.end(),
+        [&](const group_row& row) {
+            return row.group_ == a.group_.group_ &&
+                   row.generation_ == a.group_.generation_ &&
+                   now < row.fresh_until_;
+        });
+}
+
+
+// Returns when a silent group is to be given up.
+asio::awaitable<void> watch_silence(attempt& a)
+{
+    asio::steady_timer timer(a.thread_.context_);
+    for (;;) {
+        timer.expires_after(limits_of(a).upstream_idle_timeout_);
+        const auto [failure] = co_await timer.async_wait(base::await_tuple);
+        if (failure || !is_group_alive(a))
+            co_return;
+        const bool replaced = co_await a.progress_.obtain_replacement_();
+        if (replaced)
+            co_return;
+        base::event_line("silent_group_kept")
+            .field("request", a.context_.id_)
+            .field("group", a.group_.group_)
+            .field("tokens", a.progress_.splitter_.progress_.tokens_);
+    }
+}
+
+
+using read_outcome = std::tuple<boost::system::error_code, std::size_t>;
+
+
+// Completes a read from the group. Fails with timed_out when the group was
+// given up for its silence.
+asio::awaitable<boost::system::error_code>
+complete_read(attempt& a, asio::awaitable<read_outcome> reading)
+{
+    using namespace asio::experimental::awaitable_operators;
+
+    const auto ended = co_await (std::move(reading) || watch_silence(a));
+    if (ended.index() == 0)
+        co_return std::get<0>(std::get<0>(ended));
+    co_return asio::error::timed_out;
+}
+
+
 bool deadline_expired(const request_context& context)
 {
     return context.deadline_ && base::boot_clock::now() >= *context.deadline_;
@@ -146,9 +216,14 @@
     parser.get().body().data = bytes.data();
     parser.get().body().size = bytes.size();
     parser.get().body().more = true;
-    set_read_timeout(a);
-    const auto [failure, used] = co_await http::async_read_some(
-        a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
+    set_read_deadline(a);
+    const auto failure = co_await complete_read(
+        a,
+        http::async_read_some(
+            a.upstream_->stream_,
+            a.upstream_->buffer_,
+            parser,
+            base::await_tuple));
     if (failure && failure != http::error::need_buffer)
         co_return std::nullopt;
     co_return bytes.size() - parser.get().body().size;
@@ -282,9 +357,14 @@
 {
     upstream_response_parser parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    set_read_timeout(a);
-    const auto [failure, used] = co_await http::async_read_header(
-        a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
+    set_read_deadline(a);
+    const auto failure = co_await complete_read(
+        a,
+        http::async_read_header(
+            a.upstream_->stream_,
+            a.upstream_->buffer_,
+            parser,
+            base::await_tuple));
     if (failure)
         co_return fail_attempt(
             a, "no response head received: " + failure.message());
@@ -335,7 +415,7 @@
         co_return reject_attempt(
             a, "the liveness evidence of the group has expired");
     progress.run_ = run_state::maybe_sent;
-    set_read_timeout(a);
+    set_write_timeout(a);
     const auto [failure, sent] = co_await http::async_write(
         a.upstream_->stream_, request, base::await_tuple);
     if (failure)
--- a/src/libtraffic/chat_attempt.hpp
+++ b/src/libtraffic/chat_attempt.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <variant>
 
 namespace monsoondock::traffic::pvt {
@@ -25,6 +26,10 @@
     base::time_point last_write_{};
     /// The current dispatch as tracked by the quarantine; may be null.
     tracked_dispatch* dispatch_ = nullptr;
+    /// Obtains all that another attempt needs while the current one goes on:
+    /// another group, the permission to dispatch and a retry of the budget.
+    /// Returns true when all are granted.
+    std::function<boost::asio::awaitable<bool>()> obtain_replacement_;
 };
 
 
@@ -42,7 +47,9 @@
 
 
 /// Sends the request to one group and relays its response. Checks may_dispatch
-/// again just before sending.
+/// again just before sending. When the group sends nothing for the upstream
+/// idle time-out, the attempt fails if a replacement is granted or the group is
+/// no longer known to be alive; otherwise it goes on.
 boost::asio::awaitable<attempt_result> attempt_chat(
     traffic_thread& thread,
     caller_connection& caller,
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -73,6 +74,9 @@
     const std::string complete = head(id) + events(prompt, from) + stream_end;
     switch (fault) {
     case engine_fault::none:
+    case engine_fault::slow_head:
+    case engine_fault::slow_stream:
+    case engine_fault::stalled_stream:
         return complete;
     case engine_fault::truncated:
         return complete.substr(0, complete.size() - stream_end.size() - 20);
@@ -88,6 +92,18 @@
     return stale_generation_response;
 }
 
+
+// Returns how much of the answer is sent before a pause.
+std::size_t pause_offset(engine_fault fault, const std::string& answer)
+{
+    if (fault == engine_fault::slow_head)
+        return 0;
+    if (fault == engine_fault::slow_stream ||
+        fault == engine_fault::stalled_stream)
+        return answer.size() - stream_end.size() - 20;
+    return answer.size();
+}
+
 } // namespace
 
 struct fake_engine::impl
@@ -107,6 +123,26 @@
     }
 
 
+    asio::awaitable<void>
+    send(tcp::socket& socket, std::string text, std::size_t at, engine_fault f)
+    {
+        const std::string first = text.substr(0, at);
+        co_await asio::async_write(
+            socket, asio::buffer(first), base::await_tuple);
+        if (at == text.size())
+            co_return;
+        asio::steady_timer timer(context_);
+        if (f == engine_fault::stalled_stream)
+            timer.expires_at(asio::steady_timer::time_point::max());
+        else
+            timer.expires_after(slow_engine_pause);
+        co_await timer.async_wait(base::await_tuple);
+        const std::string rest = text.substr(at);
+        co_await asio::async_write(
+            socket, asio::buffer(rest), base::await_tuple);
+    }
+
+
     asio::awaitable<void> serve(tcp::socket socket)
     {
         boost::beast::flat_buffer buffer;
@@ -127,8 +163,7 @@
                 std::string(request["X-Request-Id"]),
                 prompt,
                 resume.empty() ? 0 : std::stoull(resume));
-            co_await asio::async_write(
-                socket, asio::buffer(answer), base::await_tuple);
+            co_await send(socket, answer, pause_offset(fault, answer), fault);
             if (fault == engine_fault::truncated)
                 co_return;
         }
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -21,10 +22,20 @@
     /// Responds with the id of another request.
     wrong_request_id,
     /// Refuses with 409, like an engine with a higher generation.
-    stale_generation
+    stale_generation,
+    /// Pauses for slow_engine_pause before the response head.
+    slow_head,
+    /// Pauses for slow_engine_pause within the stream.
+    slow_stream,
+    /// Sends a part of the stream and nothing after it.
+    stalled_stream
 };
 
 
+/// How long a slow engine sends nothing.
+inline constexpr std::chrono::milliseconds slow_engine_pause{300};
+
+
 /// Engine on a thread of its own that streams three tokens, each containing the
 /// prompt, and can inject faults into its next responses.
 class fake_engine
--- a/src/libtraffic/tracked_dispatch.cpp
+++ b/src/libtraffic/tracked_dispatch.cpp
@@ -136,14 +136,15 @@
 }
 
 
-asio::awaitable<void> tracked_dispatch::exchange_failed(
+asio::awaitable<bool> tracked_dispatch::exchange_failed(
     const group_row& group, std::chrono::milliseconds bound)
 {
     const bool alive = co_await probe_group(group, bound);
     if (alive)
-        co_return;
+        co_return true;
     outstanding_ = false;
     registry_.group_lost(group.deployment_, instance_of(group));
+    co_return false;
 }
 
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/tracked_dispatch.hpp
+++ b/src/libtraffic/tracked_dispatch.hpp
@@ -41,7 +41,8 @@
 
     /// Handles an interrupted exchange: probes the group and, if it is lost,
     /// reports that, which makes every request in flight there a suspect.
-    boost::asio::awaitable<void>
+    /// Returns true when the group is alive.
+    boost::asio::awaitable<bool>
     exchange_failed(const group_row& group, std::chrono::milliseconds bound);
 
     /// Returns the id of this dispatch in the registry.
