--- /dev/null
+++ b/src/librelay/receive_response.cpp
@@ -0,0 +1,423 @@
+#include "receive_response.hpp"
+
+#include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/event_line.hpp>
+#include <monsoondock/relay/availability.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <charconv>
+
+namespace monsoondock::relay::pvt {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t max_buffered_body_bytes = std::size_t{16} * 1024 * 1024;
+constexpr std::uint32_t max_response_header_bytes = 64 * 1024;
+// Maximum number of responses to earlier requests that are skipped, and the
+// maximum size of their bodies.
+constexpr int max_mismatched_responses = 2;
+constexpr std::size_t max_mismatched_body_bytes = std::size_t{1024} * 1024;
+// How long an upstream keeps an idle connection open when it does not say so.
+constexpr std::chrono::milliseconds default_keep_alive{700};
+// Subtracted because the upstream may close the connection while a request is
+// in transit.
+constexpr std::chrono::milliseconds keep_alive_margin{400};
+// Weight of a new sample in the moving average of the time between events.
+constexpr double interval_weight = 0.1;
+
+
+void record_progress(try_context& c)
+{
+    const base::time_point now = base::boot_clock::now();
+    upstream_state& s = c.t_.upstream_table_.state_of(c.target_.host_);
+    s.last_progress_ = now;
+    if (c.e_.phase_ == wait_phase::next_event) {
+        const std::chrono::duration<double, std::milli> pause =
+            now - c.e_.phase_start_;
+        s.event_interval_ms_ =
+            s.event_interval_ms_ == 0
+                ? pause.count()
+                : s.event_interval_ms_ +
+                      interval_weight * (pause.count() - s.event_interval_ms_);
+    }
+}
+
+
+// Reads the status line and header of the response. Responses that carry the id
+// of another request are read and discarded.
+asio::awaitable<bool> read_response_header(try_context& c)
+{
+    exchange& e = c.e_;
+    const std::string& id_name = c.t_.config_.headers_.request_id_;
+    for (int skipped = 0; skipped <= max_mismatched_responses;) {
+        if (c.parser_ == nullptr)
+            c.parser_ = make_parser(e);
+        const auto [failure, size] = co_await http::async_read_header(
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            *c.parser_,
+            base::await_tuple);
+        if (failure)
+            co_return fail(c, reason_of(failure));
+        e.upstream_->header_bytes_ += size;
+        http_response_parser& parser = *c.parser_;
+        if (http::to_status_class(parser.get().result()) ==
+            http::status_class::informational) {
+            c.parser_.reset();
+            if (e.upstream_->header_bytes_ > max_response_header_bytes)
+                co_return fail(c, "informational_responses");
+            continue;
+        }
+        const auto id = parser.get()[id_name];
+        if (id == e.id_)
+            co_return true;
+        base::event_line("mismatched_response", base::severity::warning)
+            .field("request", e.id_)
+            .field("response_to", std::string_view(id))
+            .field("host", c.target_.host_);
+        const auto length = parser.content_length();
+        const bool too_large = length && *length > max_mismatched_body_bytes;
+        if (parser.need_eof() || too_large) {
+            c.parser_.reset();
+            co_return fail(c, "other_request");
+        }
+        parser.body_limit(max_mismatched_body_bytes);
+        const auto [body_failure, body_size] = co_await http::async_read(
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            parser,
+            base::await_tuple);
+        c.parser_.reset();
+        if (body_failure)
+            co_return fail(c, "other_request");
+        ++skipped;
+    }
+    co_return fail(c, "other_request");
+}
+
+
+std::chrono::milliseconds keep_alive_time(const http_response& response)
+{
+    for (const auto& p : http::param_list(
+             std::string(";").append(response[http::field::keep_alive]))) {
+        if (p.first != "timeout")
+            continue;
+        int seconds = 0;
+        std::from_chars(
+            p.second.data(), p.second.data() + p.second.size(), seconds);
+        return std::chrono::seconds(seconds) - keep_alive_margin;
+    }
+    return default_keep_alive - keep_alive_margin;
+}
+
+
+void return_to_pool(try_context& c, const http_response_parser& parser)
+{
+    exchange& e = c.e_;
+    if (!parser.keep_alive() || parser.need_eof() ||
+        e.upstream_->buffer_.size() > 0 || e.stop_reason_ != stop_reason::none)
+        return;
+    const auto idle = keep_alive_time(parser.get());
+    if (idle.count() <= 0)
+        return;
+    e.upstream_->usable_until_ = base::boot_clock::now() + idle;
+    c.t_.upstream_pool_.put(
+        c.target_.address_, c.target_.host_.value_, std::move(e.upstream_));
+}
+
+
+bool is_event_stream(const exchange& e, const http_response& response)
+{
+    if (!catalog::is_stream(e.route_->kind_) ||
+        response.result() != http::status::ok)
+        return false;
+    return response[http::field::content_type].starts_with("text/event-stream");
+}
+
+
+bool was_not_run(const try_context& c, const http_response& response)
+{
+    return response.count(c.t_.config_.headers_.not_run_) > 0 ||
+           response.result() == http::status::misdirected_request;
+}
+
+
+std::string address_text(const asio::ip::tcp::endpoint& address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
+
+// Records what the header of a response says about requests that are not sent
+// yet.
+void record_availability(try_context& c, const http_response& response)
+{
+    // Another host may respond at the address of a host that has gone.
+    if (response.result() == http::status::misdirected_request)
+        return;
+    upstream_state& s = c.t_.upstream_table_.state_of(c.target_.host_);
+    s.process_start_ms_ = c.target_.process_start_ms_;
+    if (response.count(c.t_.config_.headers_.leaving_) > 0 && !s.leaving_) {
+        s.leaving_ = true;
+        base::event_line("upstream_leaving")
+            .field("request", c.e_.id_)
+            .field("host", c.target_.host_);
+        if (c.t_.callbacks_.on_leaving_)
+            c.t_.callbacks_.on_leaving_(c.target_.host_);
+    }
+    if (response.result() != http::status::service_unavailable)
+        return;
+    const auto pause = parse_retry_after(response[http::field::retry_after]);
+    if (!pause)
+        return;
+    s.paused_until_ =
+        std::max(s.paused_until_, base::boot_clock::now() + *pause);
+    base::event_line("upstream_paused")
+        .field("request", c.e_.id_)
+        .field("host", c.target_.host_)
+        .field("pause", *pause);
+}
+
+
+void handle_rejection(try_context& c, const http_response& response)
+{
+    const auto failed = response[c.t_.config_.headers_.failed_host_];
+    base::event_line("upstream_rejected")
+        .field("request", c.e_.id_)
+        .field("host", c.target_.host_)
+        .field("status", response.result_int())
+        .field("failed_host", std::string_view(failed));
+    // An upstream that is merely at capacity names itself.
+    if (!failed.empty() && failed != address_text(c.target_.address_))
+        report_unhealthy(
+            c.t_,
+            {c.target_.host_,
+             unhealthy_reason::group_failed,
+             std::string(failed)});
+}
+
+
+// Reads the rest of a response that is not a stream.
+asio::awaitable<try_outcome>
+read_buffered_response(try_context& c, http_response_parser& parser)
+{
+    exchange& e = c.e_;
+    for (;;) {
+        if (!c.state_.memory_.resize(parser.get().body().capacity()))
+            co_return lose(c, "response_memory");
+        if (parser.is_done())
+            break;
+        const auto [failure, size] = co_await http::async_read_some(
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            parser,
+            base::await_tuple);
+        if (failure)
+            co_return lose(c, reason_of(failure));
+    }
+    record_progress(c);
+    return_to_pool(c, parser);
+    http_response response = parser.release();
+    c.parser_.reset();
+    if (was_not_run(c, response)) {
+        handle_rejection(c, response);
+        co_return try_outcome::rejected;
+    }
+    const bool sealed = response.count(c.t_.config_.headers_.seal_) > 0;
+    const bool encoded = response.count(http::field::content_encoding) > 0;
+    const bool success = http::to_status_class(response.result()) ==
+                         http::status_class::successful;
+    if (success && (!sealed || encoded))
+        co_return lose(c, "not_sealed");
+    c.state_.buffered_response_ = std::move(response);
+    co_return try_outcome::answered;
+}
+
+
+asio::awaitable<bool> write_to_caller(try_context& c, const std::string& text)
+{
+    const auto [failure, sent] = co_await asio::async_write(
+        c.e_.caller_->socket_, asio::buffer(text), base::await_tuple);
+    co_return !failure;
+}
+
+
+// Returns true when the upstream broke the stream off, although its body ended
+// as its header announced: inside an event, or with the connection before the
+// first event.
+bool has_broken_off(const try_context& c)
+{
+    const event_splitter& events = c.state_.splitter_;
+    if (ends_inside_event(events))
+        return true;
+    const bool resumed =
+        c.e_.request_.count(c.t_.config_.headers_.last_event_id_) > 0;
+    return c.state_.framing_ == body_framing::connection_close &&
+           events.events_ == 0 && !resumed;
+}
+
+
+// Relays the received part of a stream. Returns false when writing to the
+// caller fails.
+asio::awaitable<bool>
+relay_events(try_context& c, http_response_parser& parser, bool last)
+{
+    response_state& s = c.state_;
+    std::string& body = parser.get().body();
+    std::string events = extract_events(s.splitter_, body);
+    body.clear();
+    s.partial_event_bytes_ = s.splitter_.pending_.size();
+    const bool ends = last && !s.splitter_.gap_ && !has_broken_off(c);
+    if (ends)
+        events.append(take_partial_event(s.splitter_));
+    if (events.empty() && !ends)
+        co_return true;
+    if (ends || contains_event(events))
+        drop_suspended_try(c.t_, c.e_);
+    std::string text;
+    if (!s.header_sent_) {
+        s.keep_alive_ = s.keep_alive_ && !c.t_.view_->stopping_;
+        text = serialize_stream_header(parser.get(), s.keep_alive_, s.chunked_);
+        s.first_response_at_ = base::boot_clock::now();
+        s.header_sent_ = true;
+    }
+    if (!s.chunked_)
+        text.append(events);
+    else if (!events.empty())
+        text.append(serialize_chunk(events));
+    if (ends && s.chunked_)
+        text.append(last_chunk);
+    // A slow caller is no reason to doubt the upstream.
+    enter_phase(c.e_, wait_phase::none);
+    const bool sent = co_await write_to_caller(c, text);
+    enter_phase(c.e_, wait_phase::next_event);
+    co_return sent;
+}
+
+
+asio::awaitable<try_outcome>
+relay_stream(try_context& c, http_response_parser& parser)
+{
+    exchange& e = c.e_;
+    if (parser.get().count(c.t_.config_.headers_.seal_) == 0)
+        co_return lose(c, "not_sealed");
+    // The limit is for buffered responses; a stream may be longer.
+    parser.body_limit(boost::none);
+    for (;;) {
+        const bool last = parser.is_done();
+        // The suspended try has responded sooner.
+        if (e.stop_reason_ == stop_reason::resumed)
+            co_return try_outcome::lost;
+        if (!parser.get().body().empty())
+            record_progress(c);
+        if (!co_await relay_events(c, parser, last))
+            co_return try_outcome::caller_gone;
+        const event_splitter& events = c.state_.splitter_;
+        if (events.gap_)
+            co_return lose(c, "missing_event");
+        if (last && has_broken_off(c))
+            co_return lose(c, "broken_off");
+        if (last)
+            break;
+        if (events.pending_.size() > max_event_bytes)
+            co_return lose(c, "event_too_large");
+        if (!c.state_.memory_.resize(events.pending_.capacity()))
+            co_return lose(c, "response_memory");
+        // An event that arrives as the exchange is rerouted revives the try.
+        if (e.stop_reason_ == stop_reason::rerouted)
+            e.stop_reason_ = stop_reason::none;
+        if (e.stop_reason_ != stop_reason::none)
+            co_return try_outcome::lost;
+        const auto [failure, size] = co_await http::async_read_some(
+            e.upstream_->socket_,
+            e.upstream_->buffer_,
+            parser,
+            base::await_tuple);
+        if (failure)
+            co_return lose(c, reason_of(failure));
+    }
+    return_to_pool(c, parser);
+    co_return try_outcome::relayed;
+}
+
+} // namespace
+
+std::unique_ptr<http_response_parser> make_parser(const exchange& e)
+{
+    auto parser =
+        std::make_unique<http_response_parser>(max_response_header_bytes);
+    parser->body_limit(max_buffered_body_bytes);
+    parser->eager(true);
+    if (e.request_.method() == http::verb::head)
+        parser->skip(true);
+    return parser;
+}
+
+
+void enter_phase(exchange& e, wait_phase phase)
+{
+    e.phase_ = phase;
+    e.phase_start_ = base::boot_clock::now();
+}
+
+
+std::string_view reason_of(const boost::system::error_code& failure)
+{
+    if (failure == http::error::header_limit)
+        return "header_too_large";
+    if (failure == http::error::body_limit)
+        return "body_too_large";
+    if (failure == http::error::buffer_overflow)
+        return "chunk_header_too_large";
+    if (failure == asio::error::operation_aborted)
+        return "stopped";
+    const bool ended = failure == http::error::end_of_stream ||
+                       failure == http::error::partial_message;
+    if (!ended && failure.category() ==
+                      http::make_error_code(http::error::bad_method).category())
+        return "malformed";
+    return "connection_lost";
+}
+
+
+bool fail(try_context& c, std::string_view reason)
+{
+    c.state_.failure_ = reason;
+    return false;
+}
+
+
+try_outcome lose(try_context& c, std::string_view reason)
+{
+    fail(c, reason);
+    return try_outcome::lost;
+}
+
+
+asio::awaitable<try_outcome> receive_response(try_context& c)
+{
+    exchange& e = c.e_;
+    if (!c.parser_->is_header_done()) {
+        const bool received = co_await read_response_header(c);
+        if (!received)
+            co_return try_outcome::lost;
+        record_availability(c, c.parser_->get());
+    }
+    c.state_.framing_ = framing_of(*c.parser_);
+    if (is_event_stream(e, c.parser_->get()))
+        co_return co_await relay_stream(c, *c.parser_);
+    const try_outcome outcome = co_await read_buffered_response(c, *c.parser_);
+    if (outcome == try_outcome::rejected)
+        --e.possible_runs_;
+    co_return outcome;
+}
+
+} // namespace monsoondock::relay::pvt
--- /dev/null
+++ b/src/librelay/receive_response.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "suspended_try.hpp"
+#include "try_upstream.hpp"
+
+#include <memory>
+#include <string_view>
+
+namespace monsoondock::relay::pvt {
+
+/// One try of a request at an upstream.
+struct try_context
+{
+    proxy_thread& t_;
+    exchange& e_;
+    response_state& state_;
+    upstream target_;
+    /// Parser of the response; null before the request has been sent.
+    std::unique_ptr<http_response_parser> parser_;
+};
+
+
+/// Returns a parser for the response to a request.
+std::unique_ptr<http_response_parser> make_parser(const exchange& e);
+
+
+/// Records what the exchange waits for from now on.
+void enter_phase(exchange& e, wait_phase phase);
+
+
+/// Returns what an error says about a response, as it appears in logs.
+std::string_view reason_of(const boost::system::error_code& failure);
+
+
+/// Records why the try fails. Returns false.
+bool fail(try_context& c, std::string_view reason);
+
+
+/// Records why the try fails and returns that it is lost.
+try_outcome lose(try_context& c, std::string_view reason);
+
+
+/// Receives the response to a request that has been sent, or goes on with one
+/// that has been received in part. A stream is relayed to the caller as it
+/// arrives; any other response is left in the state.
+boost::asio::awaitable<try_outcome> receive_response(try_context& c);
+
+} // namespace monsoondock::relay::pvt
