traffic: bytes without end are no answer

An engine could send chunk headers, chunk extensions or trailers until the idle time-out, with all of them in the buffer of its connection, and any number of header fields; the first informational response was passed on as the answer; what came after [DONE] was relayed without end. A caller could send chunk headers until its body timed out.

The buffers of connections have a maximum of 64 KiB, a header of 16 KiB with all its fields and the informational responses before it, which are skipped; bytes after [DONE] are dropped, and after 4 KiB of them the stream is complete and its connection closed; the bodies that a thread receives at the same time have 24 MiB together, without those below 32 KiB. The splitter searches each byte once. The reason of upstream_failed names the error of the read.

Tests: endless_response/*, endless_request/*.

--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -5,6 +5,7 @@
 #include "serve_request.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/bounded_parser.hpp>
 #include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -36,6 +37,9 @@
 constexpr std::size_t max_request_id_bytes = 64;
 constexpr std::size_t initial_read_bytes = 1024;
 constexpr std::size_t discard_buffer_bytes = 4096;
+// Maximum size of the buffer of a connection where the limit of a header is
+// smaller.
+constexpr std::size_t min_buffer_bytes = std::size_t{64} * 1024;
 constexpr std::chrono::milliseconds linger_timeout{500};
 
 
@@ -119,9 +123,14 @@
 {
     if (!co_await wait_for_request(caller, bounds))
         co_return connection_closed{};
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(bounds.max_header_bytes_);
+    base::bounded_parser<true, http::string_body> parser(
+        bounds.max_header_bytes_);
     parser.body_limit(bounds.max_body_bytes_);
+    // A chunk header and the trailer fields have the limit of the header.
+    caller.buffer_.max_size(std::max(
+        {std::size_t{bounds.max_header_bytes_},
+         min_buffer_bytes,
+         caller.buffer_.size()}));
     caller.stream_.expires_never();
     const auto head_failure = co_await with_timeout(
         http::async_read_header(
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -6,10 +6,9 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/read_response_header.hpp>
 
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -23,10 +22,14 @@
 
 namespace {
 
-using upstream_response_parser = http::response_parser<http::buffer_body>;
+using upstream_response_parser =
+    base::bounded_response_parser<http::buffer_body>;
 
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::size_t read_buffer_bytes = 4096;
+// Bytes of a body that are read after the closing event, so that a connection
+// can be used again.
+constexpr std::size_t max_bytes_after_end = 4096;
 constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 
@@ -41,6 +44,8 @@
     std::unique_ptr<upstream_connection> upstream_;
     /// Run state to restore when this attempt turns out not to have run.
     run_state run_before_ = run_state::unsent;
+    /// Error of the last read of a body.
+    boost::system::error_code read_failure_;
 };
 
 
@@ -149,8 +154,10 @@
     set_read_timeout(a);
     const auto [failure, used] = co_await http::async_read_some(
         a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
-    if (failure && failure != http::error::need_buffer)
+    if (failure && failure != http::error::need_buffer) {
+        a.read_failure_ = failure;
         co_return std::nullopt;
+    }
     co_return bytes.size() - parser.get().body().size;
 }
 
@@ -218,7 +225,8 @@
 
 void release_connection(attempt& a, const upstream_response_parser& parser)
 {
-    if (parser.keep_alive() && a.upstream_->buffer_.size() == 0)
+    if (parser.is_done() && parser.keep_alive() &&
+        a.upstream_->buffer_.size() == 0)
         a.thread_.pool_.put(key_of(a), std::move(a.upstream_));
 }
 
@@ -229,11 +237,18 @@
     std::array<char, read_buffer_bytes> bytes{};
     auto& splitter = a.progress_.splitter_;
     // An event that an earlier attempt left incomplete is sent again.
-    splitter.pending_.clear();
-    while (!parser.is_done()) {
+    discard_partial_event(splitter);
+    std::size_t bytes_after_end = 0;
+    while (!parser.is_done() && bytes_after_end <= max_bytes_after_end) {
+        const bool ended = splitter.progress_.done_;
         const auto size = co_await read_body_part(a, parser, bytes);
+        if (!size && ended)
+            break;
         if (!size)
-            co_return fail_attempt(a, "the stream was interrupted");
+            co_return fail_attempt(
+                a, "the stream was interrupted: " + a.read_failure_.message());
+        if (ended)
+            bytes_after_end += *size;
         if (!co_await forward_events(a, {bytes.data(), *size}))
             co_return reply(caller_disconnected{});
         if (splitter.pending_.size() > max_event_bytes)
@@ -254,13 +269,19 @@
 {
     std::array<char, read_buffer_bytes> bytes{};
     std::string body;
+    base::byte_lease memory(a.thread_.response_memory_);
     while (!parser.is_done()) {
         const auto size = co_await read_body_part(a, parser, bytes);
         if (!size)
-            co_return fail_attempt(a, "the response was interrupted");
+            co_return fail_attempt(
+                a,
+                "the response was interrupted: " + a.read_failure_.message());
         body.append(bytes.data(), *size);
         if (body.size() > max_buffered_answer_bytes)
             co_return fail_attempt(a, "the response exceeds the maximum size");
+        if (!memory.resize(body.capacity()))
+            co_return fail_attempt(
+                a, "other responses use the memory for responses");
     }
     const auto& head = parser.get();
     buffered_response response(head.result(), http_version_1_1);
@@ -280,14 +301,19 @@
 
 asio::awaitable<attempt_result> relay_answer(attempt& a)
 {
-    upstream_response_parser parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    std::optional<upstream_response_parser> received;
     set_read_timeout(a);
-    const auto [failure, used] = co_await http::async_read_header(
-        a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
+    const boost::system::error_code failure =
+        co_await base::read_response_header(
+            a.upstream_->stream_,
+            a.upstream_->buffer_,
+            received,
+            {max_response_header_bytes,
+             std::numeric_limits<std::uint64_t>::max()});
     if (failure)
         co_return fail_attempt(
             a, "no response head received: " + failure.message());
+    upstream_response_parser& parser = *received;
     if (!has_matching_request_id(a, parser))
         co_return fail_attempt(a, "the response has the id of another request");
     const auto& head = parser.get();
@@ -322,7 +348,8 @@
     chat_progress& progress,
     const group_row& group)
 {
-    attempt a{thread, caller, context, progress, group, nullptr, progress.run_};
+    attempt a{
+        thread, caller, context, progress, group, nullptr, progress.run_, {}};
     const in_flight_guard load_guard(group.load_);
     ++context.report_.attempts_;
     context.report_.upstream_ = group.group_.value_;
--- a/src/libtraffic/event_splitter.cpp
+++ b/src/libtraffic/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "event_splitter.hpp"
 
+#include <algorithm>
+
 namespace monsoondock::traffic::pvt {
 
 namespace {
@@ -19,10 +21,13 @@
 
 std::string take_events(event_splitter& splitter, std::string_view bytes)
 {
+    if (splitter.progress_.done_)
+        return {};
     splitter.pending_.append(bytes);
     std::size_t begin = 0;
-    for (;;) {
-        const std::size_t end = splitter.pending_.find(event_end, begin);
+    while (!splitter.progress_.done_) {
+        const std::size_t end = splitter.pending_.find(
+            event_end, std::max(begin, splitter.searched_));
         if (end == std::string::npos)
             break;
         const std::size_t next = end + event_end.size();
@@ -32,7 +37,19 @@
     }
     std::string complete = splitter.pending_.substr(0, begin);
     splitter.pending_.erase(0, begin);
+    if (splitter.progress_.done_)
+        splitter.pending_.clear();
+    // The first half of the end may have arrived.
+    splitter.searched_ = splitter.pending_.size() -
+                         std::min<std::size_t>(splitter.pending_.size(), 1);
     return complete;
 }
 
+
+void discard_partial_event(event_splitter& splitter)
+{
+    splitter.pending_ = std::string();
+    splitter.searched_ = 0;
+}
+
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/event_splitter.hpp
+++ b/src/libtraffic/event_splitter.hpp
@@ -19,6 +19,8 @@
 struct event_splitter
 {
     std::string pending_;
+    /// Bytes of pending_ that have been searched for the end of an event.
+    std::size_t searched_ = 0;
     stream_progress progress_;
 };
 
@@ -27,7 +29,11 @@
 
 
 /// Appends bytes, returns all complete events and adds them to the progress. An
-/// incomplete event stays pending.
+/// incomplete event stays pending. Bytes after the closing event are dropped.
 std::string take_events(event_splitter& splitter, std::string_view bytes);
 
+
+/// Discards the incomplete event.
+void discard_partial_event(event_splitter& splitter);
+
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/event_splitter_test.cpp
+++ b/src/libtraffic/event_splitter_test.cpp
@@ -21,3 +21,16 @@
         cr_assert(splitter.progress_.done_);
     }
 }
+
+
+// Each call searched the whole incomplete event again.
+Test(event_splitter, searches_each_byte_once)
+{
+    event_splitter splitter;
+    for (int i = 0; i < 100; ++i) {
+        cr_assert(take_events(splitter, "data: a\n").empty());
+        cr_assert_eq(splitter.searched_ + 1, splitter.pending_.size());
+    }
+    cr_assert_eq(take_events(splitter, "\n").size(), 801);
+    cr_assert_eq(splitter.searched_, 0);
+}
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -64,6 +64,49 @@
     "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}";
 
 
+const std::string filler(std::size_t{64} * 1024, 'a');
+const std::string informational_response = "HTTP/1.1 102 Processing\r\n\r\n";
+
+
+// A header field without its first letter, and the first letter of the next
+// one: the parser expects no limit of the whole header then.
+std::string field_line()
+{
+    return "-Field: " + std::string(53, 'a') + "\r\nX";
+}
+
+
+// Returns the part of an endless fault that is sent again and again; empty for
+// other faults.
+std::string repeated_part(engine_fault fault)
+{
+    switch (fault) {
+    case engine_fault::endless_status_line:
+    case engine_fault::endless_chunk_extension:
+    case engine_fault::endless_body:
+    case engine_fault::endless_after_response:
+        return filler;
+    case engine_fault::endless_fields:
+    case engine_fault::endless_trailers:
+        return field_line();
+    case engine_fault::endless_informational:
+        return informational_response;
+    case engine_fault::endless_chunk_header:
+        return std::string(filler.size(), '0');
+    case engine_fault::endless_event:
+        return chunk(filler);
+    case engine_fault::endless_after_done: {
+        std::string events;
+        for (int i = 0; i < 1000; ++i)
+            events += "data: a\n\n";
+        return chunk(events);
+    }
+    default:
+        return {};
+    }
+}
+
+
 std::string make_answer(
     engine_fault fault,
     const std::string& id,
@@ -82,6 +125,28 @@
         return complete + complete;
     case engine_fault::wrong_request_id:
         return head("another") + events("another", from) + stream_end;
+    case engine_fault::informational_first:
+        return informational_response + complete;
+    case engine_fault::endless_status_line:
+        return "HTTP/1.1 200 a";
+    case engine_fault::endless_fields:
+        return "HTTP/1.1 200 " + std::string(48, 'a') + "\r\nX";
+    case engine_fault::endless_informational:
+        return informational_response;
+    case engine_fault::endless_chunk_header:
+        return head(id);
+    case engine_fault::endless_chunk_extension:
+        return head(id) + "5;a=";
+    case engine_fault::endless_trailers:
+        return head(id) + "0\r\nX";
+    case engine_fault::endless_event:
+        return head(id) + chunk("data: ");
+    case engine_fault::endless_after_done:
+        return head(id) + events(prompt, from) + chunk("data: [DONE]\n\n");
+    case engine_fault::endless_body:
+        return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n";
+    case engine_fault::endless_after_response:
+        return complete;
     case engine_fault::stale_generation:
         break;
     }
@@ -98,6 +163,8 @@
     std::thread thread_;
     std::atomic<int> requests_{0};
     std::atomic<int> faults_left_{0};
+    std::atomic<int> endless_faults_{0};
+    std::atomic<std::size_t> endless_bytes_{0};
     std::atomic<engine_fault> fault_{engine_fault::none};
 
 
@@ -107,6 +174,20 @@
     }
 
 
+    asio::awaitable<void> repeat(tcp::socket& socket, const std::string& part)
+    {
+        for (std::size_t sent = 0; sent < max_endless_bytes;) {
+            const auto [failure, size] = co_await asio::async_write(
+                socket, asio::buffer(part), base::await_tuple);
+            endless_bytes_ += size;
+            sent += size;
+            if (failure)
+                break;
+        }
+        --endless_faults_;
+    }
+
+
     asio::awaitable<void> serve(tcp::socket socket)
     {
         boost::beast::flat_buffer buffer;
@@ -127,8 +208,15 @@
                 std::string(request["X-Request-Id"]),
                 prompt,
                 resume.empty() ? 0 : std::stoull(resume));
+            const std::string repeated = repeated_part(fault);
+            if (!repeated.empty())
+                ++endless_faults_;
             co_await asio::async_write(
                 socket, asio::buffer(answer), base::await_tuple);
+            if (!repeated.empty()) {
+                co_await repeat(socket, repeated);
+                co_return;
+            }
             if (fault == engine_fault::truncated)
                 co_return;
         }
@@ -181,6 +269,25 @@
 }
 
 
+bool fake_engine::wait_for_end_of_faults(std::chrono::milliseconds time) const
+{
+    static constexpr std::chrono::milliseconds poll_period{5};
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (impl_->endless_faults_ > 0) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(poll_period);
+    }
+    return true;
+}
+
+
+std::size_t fake_engine::endless_bytes() const
+{
+    return impl_->endless_bytes_;
+}
+
+
 std::string expected_answer(const std::string& prompt)
 {
     std::string text;
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -21,9 +22,29 @@
     /// Responds with the id of another request.
     wrong_request_id,
     /// Refuses with 409, like an engine with a higher generation.
-    stale_generation
+    stale_generation,
+    /// Sends an informational response before the complete one.
+    informational_first,
+    /// Sends bytes without end: in the status line, as header fields, as
+    /// informational responses, in a chunk header or extension, as trailers,
+    /// in an event, as events after [DONE], as a body that is no stream, and
+    /// after a complete response.
+    endless_status_line,
+    endless_fields,
+    endless_informational,
+    endless_chunk_header,
+    endless_chunk_extension,
+    endless_trailers,
+    endless_event,
+    endless_after_done,
+    endless_body,
+    endless_after_response
 };
 
+/// Bytes after which an endless fault ends, so that a server which reads all of
+/// them fails its test instead of running out of memory.
+inline constexpr std::size_t max_endless_bytes = std::size_t{64} * 1024 * 1024;
+
 
 /// Engine on a thread of its own that streams three tokens, each containing the
 /// prompt, and can inject faults into its next responses.
@@ -43,6 +64,15 @@
     /// Returns the number of requests received.
     int requests() const;
 
+
+    /// Waits until all endless faults have ended. Returns false when one goes
+    /// on after the time.
+    bool wait_for_end_of_faults(std::chrono::milliseconds time) const;
+
+
+    /// Returns the number of bytes of endless faults that could be sent.
+    std::size_t endless_bytes() const;
+
 private:
     struct impl;
     std::unique_ptr<impl> impl_;
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -3,9 +3,8 @@
 #include "in_flight_guard.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/read_response_header.hpp>
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -83,14 +82,17 @@
     if (write_failure)
         co_return call_failure{
             run_state::maybe_sent, "writing the request failed"};
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_bytes);
-    const auto [read_failure, used] = co_await http::async_read(
-        upstream->stream_, upstream->buffer_, parser, base::await_tuple);
+    std::optional<base::bounded_response_parser<http::string_body>> parser;
+    const boost::system::error_code read_failure = co_await base::read_response(
+        upstream->stream_,
+        upstream->buffer_,
+        parser,
+        {max_response_header_bytes, max_answer_bytes});
     if (read_failure)
         co_return call_failure{
-            run_state::maybe_sent, "the response was interrupted"};
-    const auto& answer = parser.get();
+            run_state::maybe_sent,
+            "no complete response received: " + read_failure.message()};
+    const auto& answer = parser->get();
     buffered_response response(answer.result(), http_version_1_1);
     response.set(http::field::content_type, answer[http::field::content_type]);
     response.body() = answer.body();
--- a/src/libtraffic/tracked_dispatch.cpp
+++ b/src/libtraffic/tracked_dispatch.cpp
@@ -1,12 +1,12 @@
 #include "tracked_dispatch.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/read_response_header.hpp>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/parse.hpp>
@@ -21,6 +21,7 @@
 
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::uint64_t clearing_tokens = 16;
+constexpr std::uint64_t max_status_bytes = std::uint64_t{64} * 1024;
 
 
 quarantine::group_instance instance_of(const group_row& group)
@@ -62,12 +63,15 @@
         upstream->stream_, request, base::await_tuple);
     if (write_failure)
         co_return false;
-    http::response<http::string_body> answer;
-    const auto [read_failure, used] = co_await http::async_read(
-        upstream->stream_, upstream->buffer_, answer, base::await_tuple);
-    if (read_failure || answer.result() != http::status::ok)
+    std::optional<base::bounded_response_parser<http::string_body>> parser;
+    const boost::system::error_code read_failure = co_await base::read_response(
+        upstream->stream_,
+        upstream->buffer_,
+        parser,
+        {max_response_header_bytes, max_status_bytes});
+    if (read_failure || parser->get().result() != http::status::ok)
         co_return false;
-    co_return status_matches_group(answer.body(), group);
+    co_return status_matches_group(parser->get().body(), group);
 }
 
 } // namespace
--- a/src/libtraffic/traffic_thread.hpp
+++ b/src/libtraffic/traffic_thread.hpp
@@ -4,6 +4,7 @@
 #include "request_limiters.hpp"
 #include "upstream_pool.hpp"
 
+#include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/platform/http_client.hpp>
 #include <monsoondock/routing/retry_budget.hpp>
 #include <monsoondock/routing/router.hpp>
@@ -35,6 +36,13 @@
 inline constexpr double max_saved_retries = 100;
 
 
+/// Memory of a thread for the bodies that it receives at the same time, without
+/// those that are smaller than the second number.
+inline constexpr std::size_t max_response_memory_bytes =
+    std::size_t{24} * 1024 * 1024;
+inline constexpr std::size_t small_response_bytes = std::size_t{32} * 1024;
+
+
 /// State of one traffic thread. Members other than references are used only by
 /// that thread.
 struct traffic_thread
@@ -53,6 +61,8 @@
 
     server_options& options_;
     server_state& shared_;
+    base::byte_budget response_memory_{
+        max_response_memory_bytes, small_response_bytes, 0};
     boost::asio::io_context context_{1};
     upstream_pool pool_;
     std::mt19937_64 random_;
--- a/src/libtraffic/upstream_connection.hpp
+++ b/src/libtraffic/upstream_connection.hpp
@@ -10,6 +10,14 @@
 
 namespace monsoondock::traffic::pvt {
 
+/// Maximum number of bytes received from an upstream that are not parsed yet.
+/// The size and extensions of a chunk, and the trailer fields, are parsed when
+/// they are complete.
+inline constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
+/// Maximum size of the header of a response.
+inline constexpr std::uint32_t max_response_header_bytes = 16 * 1024;
+
+
 /// Connection to an upstream. It carries one exchange at a time and is returned
 /// to the pool only after a complete response.
 struct upstream_connection
@@ -19,7 +27,7 @@
     {}
 
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_unparsed_bytes};
     /// True when it has carried an exchange before.
     bool reused_ = false;
 };
