entry, platform: bytes without end are no response

The store's client took bytes after a response for the response to the next request: an object counted as absent.

A connection to the store with unread bytes is closed.

--- a/src/libplatform/connection.hpp
+++ b/src/libplatform/connection.hpp
@@ -29,6 +29,10 @@
     std::variant<http_response, connect_failed, exchange_failed>;
 
 
+/// Maximum number of bytes received from the platform that are not parsed yet.
+inline constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
+
+
 /// Connection to the platform, reused for consecutive requests.
 struct connection
 {
@@ -37,7 +41,7 @@
     {}
 
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_unparsed_bytes};
 };
 
 
@@ -49,6 +53,11 @@
     std::chrono::milliseconds timeout);
 
 
+/// Returns true when the connection has no unread bytes, which could not belong
+/// to the response of a later request.
+bool is_reusable(connection& c);
+
+
 /// Sends request on an open connection and reads the complete response, both
 /// within timeout.
 boost::asio::awaitable<exchange_result> exchange(
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -161,7 +161,8 @@
         const auto* response = std::get_if<http_response>(&result);
         if (response != nullptr && !is_current(*response))
             co_return exchange_failed{"response of an earlier era"};
-        const bool reusable = response != nullptr && response->keep_alive();
+        const bool reusable = response != nullptr && response->keep_alive() &&
+                              pvt::is_reusable(*c);
         if (reusable && idle_connections_.size() < max_idle_connections)
             idle_connections_.push_back(std::move(c));
         co_return result;
@@ -173,6 +174,9 @@
     asio::awaitable<exchange_result>
     call_read(http_request request, std::chrono::milliseconds timeout)
     {
+        std::erase_if(idle_connections_, [](const auto& idle) {
+            return !pvt::is_reusable(*idle);
+        });
         if (!idle_connections_.empty()) {
             auto c = std::move(idle_connections_.back());
             idle_connections_.pop_back();
--- a/src/libplatform/http_client_test.cpp
+++ b/src/libplatform/http_client_test.cpp
@@ -1,3 +1,5 @@
+#include "../libbase/endless_server_test.hpp"
+
 #include <monsoondock/platform/http_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -189,3 +191,54 @@
     cr_assert(std::holds_alternative<condition_failed>(erased));
     cr_assert_eq(s.store_.requests(), 1);
 }
+
+
+// The buffer of a connection grew with chunk headers and trailers until the
+// time-out, and an informational response counted as the response.
+Test(http_client, bytes_without_end_are_no_response)
+{
+    constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
+    constexpr std::size_t in_transit_bytes = 12 * mebibyte;
+    for (const auto& way : base::test::endless_ways(16 * mebibyte)) {
+        base::test::endless_server server(way.start_, way.part_);
+        asio::io_context context;
+        http_client client(context.get_executor(), {server.address()}, 30s);
+        auto written = asio::co_spawn(
+            context, client.put("a/b", "{}", if_absent{}), asio::use_future);
+        context.run();
+        const std::size_t sent = server.wait();
+        cr_expect(
+            std::holds_alternative<answer_lost>(written.get()),
+            "%s",
+            way.name_);
+        cr_expect_leq(
+            sent, way.bound_ + in_transit_bytes, "%s: %zu", way.name_, sent);
+    }
+}
+
+
+// Bytes that the store had sent after a response were taken for the response to
+// the next request on the connection.
+Test(http_client, bytes_after_a_response_end_its_connection)
+{
+    const std::string listing = R"({"version":7,"objects":[]})";
+    const std::string header =
+        "HTTP/1.1 200 OK\r\nX-Store-Era: 1\r\nContent-Length: " +
+        std::to_string(listing.size()) + "\r\n\r\n";
+    const std::string stray = "HTTP/1.1 404 Not Found\r\nX-Store-Era: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+    base::test::endless_server server(header + listing + stray, stray);
+    asio::io_context context;
+    http_client client(context.get_executor(), {server.address()}, 30s);
+    auto listed = asio::co_spawn(context, client.list("a/"), asio::use_future);
+    context.run();
+    cr_assert(base::ok(listed.get()));
+    context.restart();
+    // Without the stray bytes the connection is closed, and a second one is not
+    // accepted.
+    auto found = asio::co_spawn(context, client.get("a/b"), asio::use_future);
+    context.run_for(1s);
+    const bool taken = found.wait_for(0s) == std::future_status::ready &&
+                       base::ok(found.get());
+    cr_assert_not(taken);
+}
