--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -6,12 +6,11 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/read_response_header.hpp>
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -26,10 +25,14 @@
 
 namespace {
 
-using upstream_response_parser = http::response_parser<http::buffer_body>;
+using upstream_response_parser =
+    base::bounded_response_parser<http::buffer_body>;
 
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::size_t read_buffer_bytes = 4096;
+// Bytes of a body that are read after the closing event, so that a connection
+// can be used again.
+constexpr std::size_t max_bytes_after_end = 4096;
 constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} * 1024 * 1024;
 
 
@@ -44,6 +47,8 @@
     std::unique_ptr<upstream_connection> upstream_;
     /// Run state to restore when this attempt turns out not to have run.
     run_state run_before_ = run_state::unsent;
+    /// Error of the last read of a body.
+    boost::system::error_code read_failure_;
 };
 
 
@@ -146,23 +151,29 @@
 }
 
 
-using read_outcome = std::tuple<boost::system::error_code, std::size_t>;
-
-
 // Completes a read from the group. Fails with timed_out when the group was
 // given up for its silence.
 asio::awaitable<boost::system::error_code>
-complete_read(attempt& a, asio::awaitable<read_outcome> reading)
+complete_read(attempt& a, asio::awaitable<boost::system::error_code> reading)
 {
     using namespace asio::experimental::awaitable_operators;
 
     const auto ended = co_await (std::move(reading) || watch_silence(a));
     if (ended.index() == 0)
-        co_return std::get<0>(std::get<0>(ended));
+        co_return std::get<0>(ended);
     co_return asio::error::timed_out;
 }
 
 
+asio::awaitable<boost::system::error_code>
+read_some(attempt& a, upstream_response_parser& parser)
+{
+    const auto [failure, size] = co_await http::async_read_some(
+        a.upstream_->stream_, a.upstream_->buffer_, parser, base::await_tuple);
+    co_return failure;
+}
+
+
 bool deadline_expired(const request_context& context)
 {
     return context.deadline_ && base::boot_clock::now() >= *context.deadline_;
@@ -217,15 +228,12 @@
     parser.get().body().size = bytes.size();
     parser.get().body().more = true;
     set_read_deadline(a);
-    const auto failure = co_await complete_read(
-        a,
-        http::async_read_some(
-            a.upstream_->stream_,
-            a.upstream_->buffer_,
-            parser,
-            base::await_tuple));
-    if (failure && failure != http::error::need_buffer)
+    const boost::system::error_code failure =
+        co_await complete_read(a, read_some(a, parser));
+    if (failure && failure != http::error::need_buffer) {
+        a.read_failure_ = failure;
         co_return std::nullopt;
+    }
     co_return bytes.size() - parser.get().body().size;
 }
 
@@ -293,7 +301,8 @@
 
 void release_connection(attempt& a, const upstream_response_parser& parser)
 {
-    if (parser.keep_alive() && a.upstream_->buffer_.size() == 0)
+    if (parser.is_done() && parser.keep_alive() &&
+        a.upstream_->buffer_.size() == 0)
         a.thread_.pool_.put(key_of(a), std::move(a.upstream_));
 }
 
@@ -304,11 +313,18 @@
     std::array<char, read_buffer_bytes> bytes{};
     auto& splitter = a.progress_.splitter_;
     // An event that an earlier attempt left incomplete is sent again.
-    splitter.pending_.clear();
-    while (!parser.is_done()) {
+    discard_partial_event(splitter);
+    std::size_t bytes_after_end = 0;
+    while (!parser.is_done() && bytes_after_end <= max_bytes_after_end) {
+        const bool ended = splitter.progress_.done_;
         const auto size = co_await read_body_part(a, parser, bytes);
+        if (!size && ended)
+            break;
         if (!size)
-            co_return fail_attempt(a, "the stream was interrupted");
+            co_return fail_attempt(
+                a, "the stream was interrupted: " + a.read_failure_.message());
+        if (ended)
+            bytes_after_end += *size;
         if (!co_await forward_events(a, {bytes.data(), *size}))
             co_return reply(caller_disconnected{});
         if (splitter.pending_.size() > max_event_bytes)
@@ -329,13 +345,19 @@
 {
     std::array<char, read_buffer_bytes> bytes{};
     std::string body;
+    base::byte_lease memory(a.thread_.response_memory_);
     while (!parser.is_done()) {
         const auto size = co_await read_body_part(a, parser, bytes);
         if (!size)
-            co_return fail_attempt(a, "the response was interrupted");
+            co_return fail_attempt(
+                a,
+                "the response was interrupted: " + a.read_failure_.message());
         body.append(bytes.data(), *size);
         if (body.size() > max_buffered_answer_bytes)
             co_return fail_attempt(a, "the response exceeds the maximum size");
+        if (!memory.resize(body.capacity()))
+            co_return fail_attempt(
+                a, "other responses use the memory for responses");
     }
     const auto& head = parser.get();
     buffered_response response(head.result(), http_version_1_1);
@@ -355,19 +377,20 @@
 
 asio::awaitable<attempt_result> relay_answer(attempt& a)
 {
-    upstream_response_parser parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    std::optional<upstream_response_parser> received;
     set_read_deadline(a);
-    const auto failure = co_await complete_read(
+    const boost::system::error_code failure = co_await complete_read(
         a,
-        http::async_read_header(
+        base::read_response_header(
             a.upstream_->stream_,
             a.upstream_->buffer_,
-            parser,
-            base::await_tuple));
+            received,
+            {max_response_header_bytes,
+             std::numeric_limits<std::uint64_t>::max()}));
     if (failure)
         co_return fail_attempt(
             a, "no response head received: " + failure.message());
+    upstream_response_parser& parser = *received;
     if (!has_matching_request_id(a, parser))
         co_return fail_attempt(a, "the response has the id of another request");
     const auto& head = parser.get();
@@ -402,7 +425,8 @@
     chat_progress& progress,
     const group_row& group)
 {
-    attempt a{thread, caller, context, progress, group, nullptr, progress.run_};
+    attempt a{
+        thread, caller, context, progress, group, nullptr, progress.run_, {}};
     const in_flight_guard load_guard(group.load_);
     ++context.report_.attempts_;
     context.report_.upstream_ = group.group_.value_;
