entry, relay: daemons that stop together cover for those that restart

In planned work alone most refusals fall in the seconds after a series in which all daemons got SIGTERM within 2 s: callers were refused with `stopping`. Cause: 2.3 s after its SIGTERM each daemon rejects what is not due before its end, also when no daemon is ready. Change: while no daemon is ready, the half of the stopping daemons that began last goes on accepting, and the directory names them (covering_daemons). The others end as usual.

--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -211,6 +211,7 @@
     /// When a call to the store last failed.
     base::time_point store_failed_at_;
     bool stopping_ = false;
+    base::time_point stopping_since_;
     /// When the view of the traffic thread was last replaced, and whether a
     /// replacement is scheduled.
     base::time_point view_published_at_;
--- a/src/libentry/http_endpoints.cpp
+++ b/src/libentry/http_endpoints.cpp
@@ -1,5 +1,6 @@
 #include "control_plane.hpp"
 #include "http_call.hpp"
+#include "shutdown_cover.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -122,7 +123,8 @@
 }
 
 
-/// Addresses of the daemons that accept callers.
+/// Addresses of the daemons that accept callers: those that are ready, or while
+/// none is, those that cover for them.
 struct entry_daemons
 {
     /// Those in the caller's data centre.
@@ -146,7 +148,8 @@
 entry_daemons find_daemons(const control_plane& c, const directory_query& query)
 {
     entry_daemons daemons;
-    if (is_ready(c))
+    const std::set<base::daemon_id> covering = covering_daemons(c);
+    if (is_ready(c) || covering.contains(c.config_.daemon_))
         add_daemon(
             daemons,
             query,
@@ -154,8 +157,10 @@
             settings::to_string(c.config_.caller_address_));
     for (const auto& [id, member] : c.node_.members()) {
         const membership::member_record& r = member.record_;
-        if (r.state_ == membership::member_state::alive &&
-            r.status_.entry_mode_ == membership::entry_mode::open)
+        const bool ready =
+            r.state_ == membership::member_state::alive &&
+            r.status_.entry_mode_ == membership::entry_mode::open;
+        if (ready || covering.contains(id))
             add_daemon(daemons, query, r.data_centre_, to_string(r.caller_));
     }
     return daemons;
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "shutdown_cover.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -38,18 +39,33 @@
 }
 
 
+// Goes on accepting callers while this daemon covers for those that restart.
+// Once another is ready, callers may still use the address of this one for as
+// long as after the start of a shutdown.
+void extend_acceptance(control_plane& c, relay::drain_schedule& schedule)
+{
+    if (!covering_daemons(c).contains(c.config_.daemon_))
+        return;
+    schedule.cover_until_ = base::boot_clock::now() + c.config_.directory_ttl_ +
+                            directory_cache_margin;
+    c.proxy_->drain(schedule);
+}
+
+
 // Ends the requests in progress: callers first learn of other daemons while
 // this one still serves, then idle connections are closed.
 asio::awaitable<void> drain_proxy(control_plane& c, base::time_point start_time)
 {
     relay::reverse_proxy& proxy = *c.proxy_;
-    const relay::drain_schedule schedule{
+    relay::drain_schedule schedule{
         start_time + c.config_.directory_ttl_ + directory_cache_margin,
         start_time + c.config_.grace_ - exit_before_deadline};
     proxy.drain(schedule);
     co_await wait_for(c, schedule.exit_at_, [&] {
+        extend_acceptance(c, schedule);
         return proxy.busy_connections() == 0 &&
-               base::boot_clock::now() >= schedule.accept_until_;
+               base::boot_clock::now() >=
+                   std::max(schedule.accept_until_, schedule.cover_until_);
     });
     proxy.close_idle_connections();
     const auto is_closed = [&proxy] {
@@ -70,6 +86,7 @@
         .field("grace", c.config_.grace_)
         .field("active_requests", c.proxy_->active_requests());
     c.stopping_ = true;
+    c.stopping_since_ = start_time;
     if (c.leader_.leading_)
         broadcast_heartbeat(c, {{}, c.leader_.term_, {}, {}});
     c.leader_.leading_ = false;
@@ -87,6 +104,17 @@
 
 } // namespace
 
+std::set<base::daemon_id> covering_daemons(const control_plane& c)
+{
+    if (is_ready(c))
+        return {};
+    std::optional<stopping_daemon> self;
+    if (c.stopping_)
+        self = {c.config_.daemon_, c.stopping_since_};
+    return covering_daemons(c.node_.members(), self, base::boot_clock::now());
+}
+
+
 asio::awaitable<void> run_signals(control_plane& c)
 {
     bool stop_requested = false;
--- /dev/null
+++ b/src/libentry/shutdown_cover.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/membership/member.hpp>
+
+#include <chrono>
+#include <optional>
+#include <set>
+
+namespace monsoondock::entry::pvt {
+
+struct control_plane;
+
+/// A daemon that is shutting down.
+struct stopping_daemon
+{
+    base::daemon_id daemon_;
+    /// When its shutdown began.
+    base::time_point since_;
+};
+
+
+/// A daemon that ended this recently is expected to start again.
+inline constexpr std::chrono::seconds restart_allowance{10};
+
+
+/// Returns the stopping daemons that go on accepting callers because no daemon
+/// is ready: of those that stop or have ended recently, the half that began
+/// last. The others end as usual and are ready again in the meantime. self is
+/// this daemon if it is stopping. Empty while any daemon is ready.
+std::set<base::daemon_id> covering_daemons(
+    const membership::member_table& members,
+    const std::optional<stopping_daemon>& self,
+    base::time_point now);
+
+
+/// Returns those that this daemon knows of, itself perhaps included.
+std::set<base::daemon_id> covering_daemons(const control_plane& c);
+
+} // namespace monsoondock::entry::pvt
--- a/src/librelay/drain_schedule.cpp
+++ b/src/librelay/drain_schedule.cpp
@@ -5,12 +5,13 @@
 bool accepts(
     const drain_schedule& schedule,
     base::time_point now,
-    base::time_point deadline,
-    base::time_point expected_end) noexcept
+    const response_end& end) noexcept
 {
-    if (deadline <= schedule.exit_at_)
+    if (end.deadline_ <= schedule.exit_at_)
         return true;
-    return now < schedule.accept_until_ && expected_end <= schedule.exit_at_;
+    if (now < schedule.accept_until_ && end.expected_ <= schedule.exit_at_)
+        return true;
+    return now < schedule.cover_until_ && end.latest_ <= schedule.exit_at_;
 }
 
 } // namespace monsoondock::relay
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -372,12 +372,35 @@
 }
 
 
+void record_response_time(forward_context& c)
+{
+    constexpr unsigned ok = 200;
+    if (c.outcome_.status_ != ok)
+        return;
+    const base::time_point now = base::boot_clock::now();
+    c.t_.longest_responses_[{c.e_.route_->name_, c.e_.model_}].add(
+        now - c.e_.received_, now);
+}
+
+
+response_end response_end_of(const forward_context& c, base::time_point now)
+{
+    response_end end{c.e_.deadline_, expected_end(c.e_, now), c.e_.deadline_};
+    const auto found =
+        c.t_.longest_responses_.find({c.e_.route_->name_, c.e_.model_});
+    if (found == c.t_.longest_responses_.end())
+        return end;
+    if (const auto bound = found->second.bound(now))
+        end.latest_ = std::min(end.deadline_, now + *bound);
+    return end;
+}
+
+
 asio::awaitable<bool> serve(forward_context& c)
 {
     record_demand(c);
     const base::time_point now = base::boot_clock::now();
-    if (c.t_.drain_ &&
-        !accepts(*c.t_.drain_, now, c.e_.deadline_, expected_end(c.e_, now)))
+    if (c.t_.drain_ && !accepts(*c.t_.drain_, now, response_end_of(c, now)))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
@@ -425,6 +448,7 @@
     --t.active_;
     log_request(c);
     record_metrics(c);
+    record_response_time(c);
     co_return keep_alive && !e->caller_->disconnected_;
 }
 
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange.hpp"
+#include "longest_response.hpp"
 
 #include <monsoondock/relay/arrival_meter.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
@@ -47,6 +48,9 @@
     demand_table demand_;
     std::map<std::pair<base::deployment_id, std::string>, arrival_meter>
         arrival_meters_;
+    /// By route and model.
+    std::map<std::pair<std::string, std::string>, longest_response>
+        longest_responses_;
     std::unordered_set<std::shared_ptr<caller_connection>> caller_connections_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     /// Set when the daemon is shutting down.
