entry: addresses of covering daemons are valid for 250 ms

Cause: callers that the directory had sent to a covering daemon used its address for 2 s, also after the first daemon was ready again, and were rejected there. Change: while no daemon is ready, the directory's addresses are valid for 250 ms (directory_ttl); a covering daemon accepts for that time, and the usual margin, after one is ready. Test: all_daemons_stop_together's callers_soon_ask_for_daemons_that_are_ready failed while directory_ttl returned the configured time.

--- a/src/libentry/all_daemons_stop_together_test.cpp
+++ b/src/libentry/all_daemons_stop_together_test.cpp
@@ -142,3 +142,13 @@
         covering_daemons({}, stopping_daemon{name_of(0), start}, start + 1s)
             .empty());
 }
+
+
+// Callers went on to use the addresses of stopping daemons for 2 s after the
+// first daemon was ready again, and were rejected.
+Test(all_daemons_stop_together, callers_soon_ask_for_daemons_that_are_ready)
+{
+    cr_assert(directory_ttl(true, 2s) <= 300ms);
+    cr_assert(directory_ttl(true, 100ms) == 100ms);
+    cr_assert(directory_ttl(false, 2s) == 2s);
+}
--- a/src/libentry/http_endpoints.cpp
+++ b/src/libentry/http_endpoints.cpp
@@ -130,6 +130,8 @@
     /// Those in the caller's data centre.
     std::vector<std::string> local_;
     std::vector<std::string> all_;
+    /// True when no daemon is ready.
+    bool covering_ = false;
 };
 
 
@@ -149,6 +151,7 @@
 {
     entry_daemons daemons;
     const std::set<base::daemon_id> covering = covering_daemons(c);
+    daemons.covering_ = !covering.empty();
     if (is_ready(c) || covering.contains(c.config_.daemon_))
         add_daemon(
             daemons,
@@ -182,7 +185,8 @@
     return {
         http::status::ok,
         c.adapter_.serialize_directory_response_(
-            chosen, c.config_.directory_ttl_)};
+            chosen,
+            directory_ttl(daemons.covering_, c.config_.directory_ttl_))};
 }
 
 
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -40,13 +40,14 @@
 
 
 // Goes on accepting callers while this daemon covers for those that restart.
-// Once another is ready, callers may still use the address of this one for as
-// long as after the start of a shutdown.
+// Once another is ready, callers may still use the address of this one until
+// the directory's latest response expires.
 void extend_acceptance(control_plane& c, relay::drain_schedule& schedule)
 {
     if (!covering_daemons(c).contains(c.config_.daemon_))
         return;
-    schedule.cover_until_ = base::boot_clock::now() + c.config_.directory_ttl_ +
+    schedule.cover_until_ = base::boot_clock::now() +
+                            directory_ttl(true, c.config_.directory_ttl_) +
                             directory_cache_margin;
     c.proxy_->drain(schedule);
 }
--- a/src/libentry/shutdown_cover.cpp
+++ b/src/libentry/shutdown_cover.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds same_time{250};
 
 
+constexpr std::chrono::milliseconds covering_ttl{250};
+
+
 bool is_ready(const member& m)
 {
     return m.record_.state_ == member_state::alive &&
@@ -41,6 +44,13 @@
 
 } // namespace
 
+std::chrono::milliseconds
+directory_ttl(bool covering, std::chrono::milliseconds configured)
+{
+    return covering ? std::min(configured, covering_ttl) : configured;
+}
+
+
 std::set<base::daemon_id> covering_daemons(
     const membership::member_table& members,
     const std::optional<stopping_daemon>& self,
--- a/src/libentry/shutdown_cover.hpp
+++ b/src/libentry/shutdown_cover.hpp
@@ -24,6 +24,13 @@
 inline constexpr std::chrono::seconds restart_allowance{10};
 
 
+/// Returns how long callers may use the addresses in a response of the
+/// directory. configured is the usual time. The addresses of covering daemons
+/// are for a short time, so that callers soon learn of one that is ready.
+std::chrono::milliseconds
+directory_ttl(bool covering, std::chrono::milliseconds configured);
+
+
 /// Returns the stopping daemons that go on accepting callers because no daemon
 /// is ready: of those that stop or have ended recently, the half that began
 /// last. The others end as usual and are ready again in the meantime. self is
