relay: a covering daemon tells callers when to come back

Cause: a daemon that stops rejected requests that it could not finish with a Retry-After of 50 ms, also when no daemon was ready. Callers came back to another stopping daemon and were rejected for good. Change: while a daemon covers for others, its rejections ask for 1 s (rejection_pause), within the caller's time as before. Test: rejection_pause's callers_wait_for_a_daemon_that_is_ready failed while the pause was always 50 ms.

--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -1,5 +1,6 @@
 #include "forward.hpp"
 
+#include "rejection_pause.hpp"
 #include "suspended_try.hpp"
 #include "try_upstream.hpp"
 #include "upstream_choice.hpp"
@@ -405,7 +406,7 @@
             c,
             {http::status::service_unavailable,
              "stopping",
-             jittered_retry_after(c, min_retry_after)});
+             jittered_retry_after(c, rejection_pause(*c.t_.drain_, now))});
     if (c.t_.crash_tracker_.crash_count(c.e_.fingerprint_, now) >=
         crash_tracker::max_crashes)
         co_return co_await send_local_response(
