--- a/src/libentry/http_endpoints.cpp
+++ b/src/libentry/http_endpoints.cpp
@@ -1,5 +1,6 @@
 #include "control_plane.hpp"
 #include "http_call.hpp"
+#include "shutdown_cover.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -122,12 +123,15 @@
 }
 
 
-/// Addresses of the daemons that accept callers.
+/// Addresses of the daemons that accept callers: those that are ready, or while
+/// none is, those that cover for them.
 struct entry_daemons
 {
     /// Those in the caller's data centre.
     std::vector<std::string> local_;
     std::vector<std::string> all_;
+    /// True when no daemon is ready.
+    bool covering_ = false;
 };
 
 
@@ -146,7 +150,9 @@
 entry_daemons find_daemons(const control_plane& c, const directory_query& query)
 {
     entry_daemons daemons;
-    if (is_ready(c))
+    const std::set<base::daemon_id> covering = covering_daemons(c);
+    daemons.covering_ = !covering.empty();
+    if (is_ready(c) || covering.contains(c.config_.daemon_))
         add_daemon(
             daemons,
             query,
@@ -154,8 +160,10 @@
             settings::to_string(c.config_.caller_address_));
     for (const auto& [id, member] : c.node_.members()) {
         const membership::member_record& r = member.record_;
-        if (r.state_ == membership::member_state::alive &&
-            r.status_.entry_mode_ == membership::entry_mode::open)
+        const bool ready =
+            r.state_ == membership::member_state::alive &&
+            r.status_.entry_mode_ == membership::entry_mode::open;
+        if (ready || covering.contains(id))
             add_daemon(daemons, query, r.data_centre_, to_string(r.caller_));
     }
     return daemons;
@@ -177,7 +185,8 @@
     return {
         http::status::ok,
         c.adapter_.serialize_directory_response_(
-            chosen, c.config_.directory_ttl_)};
+            chosen,
+            directory_ttl(daemons.covering_, c.config_.directory_ttl_))};
 }
 
 
