--- /dev/null
+++ b/src/librelay/failure_reason.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <boost/system/error_code.hpp>
+
+#include <string_view>
+
+namespace monsoondock::relay::pvt {
+
+/// Returns what an error of sending a request or of reading a response says
+/// about the response, as it appears in logs.
+std::string_view
+failure_reason(const boost::system::error_code& failure) noexcept;
+
+} // namespace monsoondock::relay::pvt
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,5 +1,6 @@
 #include "try_upstream.hpp"
 
+#include "failure_reason.hpp"
 #include "suspended_try.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -72,26 +73,6 @@
 }
 
 
-// Returns what an error says about a response, as it appears in logs.
-std::string_view reason_of(const boost::system::error_code& failure)
-{
-    if (failure == http::error::header_limit)
-        return "header_too_large";
-    if (failure == http::error::body_limit)
-        return "body_too_large";
-    if (failure == http::error::buffer_overflow)
-        return "chunk_header_too_large";
-    if (failure == asio::error::operation_aborted)
-        return "stopped";
-    const bool ended = failure == http::error::end_of_stream ||
-                       failure == http::error::partial_message;
-    if (!ended && failure.category() ==
-                      http::make_error_code(http::error::bad_method).category())
-        return "malformed";
-    return "connection_lost";
-}
-
-
 // Records why the try fails. Returns false.
 bool fail(try_context& c, std::string_view reason)
 {
@@ -146,7 +127,7 @@
     const auto [failure, sent] = co_await asio::async_write(
         e.upstream_->socket_, asio::buffer(text), base::await_tuple);
     if (failure)
-        co_return fail(c, reason_of(failure));
+        co_return fail(c, failure_reason(failure));
     co_return true;
 }
 
@@ -178,7 +159,7 @@
             *c.parser_,
             base::await_tuple);
         if (failure)
-            co_return fail(c, reason_of(failure));
+            co_return fail(c, failure_reason(failure));
         e.upstream_->header_bytes_ += size;
         http_response_parser& parser = *c.parser_;
         if (http::to_status_class(parser.get().result()) ==
@@ -333,7 +314,7 @@
             parser,
             base::await_tuple);
         if (failure)
-            co_return lose(c, reason_of(failure));
+            co_return lose(c, failure_reason(failure));
     }
     record_progress(c);
     return_to_pool(c, parser);
@@ -451,7 +432,7 @@
             parser,
             base::await_tuple);
         if (failure)
-            co_return lose(c, reason_of(failure));
+            co_return lose(c, failure_reason(failure));
     }
     return_to_pool(c, parser);
     co_return try_outcome::relayed;
