--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -1,5 +1,7 @@
 #include "receive_response.hpp"
 
+#include "failure_reason.hpp"
+
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/relay/availability.hpp>
@@ -66,7 +68,7 @@
             *c.parser_,
             base::await_tuple);
         if (failure)
-            co_return fail(c, reason_of(failure));
+            co_return fail(c, failure_reason(failure));
         e.upstream_->header_bytes_ += size;
         http_response_parser& parser = *c.parser_;
         if (http::to_status_class(parser.get().result()) ==
@@ -221,7 +223,7 @@
             parser,
             base::await_tuple);
         if (failure)
-            co_return lose(c, reason_of(failure));
+            co_return lose(c, failure_reason(failure));
     }
     record_progress(c);
     return_to_pool(c, parser);
@@ -342,7 +344,7 @@
             parser,
             base::await_tuple);
         if (failure)
-            co_return lose(c, reason_of(failure));
+            co_return lose(c, failure_reason(failure));
     }
     return_to_pool(c, parser);
     co_return try_outcome::relayed;
@@ -369,25 +371,6 @@
 }
 
 
-std::string_view reason_of(const boost::system::error_code& failure)
-{
-    if (failure == http::error::header_limit)
-        return "header_too_large";
-    if (failure == http::error::body_limit)
-        return "body_too_large";
-    if (failure == http::error::buffer_overflow)
-        return "chunk_header_too_large";
-    if (failure == asio::error::operation_aborted)
-        return "stopped";
-    const bool ended = failure == http::error::end_of_stream ||
-                       failure == http::error::partial_message;
-    if (!ended && failure.category() ==
-                      http::make_error_code(http::error::bad_method).category())
-        return "malformed";
-    return "connection_lost";
-}
-
-
 bool fail(try_context& c, std::string_view reason)
 {
     c.state_.failure_ = reason;
--- a/src/librelay/receive_response.hpp
+++ b/src/librelay/receive_response.hpp
@@ -28,10 +28,6 @@
 void enter_phase(exchange& e, wait_phase phase);
 
 
-/// Returns what an error says about a response, as it appears in logs.
-std::string_view reason_of(const boost::system::error_code& failure);
-
-
 /// Records why the try fails. Returns false.
 bool fail(try_context& c, std::string_view reason);
 
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,5 +1,6 @@
 #include "try_upstream.hpp"
 
+#include "failure_reason.hpp"
 #include "receive_response.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -53,7 +54,7 @@
     const auto [failure, sent] = co_await asio::async_write(
         e.upstream_->socket_, asio::buffer(text), base::await_tuple);
     if (failure)
-        co_return fail(c, reason_of(failure));
+        co_return fail(c, failure_reason(failure));
     co_return true;
 }
 
