--- a/testsuite/soak/lost_requests.py
+++ b/testsuite/soak/lost_requests.py
@@ -172,7 +172,8 @@
 
 
 def describe(call, reason, works, log):
-    """Returns the times of a lost request, relative to its first byte."""
+    """Returns the times of a request without a whole answer, relative to its
+    first byte. reason is None if it is not lost."""
     def relative(at):
         return "-" if at is None else f"{at - call.begun:+.3f}"
 
@@ -182,7 +183,8 @@
         seconds=time.monotonic() - call.begun)
     stops = " ".join(relative(at) for daemon, at in log.stops
                      if daemon == call.daemon and at <= call.ended)
-    return (f"{call.request_id}: lost beside {reason}: n{call.daemon} "
+    verdict = f"lost beside {reason}" if reason else "not counted"
+    return (f"{call.request_id}: {verdict}: n{call.daemon} "
             f"at={wall:%H:%M:%S.%f} kept={call.kept} {call.outcome} "
             f"sent={relative(call.sent)} ended={relative(call.ended)} "
             f"stops=[{stops}] hosts=[{hosts}]")
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -25,7 +25,7 @@
 
 import faults  # noqa: E402
 from callers import Caller  # noqa: E402
-from lost_requests import FaultLog, describe, find_lost  # noqa: E402
+from lost_requests import Call, FaultLog, describe, find_lost  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from session import (  # noqa: E402
     ConnectionDropped, Session, request, wait_until)
@@ -77,6 +77,8 @@
         for number in range(self.DAEMONS):
             self.start_daemon(number, first_start=True)
         self.violations = []
+        # Requests that ended without a whole answer and are not violations.
+        self.not_counted = []
         self.served = 0
         self.lock = threading.Lock()
         self.running = True
@@ -161,9 +163,16 @@
                 works.setdefault(work.request_id, []).append(work)
         for its_works in works.values():
             its_works.sort(key=lambda work: work.begun)
-        for call, reason in find_lost(self.calls, works, self.log):
-            self.record_violation(describe(
-                call, reason, works.get(call.request_id, []), self.log))
+        lost = {call.request_id: reason for call, reason
+                in find_lost(self.calls, works, self.log)}
+        for call in filter(Call.is_lost, self.calls):
+            reason = lost.get(call.request_id)
+            text = describe(call, reason, works.get(call.request_id, []),
+                            self.log)
+            if reason is not None:
+                self.record_violation(text)
+            else:
+                self.not_counted.append(text)
 
 
 def report(run, keep):
@@ -175,6 +184,9 @@
           f"{len(run.violations)} violations", flush=True)
     for text in run.violations[:10]:
         print(f"  {text}")
+    if run.not_counted:
+        (keep / f"seed-{run.seed}-not-counted").write_text(
+            "".join(f"{text}\n" for text in run.not_counted))
     if run.violations:
         (keep / f"seed-{run.seed}-violations").write_text(
             "".join(f"{text}\n" for text in run.violations))
