quarantine: remove trials that were given up

Cause: a trial could stay in the store with nobody to end it. If the store answers neither the write of a trial nor the read that follows, the daemon refuses the request and gives the trial up. A write that takes effect after that, as in a platform that stands still for 3.3 s or more, left the record with a trial. The daemon had purged its entry by then, or the entry held a newer trial, so no daemon removed it until trial_timeout (15 minutes). All copies were refused meanwhile, each after 10 s. A caller that disconnected during the write and sent its request again had the same effect.

Change: a daemon removes each trial of its own that it sees in the store and that is neither requested nor running. It keeps an entry until the watch shows the latest write, so that an older record doesn't count as such a trial.

--- a/src/include/monsoondock/quarantine/suspect_registry.hpp
+++ b/src/include/monsoondock/quarantine/suspect_registry.hpp
@@ -204,7 +204,9 @@
         base::time_point added_at_;
     };
 
-    static bool is_idle(const suspect_entry& e);
+    bool is_idle(const suspect_entry& e) const;
+    bool is_own(const trial& t) const;
+    bool has_stale_trial(const suspect_entry& e) const;
     suspect_entry& find_or_add_entry(const dispatch_query& query);
     suspect_record merged_record(const suspect_entry& e) const;
     bool is_feed_fresh(clock_reading now) const;
@@ -247,6 +249,7 @@
     void
     apply_write(suspect_entry& e, platform::version version, clock_reading now);
     void merge_feed(clock_reading now);
+    void add_entries_of_own_trials();
     void reconcile_all(clock_reading now);
     void remember_harmless(const suspect_fingerprint& fingerprint);
     store_call_id next_call();
--- a/src/libquarantine/suspect_reconciliation.cpp
+++ b/src/libquarantine/suspect_reconciliation.cpp
@@ -60,6 +60,8 @@
 suspect_registry::target_record(suspect_entry& e, clock_reading now)
 {
     suspect_record target = merged_record(e);
+    if (has_stale_trial(e))
+        target.trial_.reset();
     if (e.phase_ == trial_phase::requested)
         replace_overdue_trial(e, target, now);
     if (is_quarantined(target)) {
@@ -68,10 +70,6 @@
     }
     if (e.phase_ == trial_phase::requested)
         target.trial_ = e.trial_;
-    const bool trial_over =
-        e.phase_ == trial_phase::succeeded || e.phase_ == trial_phase::ended;
-    if (trial_over && target.trial_ == e.trial_)
-        target.trial_.reset();
     const bool has_new_losses =
         !e.stored_ || e.stored_->record_.lost_ != target.lost_;
     if (has_new_losses)
@@ -114,9 +112,10 @@
 }
 
 
-bool suspect_registry::is_idle(const suspect_entry& e)
+bool suspect_registry::is_idle(const suspect_entry& e) const
 {
-    return e.phase_ == trial_phase::none && e.unrecorded_losses_.empty();
+    return e.phase_ == trial_phase::none && e.unrecorded_losses_.empty() &&
+           !has_stale_trial(e);
 }
 
 
@@ -201,6 +200,7 @@
         feed_fresh_since_ = now.boot_;
     feed_started_ = true;
     last_feed_update_ = now.boot_;
+    add_entries_of_own_trials();
     for (auto& [fingerprint, e] : entries_) {
         const stored_suspect* stored = feed_.find(fingerprint);
         if (stored && stored->version_ > e.latest_version_) {
@@ -214,6 +214,23 @@
 }
 
 
+// A trial can reach the store after its entry was purged, if the store did not
+// respond to its write.
+void suspect_registry::add_entries_of_own_trials()
+{
+    for (const auto& [fingerprint, stored] : feed_.all()) {
+        const suspect_record& record = stored.record_;
+        if (!record.trial_ || !is_own(*record.trial_))
+            continue;
+        dispatch_query query;
+        query.workspace_ = record.workspace_;
+        query.deployment_ = record.deployment_;
+        query.fingerprint_ = fingerprint;
+        find_or_add_entry(query);
+    }
+}
+
+
 void suspect_registry::reconcile_all(clock_reading now)
 {
     for (auto& [fingerprint, e] : entries_) {
@@ -228,10 +245,13 @@
     std::set<suspect_fingerprint> in_flight;
     for (const auto& [request, f] : in_flight_requests_)
         in_flight.insert(f.fingerprint_);
-    std::erase_if(entries_, [&in_flight](const auto& item) {
+    // An entry is kept until the watch shows its latest write, because an older
+    // record may still hold its trial.
+    std::erase_if(entries_, [&](const auto& item) {
         const suspect_entry& e = item.second;
         return is_idle(e) && !e.pending_call_ &&
-               !in_flight.contains(item.first);
+               !in_flight.contains(item.first) &&
+               feed_.version() >= e.latest_version_;
     });
     std::erase_if(added_, [&](const added_group& added) {
         return now.boot_ - added.added_at_ >= timing_.hold_down_;
--- a/src/libquarantine/suspect_trials.cpp
+++ b/src/libquarantine/suspect_trials.cpp
@@ -7,6 +7,28 @@
 
 // Trials of suspects: one at a time on a group, ordered by store version.
 
+// Returns true for a trial of this start of this daemon.
+bool suspect_registry::is_own(const trial& t) const
+{
+    return t.daemon_ == self_ && t.token_.starts_with(token_prefix_);
+}
+
+
+// Returns true when the store holds a trial of this daemon that has ended or
+// was never permitted. It may differ from the latest trial: the write of an
+// earlier one can take effect after this daemon has given it up.
+bool suspect_registry::has_stale_trial(const suspect_entry& e) const
+{
+    if (!e.stored_ || !e.stored_->record_.trial_)
+        return false;
+    const trial& stored = *e.stored_->record_.trial_;
+    const bool in_use =
+        stored == e.trial_ && (e.phase_ == trial_phase::requested ||
+                               e.phase_ == trial_phase::running);
+    return is_own(stored) && !in_use;
+}
+
+
 void suspect_registry::request_trial(
     suspect_entry& e, const dispatch_query& query, clock_reading now)
 {
