placement: remove best_candidate

Cause: nothing calls best_candidate; the planner uses best_of_domain.

Change: it is removed.

Measured: placement_test 19 of 19 after the change; no reference is left.

--- a/src/libplacement/candidates.cpp
+++ b/src/libplacement/candidates.cpp
@@ -70,27 +70,4 @@
     return c;
 }
 
-
-std::optional<candidate> best_candidate(
-    const planning_step& step,
-    const free_by_domain& free,
-    const catalog::model& m)
-{
-    std::optional<candidate> best;
-    std::size_t most_free = 0;
-    for (const auto& [domain, hosts] : free) {
-        auto c = best_of_domain(step, domain, hosts, m);
-        if (!c)
-            continue;
-        const bool better =
-            !best || c->time_ < best->time_ ||
-            (c->time_ == best->time_ && hosts.size() > most_free);
-        if (!better)
-            continue;
-        best = std::move(c);
-        most_free = hosts.size();
-    }
-    return best;
-}
-
 } // namespace monsoondock::placement::pvt
--- a/src/libplacement/candidates.hpp
+++ b/src/libplacement/candidates.hpp
@@ -51,12 +51,4 @@
     host_list hosts,
     const catalog::model& m);
 
-
-/// Returns the candidate of all domains that could form a group soonest, and on
-/// a tie the one from the domain with the most free hosts.
-std::optional<candidate> best_candidate(
-    const planning_step& step,
-    const free_by_domain& free,
-    const catalog::model& m);
-
 } // namespace monsoondock::placement::pvt
