monsoondockd: usage: say where an entry daemon logs

Cause: the usage text said that the log goes to standard error and that a second SIGTERM stops the daemon at once.

Change: the text says both.

--- a/src/monsoondockd/main.cpp
+++ b/src/monsoondockd/main.cpp
@@ -38,8 +38,9 @@
     "  --version      print the version and exit\n"
     "  --help         print this text and exit\n"
     "\n"
-    "SIGTERM stops it gracefully, a second one at once. The log goes to\n"
-    "standard error. Exit codes: 0 stopped or checked, 1 failed, 2 bad usage\n"
+    "SIGTERM stops it gracefully; a second one stops it at once, but changes\n"
+    "nothing with --entry. The log goes to standard error, with --entry to\n"
+    "standard output. Exit codes: 0 stopped or checked, 1 failed, 2 bad usage\n"
     "or bad settings.\n";
 
 
@@ -65,7 +66,7 @@
 
 void start_logging(const char* program)
 {
-    // The hosts have no disks, so the log goes to standard error only.
+    // The hosts have no disks, so no log file is written.
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(program);
 }
