daemon, traffic: a planned stop ends what it has begun, and takes no more

Cause: the shutdown waited for requests that were read and admitted. Connections whose request was being read or that waited in the listen queue were reset, as were idle ones and requests at the shutdown timeout; requests that could not end before it were taken. Change: a relayed request is rejected at once (503 stopping, not_run) when its deadline and timeouts.upstream_idle from now are both after the end. The queue of the listener is served before it is closed, idle connections end in order, and the daemon waits until all connections have ended.

--- a/src/include/monsoondock/daemon/run_daemon.hpp
+++ b/src/include/monsoondock/daemon/run_daemon.hpp
@@ -9,9 +9,9 @@
 /// shutdown: the daemon leaves the list of entry hosts, keeps accepting
 /// connections for the time that callers may cache that list
 /// (timeouts.entry_host_ttl), waits up to timeouts.shutdown for the requests in
-/// progress and returns. Further stop signals are only logged.
-/// Fails with problem code unavailable when an address can't be bound, and
-/// with invalid_argument when the peer or caller address is not an IPv4
+/// progress, ends those that remain and returns. Further stop signals are only
+/// logged. Fails with problem code unavailable when an address can't be bound,
+/// and with invalid_argument when the peer or caller address is not an IPv4
 /// address.
 base::result<base::done> run_daemon(const settings::daemon_config& config);
 
--- a/src/include/monsoondock/traffic/server.hpp
+++ b/src/include/monsoondock/traffic/server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/metrics/registry.hpp>
@@ -56,11 +57,26 @@
     start(const boost::asio::ip::tcp::endpoint& address, std::size_t threads);
 
 
-    /// Stops accepting connections. An open connection is closed after its
-    /// next response, or at its idle time-out when no request arrives.
+    /// Rejects requests that may not have ended by exit_at from now on.
+    void drain(base::time_point exit_at);
+
+
+    /// Stops accepting connections, with those in the listen queue served.
+    /// Connections are closed in order: idle ones at once, others after their
+    /// next response.
     void stop_accepting();
 
 
+    /// Ends the requests in progress and those being read. Callers without a
+    /// response get a last one.
+    void abort_requests();
+
+
+    /// Returns true when all connections and requests have ended after
+    /// stop_accepting().
+    bool is_closed() const;
+
+
     /// Returns the number of requests in progress.
     std::uint64_t active_requests() const;
 
--- a/src/libdaemon/run_daemon.cpp
+++ b/src/libdaemon/run_daemon.cpp
@@ -30,6 +30,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds drain_poll_period{20};
+// Time to write the last responses of aborted requests and to close their
+// connections in order.
+constexpr std::chrono::milliseconds abort_time{600};
 
 
 asio::ip::tcp::endpoint to_endpoint(const settings::socket_address& address)
@@ -94,37 +97,52 @@
 }
 
 
-// Waits until all requests in progress have ended or the shutdown timeout has
-// passed.
-asio::awaitable<void>
-finish_requests(control_state& state, const traffic::server& server)
+// Waits until all connections and requests have ended or the time is over.
+asio::awaitable<void> wait_until_closed(
+    control_state& state, const traffic::server& server, base::time_point end)
 {
     asio::steady_timer timer(state.context_);
-    const auto end =
-        base::boot_clock::now() + state.config_.timeouts_.shutdown_;
-    while (server.active_requests() > 0 && base::boot_clock::now() < end) {
+    while (!server.is_closed() && base::boot_clock::now() < end) {
         timer.expires_after(drain_poll_period);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
 
 
+// Callers first learn of other daemons while this one still serves; then its
+// connections are closed.
+asio::awaitable<void> end_traffic(control_state& state, traffic::server& server)
+{
+    const auto& timeouts = state.config_.timeouts_;
+    const base::time_point accept_until =
+        base::boot_clock::now() + timeouts.entry_host_ttl_;
+    const base::time_point exit_at = accept_until + timeouts.shutdown_;
+    server.drain(exit_at);
+    asio::steady_timer timer(state.context_, timeouts.entry_host_ttl_);
+    co_await timer.async_wait(asio::use_awaitable);
+    server.stop_accepting();
+    co_await wait_until_closed(state, server, exit_at);
+    if (server.is_closed())
+        co_return;
+    server.abort_requests();
+    co_await wait_until_closed(state, server, exit_at + abort_time);
+}
+
+
 asio::awaitable<void>
 stop_gracefully(control_state& state, traffic::server& server)
 {
+    const base::time_point start_time = base::boot_clock::now();
     base::event_line("stopping")
         .field("daemon", state.config_.daemon_)
         .field("active_requests", server.active_requests());
     state.stopping_ = true;
     state.draining_ = true;
     publish_snapshot(state);
-    asio::steady_timer timer(
-        state.context_, state.config_.timeouts_.entry_host_ttl_);
-    co_await timer.async_wait(asio::use_awaitable);
-    server.stop_accepting();
-    co_await finish_requests(state, server);
+    co_await end_traffic(state, server);
     base::event_line("stopped")
         .field("daemon", state.config_.daemon_)
+        .field("elapsed", base::boot_clock::now() - start_time)
         .field("cut_requests", server.active_requests());
     state.context_.stop();
 }
--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "count_guard.hpp"
 #include "refusals.hpp"
 #include "serve_request.hpp"
+#include "set_guard.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -37,6 +38,9 @@
 constexpr std::size_t initial_read_bytes = 1024;
 constexpr std::size_t discard_buffer_bytes = 4096;
 constexpr std::chrono::milliseconds linger_timeout{500};
+// Time for the first request on a connection that was new when the listener was
+// closed.
+constexpr std::chrono::milliseconds first_request_time{200};
 
 
 // The connection was closed or is unusable; no response is sent.
@@ -75,18 +79,40 @@
 }
 
 
-// Waits for the first bytes of the next request. Returns false when the
-// caller closed the connection or the idle time-out expired.
+bool has_unread_bytes(caller_connection& caller)
+{
+    boost::system::error_code ignored;
+    return caller.stream_.socket().available(ignored) > 0;
+}
+
+
+// Waits for the first bytes of the next request. Returns false when no request
+// is to be read: the caller closed the connection, the idle time-out expired,
+// or the server closes connections. close_idle_callers() interrupts the wait.
 asio::awaitable<bool>
-wait_for_request(caller_connection& caller, const limits& bounds)
+wait_for_request(const traffic_thread& thread, caller_connection& caller)
 {
+    caller.phase_ = caller_phase::idle;
     if (caller.buffer_.size() > 0)
         co_return true;
-    caller.stream_.expires_after(bounds.idle_timeout_);
-    const auto [failure, size] = co_await caller.stream_.async_read_some(
-        caller.buffer_.prepare(initial_read_bytes), base::await_tuple);
-    caller.buffer_.commit(size);
-    co_return !failure;
+    for (;;) {
+        const bool closing = thread.shared_.closing_;
+        // Unread bytes are a request.
+        if (closing && caller.used_ && !has_unread_bytes(caller))
+            co_return false;
+        caller.stream_.expires_after(
+            closing ? first_request_time
+                    : thread.options_.limits_.idle_timeout_);
+        const auto [failure, size] = co_await caller.stream_.async_read_some(
+            caller.buffer_.prepare(initial_read_bytes), base::await_tuple);
+        caller.buffer_.commit(size);
+        if (!failure)
+            co_return true;
+        const bool interrupted = failure == asio::error::operation_aborted &&
+                                 !closing && thread.shared_.closing_;
+        if (!interrupted)
+            co_return false;
+    }
 }
 
 
@@ -115,10 +141,16 @@
 
 
 asio::awaitable<read_result>
-read_request(caller_connection& caller, const limits& bounds)
+read_request(const traffic_thread& thread, caller_connection& caller)
 {
-    if (!co_await wait_for_request(caller, bounds))
+    const limits& bounds = thread.options_.limits_;
+    const bool has_request = co_await wait_for_request(thread, caller);
+    if (!has_request)
         co_return connection_closed{};
+    caller.phase_ = caller_phase::reading;
+    caller.used_ = true;
+    if (thread.shared_.aborting_)
+        co_return stopping(run_state::unsent);
     http::request_parser<http::string_body> parser;
     parser.header_limit(bounds.max_header_bytes_);
     parser.body_limit(bounds.max_body_bytes_);
@@ -129,6 +161,8 @@
         bounds.header_timeout_);
     if (head_failure)
         co_return to_read_result(head_failure);
+    if (thread.shared_.aborting_)
+        co_return stopping(run_state::unsent);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> continue_response(
             http::status::continue_, 11);
@@ -257,12 +291,55 @@
 }
 
 
+asio::awaitable<void> store_reply(
+    traffic_thread& thread,
+    caller_connection& caller,
+    request_context& context,
+    std::optional<reply>& answer)
+{
+    answer = co_await serve_request(thread, caller, context);
+}
+
+
+asio::awaitable<void> wait_for_abort(traffic_thread& thread)
+{
+    co_await thread.abort_.async_wait(base::await_tuple);
+}
+
+
+// Serves a request until the server ends the requests in progress. A caller
+// without a response gets a last one then.
+asio::awaitable<reply> serve_until_abort(
+    traffic_thread& thread, caller_connection& caller, request_context& context)
+{
+    using namespace asio::experimental::awaitable_operators;
+
+    // operator|| flattens variants, so the reply is returned by reference.
+    std::optional<reply> answer;
+    const auto ended = co_await (
+        store_reply(thread, caller, context, answer) || wait_for_abort(thread));
+    const bool aborted = ended.index() == 1;
+    // Handlers that are cancelled take that for a disconnect.
+    const bool answered =
+        answer && !std::holds_alternative<caller_disconnected>(*answer);
+    if (answer && (answered || !aborted))
+        co_return std::move(*answer);
+    if (caller.response_begun_)
+        co_return broken_stream{"the daemon exits"};
+    co_return stopping(run_state::maybe_sent);
+}
+
+
 asio::awaitable<bool>
 serve_next(traffic_thread& thread, caller_connection& caller)
 {
-    auto read = co_await read_request(caller, thread.options_.limits_);
+    auto read = co_await read_request(thread, caller);
+    if (caller.phase_ == caller_phase::reading && thread.shared_.aborting_)
+        read = stopping(run_state::unsent);
     if (std::holds_alternative<connection_closed>(read))
         co_return false;
+    caller.phase_ = caller_phase::serving;
+    caller.response_begun_ = false;
     const count_guard request_guard(thread.shared_.requests_);
     if (auto* refused = std::get_if<refusal>(&read)) {
         thread.options_.metrics_.add(
@@ -272,7 +349,9 @@
     }
     request_context context =
         make_context(thread, std::get<caller_request>(std::move(read)));
-    reply outcome = co_await serve_request(thread, caller, context);
+    const set_guard<const request_context> context_guard(
+        thread.requests_, context);
+    reply outcome = co_await serve_until_abort(thread, caller, context);
     record_outcome(thread, context, outcome);
     co_return co_await write_reply(thread, caller, context, std::move(outcome));
 }
@@ -303,8 +382,10 @@
     caller_connection caller(std::move(socket));
     boost::system::error_code ignored;
     caller.stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    const set_guard<caller_connection> caller_guard(thread.callers_, caller);
     while (co_await serve_next(thread, caller)) {
     }
+    caller.phase_ = caller_phase::closing;
     co_await close_after_linger(caller);
 }
 
--- a/src/libtraffic/caller_writer.cpp
+++ b/src/libtraffic/caller_writer.cpp
@@ -32,6 +32,7 @@
     head.chunked(true);
     head.keep_alive(context.request_.keep_alive());
     http::response_serializer<http::empty_body> serializer(head);
+    caller.response_begun_ = true;
     caller.stream_.expires_after(bounds.idle_timeout_);
     const auto [failure, sent] = co_await http::async_write_header(
         caller.stream_, serializer, base::await_tuple);
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -77,6 +77,7 @@
     case engine_fault::slow_head:
     case engine_fault::slow_stream:
     case engine_fault::stalled_stream:
+    case engine_fault::stalled_head:
         return complete;
     case engine_fault::truncated:
         return complete.substr(0, complete.size() - stream_end.size() - 20);
@@ -96,7 +97,7 @@
 // Returns how much of the answer is sent before a pause.
 std::size_t pause_offset(engine_fault fault, const std::string& answer)
 {
-    if (fault == engine_fault::slow_head)
+    if (fault == engine_fault::slow_head || fault == engine_fault::stalled_head)
         return 0;
     if (fault == engine_fault::slow_stream ||
         fault == engine_fault::stalled_stream)
@@ -132,7 +133,8 @@
         if (at == text.size())
             co_return;
         asio::steady_timer timer(context_);
-        if (f == engine_fault::stalled_stream)
+        if (f == engine_fault::stalled_stream ||
+            f == engine_fault::stalled_head)
             timer.expires_at(asio::steady_timer::time_point::max());
         else
             timer.expires_after(slow_engine_pause);
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -28,7 +28,9 @@
     /// Pauses for slow_engine_pause within the stream.
     slow_stream,
     /// Sends a part of the stream and nothing after it.
-    stalled_stream
+    stalled_stream,
+    /// Sends nothing.
+    stalled_head
 };
 
 
--- a/src/libtraffic/refusals.cpp
+++ b/src/libtraffic/refusals.cpp
@@ -8,6 +8,8 @@
 
 // A group is replaced or confirmed alive within seconds.
 constexpr std::chrono::milliseconds upstream_retry_after{2000};
+// Other daemons can take the request at once.
+constexpr std::chrono::milliseconds stopping_retry_after{100};
 
 } // namespace
 
@@ -44,6 +46,17 @@
 }
 
 
+refusal stopping(run_state run)
+{
+    return {
+        http::status::service_unavailable,
+        "stopping",
+        "the daemon is about to exit and could not finish the request",
+        run,
+        stopping_retry_after};
+}
+
+
 refusal deadline_passed(run_state run)
 {
     return {
--- a/src/libtraffic/refusals.hpp
+++ b/src/libtraffic/refusals.hpp
@@ -21,6 +21,10 @@
 refusal request_rate_exceeded(std::chrono::milliseconds retry_after);
 
 
+/// Returns a refusal because the daemon is about to exit.
+refusal stopping(run_state run);
+
+
 /// Returns a refusal because the caller's deadline passed.
 refusal deadline_passed(run_state run);
 
--- a/src/libtraffic/serve_request.cpp
+++ b/src/libtraffic/serve_request.cpp
@@ -228,6 +228,19 @@
 }
 
 
+// A request is accepted when it is due, or a silent upstream would be given up,
+// before the daemon exits.
+bool may_outlast_daemon(
+    const traffic_thread& thread, const request_context& context)
+{
+    base::time_point end =
+        context.arrived_ + thread.options_.limits_.upstream_idle_timeout_;
+    if (context.deadline_)
+        end = std::min(end, *context.deadline_);
+    return end > thread.shared_.exit_at_.load();
+}
+
+
 refusal wrong_method(const char* allowed)
 {
     return bad_request(
@@ -247,6 +260,9 @@
         co_return std::move(*refused);
     const std::string_view target = context.request_.target();
     const bool get = context.request_.method() == http::verb::get;
+    const bool is_relayed = !get || target.starts_with("/services/");
+    if (is_relayed && may_outlast_daemon(thread, context))
+        co_return stopping(run_state::unsent);
     const bool post = context.request_.method() == http::verb::post;
     if (target == "/v1/chat/completions") {
         if (!post)
--- a/src/libtraffic/server.cpp
+++ b/src/libtraffic/server.cpp
@@ -1,4 +1,5 @@
 #include "caller_session.hpp"
+#include "caller_shutdown.hpp"
 #include "traffic_thread.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -82,6 +83,29 @@
     }
 }
 
+
+// Accepts the connections that wait in the queue of the listener, which would
+// otherwise be reset, and closes it.
+void close_listener(worker& w)
+{
+    boost::system::error_code failure;
+    w.acceptor_.non_blocking(true, failure);
+    while (!failure) {
+        asio::ip::tcp::socket socket(w.state_.context_);
+        w.acceptor_.accept(socket, failure);
+        if (!failure && !at_connection_limit(w.state_))
+            asio::co_spawn(
+                w.state_.context_,
+                pvt::run_session(w.state_, std::move(socket)),
+                asio::detached);
+    }
+    w.acceptor_.close(failure);
+    // Runs after the sessions spawned above have been counted.
+    asio::post(w.state_.context_, [&listeners = w.state_.shared_.listeners_] {
+        --listeners;
+    });
+}
+
 } // namespace
 
 struct server::impl
@@ -122,6 +146,7 @@
         }
         impl_->workers_.push_back(std::move(w));
     }
+    impl_->shared_.listeners_ = impl_->workers_.size();
     for (auto& w : impl_->workers_) {
         asio::co_spawn(w->state_.context_, accept_loop(*w), asio::detached);
         w->thread_ = std::thread([&context = w->state_.context_] {
@@ -133,18 +158,43 @@
 }
 
 
+void server::drain(base::time_point exit_at)
+{
+    impl_->shared_.exit_at_ = exit_at;
+}
+
+
 void server::stop_accepting()
 {
     impl_->shared_.closing_ = true;
     for (auto& w : impl_->workers_) {
-        asio::post(w->state_.context_, [&a = w->acceptor_] {
-            boost::system::error_code ignored;
-            a.close(ignored);
+        asio::post(w->state_.context_, [&worker = *w] {
+            close_listener(worker);
+            pvt::close_idle_callers(worker.state_);
         });
     }
 }
 
 
+void server::abort_requests()
+{
+    impl_->shared_.aborting_ = true;
+    for (auto& w : impl_->workers_) {
+        asio::post(w->state_.context_, [&thread = w->state_] {
+            pvt::abort_requests(thread);
+        });
+    }
+}
+
+
+bool server::is_closed() const
+{
+    const pvt::server_state& shared = impl_->shared_;
+    return shared.closing_ && shared.listeners_ == 0 &&
+           shared.connections_ == 0 && shared.requests_ == 0;
+}
+
+
 std::uint64_t server::active_requests() const
 {
     return impl_->shared_.requests_;
@@ -156,8 +206,10 @@
     for (auto& w : impl_->workers_)
         w->state_.context_.stop();
     for (auto& w : impl_->workers_) {
-        if (w->thread_.joinable())
-            w->thread_.join();
+        if (!w->thread_.joinable())
+            continue;
+        w->thread_.join();
+        pvt::log_cut_work(w->state_);
     }
     impl_->workers_.clear();
 }
--- a/src/libtraffic/server_session_test.cpp
+++ b/src/libtraffic/server_session_test.cpp
@@ -70,8 +70,9 @@
 }
 
 
-server_session::server_session(const limits& bounds)
-    : server_({snapshots_, metrics_, bounds, {}, {}, {}, nullptr}),
+server_session::server_session(const limits& bounds, admin_handler admin)
+    : server_(
+          {snapshots_, metrics_, bounds, std::move(admin), {}, {}, nullptr}),
       address_(free_address(context_))
 {
     publish();
--- a/src/libtraffic/server_session_test.hpp
+++ b/src/libtraffic/server_session_test.hpp
@@ -30,7 +30,8 @@
 /// A server with two fake engines, and a caller with one connection to it.
 struct server_session
 {
-    explicit server_session(const limits& bounds = make_limits());
+    explicit server_session(
+        const limits& bounds = make_limits(), admin_handler admin = {});
 
 
     /// Publishes a snapshot with the given number of groups, of which the first
--- a/src/libtraffic/traffic_thread.hpp
+++ b/src/libtraffic/traffic_thread.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "caller_connection.hpp"
 #include "live_attempts.hpp"
+#include "request_context.hpp"
 #include "request_limiters.hpp"
 #include "upstream_pool.hpp"
 
@@ -10,10 +12,12 @@
 #include <monsoondock/traffic/server.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <cstdint>
 #include <random>
+#include <set>
 
 namespace monsoondock::traffic::pvt {
 
@@ -22,7 +26,14 @@
 {
     std::atomic<std::uint64_t> connections_{0};
     std::atomic<std::uint64_t> requests_{0};
+    /// Threads that still listen.
+    std::atomic<std::uint64_t> listeners_{0};
+    /// True when connections are closed after their next response.
     std::atomic<bool> closing_{false};
+    /// True when requests in progress are being ended.
+    std::atomic<bool> aborting_{false};
+    /// When the daemon exits at the latest, after drain().
+    std::atomic<base::time_point> exit_at_{base::time_point::max()};
     live_attempts attempts_;
     request_limiters limiters_;
 };
@@ -53,7 +64,14 @@
 
     server_options& options_;
     server_state& shared_;
+    /// Open connections and the requests being served. The sessions remove
+    /// theirs when context_ destroys them, so these outlive it.
+    std::set<caller_connection*> callers_;
+    std::set<const request_context*> requests_;
     boost::asio::io_context context_{1};
+    /// Cancelled when the requests in progress are to be ended.
+    boost::asio::steady_timer abort_{
+        context_, boost::asio::steady_timer::time_point::max()};
     upstream_pool pool_;
     std::mt19937_64 random_;
     /// Chooses the groups of completions.
--- a/testsuite/cluster.py
+++ b/testsuite/cluster.py
@@ -26,6 +26,7 @@
 entry_host_ttl = "{entry_host_ttl}"
 header = "{read_timeout}"
 body = "{read_timeout}"
+shutdown = "{shutdown}"
 """
 
 SETTINGS_TREE = """\
@@ -76,7 +77,7 @@
 
     def __init__(self, session, hosts=16, hosts_per_group=16, groups=1,
                  entry_host_ttl="200ms", evidence_lease="8s",
-                 read_timeout="5s"):
+                 read_timeout="5s", shutdown="5min"):
         self.session = session
         self.hosts = hosts
         self.hosts_per_group = hosts_per_group
@@ -84,6 +85,7 @@
         self.entry_host_ttl = entry_host_ttl
         self.evidence_lease = evidence_lease
         self.read_timeout = read_timeout
+        self.shutdown = shutdown
         self.daemons = {}
         self.processes = {}
         session.write_file("peer.secret", SECRET)
@@ -142,7 +144,7 @@
             name=name, data_centre=data_centre, caller_port=port,
             peer_port=free_port(), platform=self.platform.address,
             entry_host_ttl=self.entry_host_ttl,
-            read_timeout=self.read_timeout))
+            read_timeout=self.read_timeout, shutdown=self.shutdown))
         process = self.session.launch(
             name, "monsoondockd", "--config", path)
         process.addresses.append(f"127.0.0.1:{port}")
--- a/testsuite/planned-stop/run.py
+++ b/testsuite/planned-stop/run.py
@@ -1,10 +1,12 @@
 """Planned stops: a stream in progress is completed, callers that follow the
 list of entry hosts are never refused, a rolling restart of all daemons under
-load neither cuts nor refuses a request, and further stop signals change
-nothing."""
+load neither cuts nor refuses a request, further stop signals change nothing,
+a request that has begun to arrive is answered, and one that cannot end before
+the shutdown timeout gets a response."""
 
 import json
 import signal
+import socket
 import threading
 import time
 
@@ -87,6 +89,68 @@
                 f"{log.count('event=stop_signal_repeated')}")
 
 
+def half_a_request(session, cluster):
+    session.say("== a request whose second half follows later")
+    name = "heredia-3"
+    process = cluster.processes[name]
+    host, port = cluster.daemons[name].rsplit(":", 1)
+    answer = b""
+    with socket.create_connection((host, int(port)), timeout=10) as caller:
+        caller.sendall(b"GET /v1/models HTTP/1.1\r\nHost: heredia\r\n")
+        time.sleep(0.2)
+        process.send_signal(signal.SIGTERM)
+        # Beyond the time for which callers keep the address of the daemon.
+        time.sleep(1)
+        try:
+            caller.sendall(b"Authorization: Bearer "
+                           + API_KEYS["ledger"].encode() + b"\r\n\r\n")
+            while part := caller.recv(4096):
+                answer += part
+        except ConnectionError:
+            pass
+    status = answer.split(b" ")[1].decode() if answer else "none"
+    session.say(f"answer: {status}")
+    session.say(f"exit status: {process.wait()}")
+
+
+def complete_without_stream(address, answers):
+    """Sends a completion that outlasts the shutdown timeout and appends the
+    type of its outcome to answers."""
+    body = chat("a long lot description", 10000, stream=False,
+                model="copal-llm")
+    try:
+        answer = request(address, "POST", COMPLETIONS, body,
+                         bearer("sheds-central"), timeout=60)
+        answers.append(f"{answer.status} {answer.json()['type']} "
+                       f"run: {answer.json()['run']}")
+    except ConnectionDropped:
+        answers.append("dropped")
+
+
+def end_of_the_shutdown(session, cluster):
+    session.say("== requests that outlast the shutdown timeout")
+    cluster.shutdown = "500ms"
+    name = "heredia-5"
+    address = cluster.start_daemon(name)
+    cluster.wait_for_group()
+    process = cluster.processes[name]
+    started_before = started_requests(cluster)
+    early, late = [], []
+    thread = threading.Thread(
+        target=complete_without_stream, args=(address, early))
+    thread.start()
+    wait_until(lambda: started_requests(cluster) > started_before,
+               "the completion to start")
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: request(address, "GET", "/readyz").status == 503,
+               "draining")
+    complete_without_stream(address, late)
+    thread.join()
+    session.say(f"in progress at SIGTERM: {early[0]}")
+    session.say(f"sent after SIGTERM: {late[0]}")
+    session.say(f"exit status: {process.wait()}")
+
+
 def restart(cluster, name):
     """Restarts a daemon with the same addresses, as a supervisor does."""
     process = cluster.processes[name]
@@ -134,6 +198,10 @@
         rolling_restart(session, cluster)
         stop_with_a_stream(session, cluster)
         repeated_signals(session, cluster)
+        half_a_request(session, cluster)
+        for name in ("heredia-1", "heredia-2", "heredia-3"):
+            del cluster.daemons[name]
+        end_of_the_shutdown(session, cluster)
 
 
 main()
