--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -29,6 +29,8 @@
     slow_stream,
     /// Sends a part of the stream and nothing after it.
     stalled_stream,
+    /// Sends nothing.
+    stalled_head,
     /// Sends an informational response before the complete one.
     informational_first,
     /// Sends bytes without end: in the status line, as header fields, as
