relay: keep the text of Keep-Alive while it is parsed

The range-for kept a view of a temporary string, so the time for which a connection is reused was read from freed stack.

--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -108,8 +108,10 @@
 
 std::chrono::milliseconds keep_alive_time(const http_response& response)
 {
-    for (const auto& p : http::param_list(
-             std::string(";").append(response[http::field::keep_alive]))) {
+    // param_list refers to the text without owning it.
+    const std::string parameters =
+        std::string(";").append(response[http::field::keep_alive]);
+    for (const auto& p : http::param_list(parameters)) {
         if (p.first != "timeout")
             continue;
         int seconds = 0;
