--- a/src/libtraffic/endless_request_test.cpp
+++ b/src/libtraffic/endless_request_test.cpp
@@ -1,10 +1,13 @@
-#include "chat_session_test.hpp"
+#include "server_session_test.hpp"
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
 #include <criterion/criterion.h>
 
 using namespace monsoondock::traffic::test;
 
+namespace http = boost::beast::http;
+
 namespace {
 
 // Bytes after which a caller sends no more.
@@ -18,7 +21,7 @@
 unsigned send_endless(const std::string& start, char letter)
 {
     const std::string part(part_bytes, letter);
-    test_server s;
+    server_session s;
     boost::system::error_code failure;
     boost::asio::write(s.socket_, boost::asio::buffer(start), failure);
     for (std::size_t sent = 0; sent < max_sent_bytes && !failure;)
--- a/src/libtraffic/endless_response_test.cpp
+++ b/src/libtraffic/endless_response_test.cpp
@@ -1,4 +1,4 @@
-#include "chat_session_test.hpp"
+#include "server_session_test.hpp"
 
 #include <criterion/criterion.h>
 
@@ -33,7 +33,7 @@
 // answers.
 void assert_no_answer(engine_fault fault, std::size_t bound)
 {
-    test_server all;
+    server_session all;
     all.inject_faults(fault, 1000);
     const caller_response answer = all.complete_chat("p");
     cr_assert(!answer.complete_);
@@ -42,7 +42,7 @@
     assert_closed(all.first_, bound);
     assert_closed(all.second_, bound);
 
-    test_server one;
+    server_session one;
     one.first_.inject_faults(fault, 2);
     for (int i = 0; i < 8; ++i) {
         const std::string prompt = "p" + std::to_string(i);
@@ -78,7 +78,7 @@
 // The same for one that is followed by the answer.
 Test(endless_response, informational_response_is_skipped)
 {
-    test_server s;
+    server_session s;
     s.inject_faults(engine_fault::informational_first, 1);
     const caller_response answer = s.complete_chat("p");
     cr_assert(answer.complete_);
@@ -122,7 +122,7 @@
 // What an engine sent after [DONE] was passed on without end.
 Test(endless_response, events_after_the_last_one)
 {
-    test_server s;
+    server_session s;
     s.inject_faults(engine_fault::endless_after_done, 1);
     const caller_response answer = s.complete_chat("p");
     cr_assert(answer.complete_);
@@ -134,7 +134,7 @@
 
 Test(endless_response, bytes_after_a_complete_response)
 {
-    test_server s;
+    server_session s;
     s.inject_faults(engine_fault::endless_after_response, 1);
     for (int i = 0; i < 4; ++i) {
         const std::string prompt = "p" + std::to_string(i);
