relay: log the prompt parts of lost tries

A lost try now has the shared parts of its prompt, the age of its response, its fingerprint and the count. No decision changes.

--- /dev/null
+++ b/src/include/monsoondock/crashes/prompt_part.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace monsoondock::crashes {
+
+/// Identifies a part of a prompt that several requests may share, such as a
+/// system prompt or a document.
+using prompt_part = std::uint64_t;
+
+/// Parts of a prompt beyond this number are ignored.
+inline constexpr std::size_t max_prompt_parts = 64;
+
+
+/// Parses a list of the parts of a prompt in their order, "id:tokens"
+/// separated by commas, and returns the ids of all but the last one, which
+/// belongs to the request or its session alone. Ids of up to 16 hexadecimal
+/// digits are taken as numbers, others are hashed.
+std::vector<prompt_part> parse_shared_parts(std::string_view list);
+
+
+/// Returns the ids as hexadecimal text, separated by commas.
+std::string to_text(const std::vector<prompt_part>& parts);
+
+} // namespace monsoondock::crashes
--- a/src/include/monsoondock/relay/header_names.hpp
+++ b/src/include/monsoondock/relay/header_names.hpp
@@ -28,6 +28,9 @@
     std::string token_counts_;
     /// Number of output tokens as estimated by the caller.
     std::string answer_estimate_;
+    /// Parts of the prompt, several of which requests may share; see
+    /// crashes::parse_shared_parts.
+    std::string prompt_parts_;
     /// Integrity seal by which an upstream marks a response as its own.
     std::string seal_;
     /// Present when the upstream did not execute the request.
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -246,6 +246,9 @@
     e->model_ = std::string(e->request_[names.model_]);
     read_token_counts(*e, names);
     e->fingerprint_ = fingerprint(*e);
+    const auto parts = e->request_[names.prompt_parts_];
+    e->prompt_parts_ =
+        crashes::parse_shared_parts({parts.data(), parts.size()});
     e->deadline_ =
         received + std::min<milliseconds>(
                        requested_timeout(e->request_, names),
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -3,6 +3,7 @@
 #include "caller_connection.hpp"
 #include "upstream_connection.hpp"
 
+#include <monsoondock/crashes/prompt_part.hpp>
 #include <monsoondock/relay/serving_view.hpp>
 
 #include <boost/beast/http/message.hpp>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace monsoondock::relay::pvt {
 
@@ -75,6 +77,8 @@
     double answer_tokens_ = 0;
     /// Equal for a request and its resubmissions; see crash_report.
     std::uint64_t fingerprint_ = 0;
+    /// Parts of the prompt that other requests may share.
+    std::vector<crashes::prompt_part> prompt_parts_;
     base::time_point received_;
     /// When the complete response is due: the earlier of the caller's deadline
     /// and the route's timeout.
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -231,10 +231,21 @@
 }
 
 
+// Returns the time since the response of the current try began, or 0 when it
+// did not begin.
+milliseconds response_age(const forward_context& c)
+{
+    if (c.state_.response_began_ == base::time_point())
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(
+        base::boot_clock::now() - c.state_.response_began_);
+}
+
+
 void log_try(const forward_context& c, const upstream& u, try_outcome outcome)
 {
-    base::event_line("try")
-        .field("request", c.e_.id_)
+    base::event_line line("try");
+    line.field("request", c.e_.id_)
         .field("host", u.host_)
         .field("group", u.group_)
         .field("send", c.e_.sends_)
@@ -244,15 +255,24 @@
         .field("events", c.state_.splitter_.events_)
         .field("framing", to_string(c.state_.framing_))
         .field("partial_bytes", c.state_.partial_event_bytes_);
+    if (outcome != try_outcome::lost)
+        return;
+    line.field("response_age", response_age(c))
+        .field("parts", crashes::to_text(c.e_.prompt_parts_))
+        .field("fingerprint", crashes::to_text({c.e_.fingerprint_}))
+        .field(
+            "crashes",
+            c.t_.crash_tracker_.crash_count(
+                c.e_.fingerprint_, base::boot_clock::now()));
 }
 
 
 void handle_outcome(forward_context& c, const upstream& u, try_outcome outcome)
 {
-    if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
-        log_try(c, u, outcome);
     if (outcome == try_outcome::lost)
         record_possible_crash(c);
+    if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
+        log_try(c, u, outcome);
     if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
         record_completion(c);
     const bool unreachable =
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -36,6 +36,7 @@
     names.model_ = "X-Model";
     names.token_counts_ = "X-Tokens";
     names.answer_estimate_ = "X-Estimate";
+    names.prompt_parts_ = "X-Parts";
     names.seal_ = "X-Seal";
     names.not_run_ = "X-Not-Run";
     names.leaving_ = "X-Leaving";
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -395,6 +395,7 @@
         if (!received)
             co_return try_outcome::lost;
         record_availability(c, c.parser_->get());
+        c.state_.response_began_ = base::boot_clock::now();
     }
     c.state_.framing_ = framing_of(*c.parser_);
     if (is_event_stream(e, c.parser_->get()))
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -133,6 +133,7 @@
     state.memory_ = base::byte_lease(t.response_memory_);
     state.failure_ = {};
     state.framing_ = body_framing::none;
+    state.response_began_ = {};
     state.partial_event_bytes_ = 0;
     ++t.upstream_table_.state_of(e.host_).in_flight_;
     const try_outcome outcome = co_await run_try(c);
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -47,6 +47,9 @@
     std::optional<http_response> buffered_response_;
     /// Framing of the last response that an upstream sent.
     body_framing framing_ = body_framing::none;
+    /// When the header of the response of the current try arrived; unset before
+    /// that.
+    base::time_point response_began_;
     /// Size in bytes of the incomplete event at the end of that response.
     std::size_t partial_event_bytes_ = 0;
     /// When the first part of the response was passed to the caller.
