relay, entry: stop requests that share a part under which upstreams crash

Cause: crashes were counted by a hash of the whole request, so that requests which differ had one crash each and none was ever rejected. The class of fault is evidence that is filed under the wrong key. Retries and resumes were not checked against the counts either.

Change: libcrashes finds the part by what lost requests have in common and completed ones have not; daemons exchange crashes, completions and quarantined parts, repeat them for daemons that were restarted or cut, and keep them in the leader record.

--- a/src/include/monsoondock/crashes/prompt_part.hpp
+++ b/src/include/monsoondock/crashes/prompt_part.hpp
@@ -16,10 +16,14 @@
 inline constexpr std::size_t max_prompt_parts = 64;
 
 
+/// Parses the id of a part: up to 16 hexadecimal digits are taken as a number,
+/// anything else is hashed.
+prompt_part parse_part(std::string_view id);
+
+
 /// Parses a list of the parts of a prompt in their order, "id:tokens"
 /// separated by commas, and returns the ids of all but the last one, which
-/// belongs to the request or its session alone. Ids of up to 16 hexadecimal
-/// digits are taken as numbers, others are hashed.
+/// belongs to the request or its session alone.
 std::vector<prompt_part> parse_shared_parts(std::string_view list);
 
 
--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/crashes/part_report.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 
 #include <cstdint>
@@ -27,13 +28,17 @@
     std::map<std::pair<base::deployment_id, std::string>, model_demand>;
 
 
-/// Requests in progress and recent demand of the traffic thread.
+/// What the traffic thread has to tell other daemons.
 struct traffic_stats
 {
     /// Requests in progress by host.
     std::unordered_map<base::host_id, unsigned> loads_;
     /// Demand since the previous reading.
     demand_table demand_;
+    /// Parts of prompts of which peers are to be told now, and all that is
+    /// known of such parts; see crashes::part_tracker.
+    crashes::part_report part_report_;
+    crashes::part_report part_state_;
 };
 
 
@@ -74,6 +79,9 @@
     std::function<void(const base::host_id&)> on_leaving_;
     /// Called with reports that peers should also record.
     std::function<void(const crash_report&)> on_crash_;
+    /// Called with a report on parts of prompts that peers should be sent at
+    /// once.
+    std::function<void(const crashes::part_report&)> on_part_report_;
     /// Called when a peer reports an upstream as unhealthy that responds to
     /// this daemon.
     std::function<void(const base::host_id&)> on_responsive_;
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -83,8 +83,13 @@
     void add_crash_report(crash_report report);
 
 
-    /// Calls done on the traffic thread with the requests in progress and the
-    /// demand since the previous call.
+    /// Records what a peer, or the leader record, says about parts of prompts
+    /// under which upstreams crash.
+    void apply_part_report(crashes::part_report report);
+
+
+    /// Calls done on the traffic thread with the requests in progress, the
+    /// demand since the previous call and what peers are to be told.
     void take_traffic_stats(std::function<void(traffic_stats)> done);
 
 
--- a/src/libcrashes/prompt_part.cpp
+++ b/src/libcrashes/prompt_part.cpp
@@ -19,8 +19,9 @@
     return text.substr(first, text.find_last_not_of(space) - first + 1);
 }
 
+} // namespace
 
-prompt_part parse_id(std::string_view id)
+prompt_part parse_part(std::string_view id)
 {
     prompt_part value = 0;
     const char* end = id.data() + id.size();
@@ -31,8 +32,6 @@
     return base::stable_hash(id);
 }
 
-} // namespace
-
 std::vector<prompt_part> parse_shared_parts(std::string_view list)
 {
     std::vector<prompt_part> parts;
@@ -40,7 +39,7 @@
          comma != std::string_view::npos && parts.size() < max_prompt_parts;
          comma = list.find(',')) {
         const std::string_view entry = list.substr(0, comma);
-        parts.push_back(parse_id(trim(entry.substr(0, entry.find(':')))));
+        parts.push_back(parse_part(trim(entry.substr(0, entry.find(':')))));
         list.remove_prefix(comma + 1);
     }
     return parts;
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -171,6 +171,20 @@
 };
 
 
+/// Parts of prompts under which upstreams crash, as exchanged between daemons.
+struct part_state
+{
+    /// Latest knowledge of the traffic thread.
+    crashes::part_report known_;
+    base::time_point exchanged_at_;
+    /// Parts in the leader record that this daemon wrote last.
+    std::vector<crashes::prompt_part> recorded_;
+    /// When this daemon last tried to write the leader record because the parts
+    /// have changed.
+    base::time_point record_tried_at_;
+};
+
+
 /// State of the control plane: configuration, upstream hosts, membership,
 /// leadership and placement. Owned by the control thread; no other thread may
 /// access it.
@@ -200,6 +214,7 @@
     std::map<base::host_id, host_reachability> reachability_;
     demand_rates demand_;
     load_state loads_;
+    part_state parts_;
     base::time_point started_at_;
     /// Random number that identifies this run of the daemon, so that positions
     /// in its change log differ from those of an earlier run.
@@ -419,6 +434,16 @@
 bool is_relaying(const control_plane& c);
 
 
+/// Passes on what the traffic thread has to tell about parts of prompts, and
+/// repeats what is known of them for daemons that have been started or were cut
+/// off. A daemon tells the relay of its data centre, which tells all others.
+void exchange_parts(control_plane& c, const relay::traffic_stats& stats);
+
+
+/// Returns the relay of this data centre: its first live daemon.
+membership::member_record own_relay(const control_plane& c);
+
+
 /// Returns the age that known loads of upstreams have at most, as long as no
 /// report is lost.
 std::chrono::milliseconds load_report_age(const control_plane& c);
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -37,6 +37,10 @@
 constexpr std::chrono::milliseconds discovery_period{700};
 // Number of epochs that one write of the leader record reserves.
 constexpr std::uint64_t epoch_block_size = 10000;
+// Minimum time between writes of the leader record for the sake of its parts.
+constexpr std::chrono::milliseconds parts_record_period{1000};
+// Number of parts of prompts that the leader record keeps.
+constexpr std::size_t max_recorded_parts = 32;
 // Number of leaders whose records may be missing from a copy of the store that
 // is some seconds old.
 constexpr std::uint64_t max_lost_leaders = 16;
@@ -56,9 +60,38 @@
     std::uint64_t nonce_ = 0;
     /// Era of the store when the record was written.
     std::uint64_t era_ = 0;
+    /// Parts of prompts under which upstreams crash, for a start of all daemons
+    /// at once.
+    crashes::quarantine_list quarantined_;
 };
 
 
+json::array to_json(const crashes::quarantine_list& list)
+{
+    json::array result;
+    for (const crashes::quarantined_part& q : list)
+        result.push_back(json::object{
+            {"part", crashes::to_text({q.part_})},
+            {"ms", q.remaining_.count()}});
+    return result;
+}
+
+
+// Throws when the list is malformed.
+crashes::quarantine_list parse_quarantined(const json::array& list)
+{
+    crashes::quarantine_list result;
+    for (const json::value& v : list) {
+        const json::object& o = v.as_object();
+        const auto& text = o.at("part").as_string();
+        result.push_back(
+            {crashes::parse_part({text.data(), text.size()}),
+             std::chrono::milliseconds(o.at("ms").to_number<std::int64_t>())});
+    }
+    return result;
+}
+
+
 std::string to_text(const leader_record& r)
 {
     return json::serialize(json::object{
@@ -67,7 +100,8 @@
         {"term", r.term_},
         {"epochs_below", r.epoch_limit_},
         {"stamp", r.nonce_},
-        {"era", r.era_}});
+        {"era", r.era_},
+        {"crashing_parts", to_json(r.quarantined_)}});
 }
 
 
@@ -78,13 +112,16 @@
         const json::object& o = v.as_object();
         const auto* peer = o.if_contains("peer");
         const auto* era = o.if_contains("era");
+        const auto* parts = o.if_contains("crashing_parts");
         return leader_record{
             std::string(o.at("daemon").as_string()),
             std::string(peer == nullptr ? "" : peer->as_string()),
             o.at("term").to_number<std::uint64_t>(),
             o.at("epochs_below").to_number<std::uint64_t>(),
             o.at("stamp").to_number<std::uint64_t>(),
-            era == nullptr ? 0 : era->to_number<std::uint64_t>()};
+            era == nullptr ? 0 : era->to_number<std::uint64_t>(),
+            parts == nullptr ? crashes::quarantine_list()
+                             : parse_quarantined(parts->as_array())};
     } catch (const std::exception&) {
         return std::nullopt;
     }
@@ -120,6 +157,46 @@
 }
 
 
+// Returns the parts to keep in the leader record.
+crashes::quarantine_list parts_to_record(const control_plane& c)
+{
+    crashes::quarantine_list list = c.parts_.known_.quarantined_;
+    if (list.size() > max_recorded_parts)
+        list.resize(max_recorded_parts);
+    return list;
+}
+
+
+std::vector<crashes::prompt_part> parts_of(const crashes::quarantine_list& list)
+{
+    std::vector<crashes::prompt_part> parts;
+    for (const crashes::quarantined_part& q : list)
+        parts.push_back(q.part_);
+    return parts;
+}
+
+
+void apply_recorded_parts(control_plane& c, const leader_record& r)
+{
+    if (!r.quarantined_.empty())
+        c.proxy_->apply_part_report({r.quarantined_, {}, {}});
+}
+
+
+// Returns true when the leader record is to be written because it lacks a part
+// that is known by now, or has one that is not quarantined any longer.
+bool parts_are_to_be_recorded(control_plane& c)
+{
+    const base::time_point now = base::boot_clock::now();
+    if (parts_of(parts_to_record(c)) == c.parts_.recorded_ ||
+        now - c.parts_.record_tried_at_ < parts_record_period)
+        return false;
+    c.parts_.record_tried_at_ = now;
+    c.leader_.confirmed_at_ = {};
+    return true;
+}
+
+
 leader_record make_record(control_plane& c)
 {
     return {
@@ -128,7 +205,8 @@
         c.leader_.term_,
         c.leader_.epoch_limit_,
         c.random_() >> 1U,
-        c.store_.era()};
+        c.store_.era(),
+        parts_to_record(c)};
 }
 
 
@@ -164,6 +242,15 @@
                         epoch_block_size;
     next.nonce_ = c.random_() >> 1U;
     next.era_ = c.store_.era();
+    // The parts of the stored record are kept until the traffic thread has
+    // taken them over.
+    for (crashes::quarantined_part& q : parts_to_record(c)) {
+        const auto same = [&](const auto& r) {
+            return r.part_ == q.part_;
+        };
+        std::erase_if(next.quarantined_, same);
+        next.quarantined_.push_back(q);
+    }
     return next;
 }
 
@@ -195,6 +282,7 @@
     l.epoch_limit_ = r.epoch_limit_;
     l.next_epoch_ = r.epoch_limit_ - epoch_block_size;
     l.confirmed_at_ = now;
+    c.parts_.recorded_ = parts_of(r.quarantined_);
     l.orders_allowed_at_ = is_first_leader ? now : now + takeover_delay;
     c.planners_.clear();
     base::event_line("leadership_gained")
@@ -258,8 +346,10 @@
     platform::write_condition condition = platform::if_absent{};
     if (stored_object) {
         previous = parse_record(stored_object->value_);
-        if (previous)
+        if (previous) {
             join_through(c, *previous);
+            apply_recorded_parts(c, *previous);
+        }
         if (previous && is_initial_election(c)) {
             c.leader_.term_ = previous->term_;
             c.leader_.last_heartbeat_at_ = base::boot_clock::now();
@@ -378,6 +468,7 @@
     l.record_version_ = *written;
     l.epoch_limit_ = r.epoch_limit_;
     l.confirmed_at_ = start_time;
+    c.parts_.recorded_ = parts_of(r.quarantined_);
     co_return base::boot_clock::now() - start_time < confirmation_validity;
 }
 
@@ -397,8 +488,10 @@
             if (base::ok(read_result) && base::value(read_result)) {
                 const auto record =
                     parse_record(base::value(read_result)->value_);
-                if (record)
+                if (record) {
                     join_through(c, *record);
+                    apply_recorded_parts(c, *record);
+                }
             }
         }
         co_await sleep_for(c, discovery_period);
@@ -414,7 +507,8 @@
             c,
             std::chrono::milliseconds(c.random_() % max_first_delay.count()));
     for (;;) {
-        if (c.leader_.leading_ && record_may_be_lost(c))
+        if (c.leader_.leading_ &&
+            (record_may_be_lost(c) || parts_are_to_be_recorded(c)))
             co_await confirm_leadership(c);
         if (c.leader_.leading_)
             send_heartbeat(c, last_heartbeat);
--- a/src/libentry/load_reports.cpp
+++ b/src/libentry/load_reports.cpp
@@ -31,17 +31,6 @@
 }
 
 
-membership::member_record own_relay(const control_plane& c)
-{
-    const auto& self = c.node_.self();
-    for (auto& first : first_of_each_data_centre(c.node_.members(), self)) {
-        if (first.data_centre_ == self.data_centre_)
-            return first;
-    }
-    return self;
-}
-
-
 void send_sums(control_plane& c)
 {
     const base::time_point now = base::boot_clock::now();
@@ -150,6 +139,17 @@
 
 } // namespace
 
+membership::member_record own_relay(const control_plane& c)
+{
+    const auto& self = c.node_.self();
+    for (auto& first : first_of_each_data_centre(c.node_.members(), self)) {
+        if (first.data_centre_ == self.data_centre_)
+            return first;
+    }
+    return self;
+}
+
+
 std::chrono::milliseconds load_report_age(const control_plane& c)
 {
     // Through a relay, loads wait for its next sum as well.
@@ -196,6 +196,7 @@
             asio::post(c.context_, [&c, pending, stats = std::move(stats)] {
                 report_loads(c, stats.loads_);
                 report_demand(c, *pending, stats.demand_);
+                exchange_parts(c, stats);
             });
         });
     }
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t max_membership_bytes = 1200;
 constexpr std::size_t max_loads = 2000;
 constexpr std::size_t max_changes = 100;
+constexpr std::size_t max_parts = 1024;
 constexpr std::size_t max_value_bytes = 4096;
 // The largest datagram less the header of the forwarding message.
 constexpr std::size_t max_forwarded_bytes = 65000;
@@ -281,6 +282,45 @@
 }
 
 
+void put(wire::body_writer& out, const part_report_message& m)
+{
+    const crashes::part_report& r = m.report_;
+    wire::write_count(out, r.quarantined_.size());
+    for (const crashes::quarantined_part& q : r.quarantined_)
+        out(q.part_, static_cast<std::int64_t>(q.remaining_.count()));
+    wire::write_count(out, r.crashes_.size());
+    for (const crashes::suspected_crash& c : r.crashes_)
+        out(c.part_,
+            c.host_run_,
+            c.request_,
+            c.begun_,
+            static_cast<std::int64_t>(c.age_.count()));
+    wire::write_count(out, r.survivors_.size());
+    for (const crashes::prompt_part part : r.survivors_)
+        out(part);
+}
+
+
+void get(wire::body_reader& in, part_report_message& m)
+{
+    crashes::part_report& r = m.report_;
+    std::int64_t ms = 0;
+    r.quarantined_.resize(wire::read_count(in, max_parts));
+    for (crashes::quarantined_part& q : r.quarantined_) {
+        in(q.part_, ms);
+        q.remaining_ = std::chrono::milliseconds(ms);
+    }
+    r.crashes_.resize(wire::read_count(in, max_parts));
+    for (crashes::suspected_crash& c : r.crashes_) {
+        in(c.part_, c.host_run_, c.request_, c.begun_, ms);
+        c.age_ = std::chrono::milliseconds(ms);
+    }
+    r.survivors_.resize(wire::read_count(in, max_parts));
+    for (crashes::prompt_part& part : r.survivors_)
+        in(part);
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -152,6 +152,13 @@
     relay::crash_report report_;
 };
 
+
+/// What the sender knows about parts of prompts under which upstreams crash.
+struct part_report_message
+{
+    crashes::part_report report_;
+};
+
 /// Messages that daemons send each other as datagrams. The index of an
 /// alternative is its type code on the wire, so the order must not change.
 using peer_message = std::variant<
@@ -169,7 +176,8 @@
     host_changes_message,
     data_centre_load_message,
     load_sum_message,
-    forwarded_message>;
+    forwarded_message,
+    part_report_message>;
 
 
 /// Returns the datagram for a message.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -1,5 +1,7 @@
 #include "peer_message.hpp"
 
+#include <monsoondock/crashes/part_tracker.hpp>
+
 #include <criterion/criterion.h>
 
 namespace pvt = monsoondock::entry::pvt;
@@ -38,6 +40,32 @@
 }
 
 
+Test(peer_message, part_report_round_trip)
+{
+    const pvt::part_report_message sent{
+        {{{2, std::chrono::milliseconds(500)}},
+         {{3, 4, 5, true, std::chrono::milliseconds(20)}},
+         {6, 7}}};
+    const auto got = pvt::decode(pvt::encode(sent));
+    cr_assert(got.has_value());
+    cr_assert(std::get<pvt::part_report_message>(*got).report_ == sent.report_);
+}
+
+
+// What a daemon sends about crashing parts: a report for each lost request, and
+// its state once a second, as stated in docs/design/platform.md.
+Test(peer_message, part_reports_are_small)
+{
+    pvt::part_report_message report;
+    report.report_.crashes_.resize(1);
+    cr_assert_leq(pvt::encode(report).size(), 64);
+    report.report_.crashes_.resize(
+        monsoondock::crashes::part_tracker::max_reported_crashes);
+    report.report_.quarantined_.resize(32);
+    cr_assert_leq(pvt::encode(report).size(), 3000);
+}
+
+
 Test(peer_message, truncated_or_unknown_messages_are_rejected)
 {
     const std::string bytes =
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -171,6 +171,9 @@
             [&](const crash_message& m) {
                 c.proxy_->add_crash_report(m.report_);
             },
+            [&](const part_report_message& m) {
+                c.proxy_->apply_part_report(m.report_);
+            },
             [&](const forwarded_message& m) {
                 handle_forwarded(c, m, sender);
             }},
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -63,6 +63,11 @@
             pvt::broadcast(c, pvt::crash_message{report});
         });
     };
+    callbacks.on_part_report_ = [&c](const crashes::part_report& report) {
+        asio::post(c.context_, [&c, report] {
+            pvt::broadcast(c, pvt::part_report_message{report});
+        });
+    };
     callbacks.on_responsive_ = [&c](const base::host_id& host) {
         asio::post(c.context_, [&c, host] {
             pvt::broadcast(c, pvt::upstream_healthy_message{host});
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -151,6 +151,14 @@
         if (number >= script_.size())
             co_return false;
         const scripted_response& r = script_[number];
+        if (!r.crashes_on_part_.empty() &&
+            request["X-Parts"].find(r.crashes_on_part_) !=
+                boost::beast::string_view::npos) {
+            co_await asio::async_write(
+                socket, asio::buffer(make_stream_header()), base::await_tuple);
+            end_connection(socket, ending::reset);
+            co_return false;
+        }
         if (!r.parts_.empty()) {
             co_await send_parts(socket, r);
             co_return true;
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -65,6 +65,9 @@
     /// Sent as it is in place of a response of the form above; `$ID` stands for
     /// the id of the request.
     std::string verbatim_;
+    /// Instead of responding, the upstream crashes as it begins to write when
+    /// the prompt of the request has this part; empty for none.
+    std::string crashes_on_part_;
     /// Sent again and again after the response, until the proxy closes the
     /// connection or max_endless_bytes have been sent.
     std::string repeated_;
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -1,5 +1,6 @@
 #include "forward.hpp"
 
+#include "crashing_parts.hpp"
 #include "rejection_pause.hpp"
 #include "suspended_try.hpp"
 #include "try_upstream.hpp"
@@ -33,6 +34,7 @@
 constexpr milliseconds group_repair_retry_after{1000};
 // A slot becomes free after about the duration of one response.
 constexpr milliseconds busy_retry_after{500};
+constexpr milliseconds crash_retry_after{60000};
 // Callers that were told the end of a pause return within at least this time.
 constexpr milliseconds min_pause_spread{200};
 constexpr int pause_spread_divisor = 4;
@@ -183,6 +185,21 @@
 }
 
 
+// Returns true when the request, or requests that share a part of its prompt,
+// crash the upstreams that run them.
+bool crashes_upstreams(const forward_context& c)
+{
+    const auto part = find_crashing_part(c.t_, c.e_);
+    if (part)
+        base::event_line("crashing_part")
+            .field("request", c.e_.id_)
+            .field("part", crashes::to_text({*part}));
+    return part || c.t_.crash_tracker_.crash_count(
+                       c.e_.fingerprint_, base::boot_clock::now()) >=
+                       crash_tracker::max_crashes;
+}
+
+
 // Returns true when one more upstream may be tried.
 bool may_try_again(forward_context& c)
 {
@@ -195,6 +212,8 @@
         return false;
     if (time_left(e).count() <= 0 || e.caller_->disconnected_)
         return false;
+    if (crashes_upstreams(c))
+        return false;
     if (e.connected_sends_ == 0)
         return true;
     return take_retry(c.t_, c.e_, base::boot_clock::now());
@@ -207,7 +226,7 @@
 }
 
 
-void record_possible_crash(forward_context& c)
+void record_possible_crash(forward_context& c, const upstream& u)
 {
     const exchange& e = c.e_;
     c.t_.metrics_.add(metrics::counter::upstream_failures, label_of(e));
@@ -217,17 +236,24 @@
     c.t_.crash_tracker_.add(report, base::boot_clock::now());
     if (c.t_.callbacks_.on_crash_)
         c.t_.callbacks_.on_crash_(report);
+    record_part_crash(c.t_, e, c.state_, u);
 }
 
 
 // A complete response shows that earlier crashes during the same request had
 // other causes.
-void record_completion(forward_context& c)
+void record_completion(forward_context& c, const upstream& u)
 {
     const base::time_point now = base::boot_clock::now();
     if (c.t_.crash_tracker_.mark_completed(c.e_.fingerprint_, now) &&
         c.t_.callbacks_.on_crash_)
         c.t_.callbacks_.on_crash_({c.e_.fingerprint_, {}, true});
+    const bool succeeded =
+        !c.state_.buffered_response_ ||
+        http::to_status_class(c.state_.buffered_response_->result()) ==
+            http::status_class::successful;
+    if (succeeded)
+        record_part_completion(c.t_, c.e_, u);
 }
 
 
@@ -270,11 +296,11 @@
 void handle_outcome(forward_context& c, const upstream& u, try_outcome outcome)
 {
     if (outcome == try_outcome::lost)
-        record_possible_crash(c);
+        record_possible_crash(c, u);
     if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
         log_try(c, u, outcome);
     if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
-        record_completion(c);
+        record_completion(c, u);
     const bool unreachable =
         outcome == try_outcome::not_sent &&
         (c.e_.stop_reason_ == stop_reason::none ||
@@ -464,13 +490,12 @@
             {http::status::service_unavailable,
              "stopping",
              jittered_retry_after(c, rejection_pause(*c.t_.drain_, now))});
-    if (c.t_.crash_tracker_.crash_count(c.e_.fingerprint_, now) >=
-        crash_tracker::max_crashes)
+    if (crashes_upstreams(c))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
              "request_crashes_upstreams",
-             jittered_retry_after(c, milliseconds(60000))});
+             jittered_retry_after(c, crash_retry_after)});
     if (is_overloaded(c.t_, c.e_))
         co_return co_await send_local_response(
             c,
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -4,6 +4,7 @@
 #include "longest_response.hpp"
 
 #include <monsoondock/base/byte_budget.hpp>
+#include <monsoondock/crashes/part_tracker.hpp>
 #include <monsoondock/relay/arrival_meter.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 #include <monsoondock/relay/reverse_proxy.hpp>
@@ -54,6 +55,7 @@
     view_pointer view_ = std::make_shared<serving_view>();
     upstream_table upstream_table_;
     crash_tracker crash_tracker_;
+    crashes::part_tracker part_tracker_;
     connection_pool upstream_pool_;
     std::unordered_map<base::deployment_id, retry_limiter> retry_limiters_;
     demand_table demand_;
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -1,4 +1,5 @@
 #include "caller_session.hpp"
+#include "crashing_parts.hpp"
 #include "cut_log.hpp"
 #include "proxy_thread.hpp"
 #include "wait_limits.hpp"
@@ -241,11 +242,25 @@
 }
 
 
+void reverse_proxy::apply_part_report(crashes::part_report report)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, report = std::move(report)] {
+        pvt::apply_part_report(t, report);
+    });
+}
+
+
 void reverse_proxy::take_traffic_stats(std::function<void(traffic_stats)> done)
 {
     proxy_thread& t = impl_->thread_state_;
     asio::post(t.context_, [&t, done = std::move(done)] {
-        done({t.upstream_table_.local_loads(), std::exchange(t.demand_, {})});
+        const base::time_point now = base::boot_clock::now();
+        done(
+            {t.upstream_table_.local_loads(),
+             std::exchange(t.demand_, {}),
+             t.part_tracker_.take_report(now),
+             t.part_tracker_.state(now)});
     });
 }
 
