quarantine, traffic: stop completions that share a message under which groups are lost

The registry has a part tracker now. Suspect records name the messages of their requests, and one more object holds what is quarantined and what was completed, so that restarted daemons know it. The tracker counts hosts and requests apart (one request is often lost twice, with its trial) and looks at known crashes again when it is asked for reports, as others are completed meanwhile.

--- a/src/include/monsoondock/crashes/part_tracker.hpp
+++ b/src/include/monsoondock/crashes/part_tracker.hpp
@@ -25,10 +25,12 @@
 class part_tracker
 {
 public:
-    /// Numbers of hosts, and of requests, that were lost under a part when it
-    /// is quarantined: of those whose response had just begun, or of all.
+    /// Number of hosts that ended under a part when it is quarantined: under
+    /// requests whose response had just begun, or under any.
     static constexpr std::size_t min_begun_crashes = 3;
     static constexpr std::size_t min_crashes = 5;
+    /// Number of different requests among them.
+    static constexpr std::size_t min_requests = 3;
     /// Number of requests without the part that must have been completed within
     /// contrast_time before, among the latest max_completions. Otherwise a
     /// fault that ends most hosts would put the parts that all requests have in
@@ -97,6 +99,10 @@
     part_report state(base::time_point now) const;
 
 
+    /// Returns true when a request with the part was completed lately.
+    bool has_survived(prompt_part part, base::time_point now) const;
+
+
     /// Returns the first of the parts that is quarantined.
     std::optional<prompt_part> find_quarantined(
         const std::vector<prompt_part>& parts, base::time_point now) const;
@@ -128,11 +134,10 @@
         base::time_point time_;
     };
 
-    bool has_survived(prompt_part part, base::time_point now) const;
     bool has_contrast(prompt_part part, base::time_point now) const;
     bool
     is_guilty(prompt_part part, const suspect& s, base::time_point now) const;
-    bool add_record(
+    suspect& add_record(
         prompt_part part, const crash_record& record, base::time_point now);
     void quarantine(prompt_part part, suspect& s, base::time_point until);
     void apply_due_completions(base::time_point now);
--- a/src/include/monsoondock/quarantine/dispatch_query.hpp
+++ b/src/include/monsoondock/quarantine/dispatch_query.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/crashes/prompt_part.hpp>
 #include <monsoondock/quarantine/group_instance.hpp>
 #include <monsoondock/quarantine/suspect_fingerprint.hpp>
 
@@ -17,6 +18,8 @@
     /// Start of the prompt that groups may have cached; may be empty. Identical
     /// requests must have identical prefixes.
     std::string prefix_;
+    /// Parts of the prompt that other requests may share.
+    std::vector<crashes::prompt_part> parts_;
     base::workspace_id workspace_;
     base::deployment_id deployment_;
     /// Groups that serve the deployment and are not ejected as stragglers.
--- a/src/include/monsoondock/quarantine/quarantine_command.hpp
+++ b/src/include/monsoondock/quarantine/quarantine_command.hpp
@@ -37,6 +37,9 @@
     /// The request was in flight on QUARANTINE_LOSSES or more groups when they
     /// were lost.
     quarantined,
+    /// Groups were lost under several requests that have a part of their prompt
+    /// in common with the request.
+    part_quarantined,
     /// The request is a suspect and a trial of another copy is in progress, or
     /// the request itself is already in flight.
     on_trial_elsewhere,
--- a/src/include/monsoondock/quarantine/suspect_feed.hpp
+++ b/src/include/monsoondock/quarantine/suspect_feed.hpp
@@ -2,9 +2,12 @@
 
 #include <monsoondock/platform/change.hpp>
 #include <monsoondock/platform/listing.hpp>
+#include <monsoondock/quarantine/part_record.hpp>
 #include <monsoondock/quarantine/suspect_record.hpp>
 
 #include <map>
+#include <optional>
+#include <string_view>
 
 namespace monsoondock::quarantine {
 
@@ -43,6 +46,20 @@
     }
 
 
+    /// Returns the record of parts of prompts; empty when there is none.
+    const part_record& parts() const noexcept
+    {
+        return parts_;
+    }
+
+
+    /// Returns the store version of that record; nothing when there is none.
+    const std::optional<platform::version>& parts_version() const noexcept
+    {
+        return parts_version_;
+    }
+
+
     /// Returns the store version up to which all changes are applied.
     platform::version version() const noexcept
     {
@@ -51,7 +68,10 @@
 
 private:
     void insert(const platform::object& object);
+    void erase(std::string_view key);
 
+    part_record parts_;
+    std::optional<platform::version> parts_version_;
     std::map<suspect_fingerprint, stored_suspect> suspects_;
     platform::version version_;
 };
--- a/src/include/monsoondock/quarantine/suspect_record.hpp
+++ b/src/include/monsoondock/quarantine/suspect_record.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/base/result.hpp>
+#include <monsoondock/crashes/prompt_part.hpp>
 #include <monsoondock/quarantine/group_instance.hpp>
 #include <monsoondock/quarantine/suspect_fingerprint.hpp>
 
@@ -42,6 +43,9 @@
     base::workspace_id workspace_;
     base::deployment_id deployment_;
     std::set<group_instance> lost_;
+    /// Parts of its prompt that other requests may share, without those that
+    /// were known to be harmless when the first loss was recorded.
+    std::vector<crashes::prompt_part> parts_;
     std::optional<trial> trial_;
     /// When the loss of the latest group was recorded.
     wall_time lost_at_;
--- a/src/include/monsoondock/quarantine/suspect_registry.hpp
+++ b/src/include/monsoondock/quarantine/suspect_registry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/crashes/part_tracker.hpp>
 #include <monsoondock/platform/write_outcome.hpp>
 #include <monsoondock/quarantine/dispatch_query.hpp>
 #include <monsoondock/quarantine/quarantine_command.hpp>
@@ -42,6 +43,12 @@
     std::chrono::milliseconds max_write_backoff_{4000};
     /// Time after which callers are told to retry a refused request.
     std::chrono::milliseconds retry_after_{2000};
+    /// The same for a request with a part under which groups were lost.
+    std::chrono::milliseconds part_retry_after_{60000};
+    /// Daemons that have the same to say of parts of prompts say it at times
+    /// that are spread over this, so that the first one spares the others
+    /// theirs. Minimum time between two such writes of a daemon.
+    std::chrono::milliseconds part_report_spread_{500};
     /// Maximum number of remembered fingerprints of harmless requests, which
     /// are not confined.
     std::size_t max_harmless_ = 65536;
@@ -150,6 +157,11 @@
     commands tick(clock_reading now);
 
 
+    /// Returns the parts of prompts that were quarantined since the last call,
+    /// for logs.
+    std::vector<crashes::prompt_part> take_quarantined_parts();
+
+
     /// Returns this daemon's copy of the suspect records.
     const suspect_feed& feed() const noexcept
     {
@@ -250,6 +262,11 @@
     apply_write(suspect_entry& e, platform::version version, clock_reading now);
     void merge_feed(clock_reading now);
     void add_entries_of_own_trials();
+    void apply_recorded_parts(clock_reading now);
+    void write_parts(clock_reading now);
+    void
+    parts_answered(const platform::write_outcome& outcome, clock_reading now);
+    std::chrono::milliseconds part_report_delay() const;
     void reconcile_all(clock_reading now);
     void remember_harmless(const suspect_fingerprint& fingerprint);
     store_call_id next_call();
@@ -267,6 +284,17 @@
     std::map<store_call_id, suspect_fingerprint> calls_;
     std::vector<lost_group> lost_;
     std::vector<added_group> added_;
+    crashes::part_tracker part_tracker_;
+    // The part record, and the version of the suspect records, as last applied
+    // to the tracker.
+    part_record applied_parts_;
+    platform::version applied_version_;
+    // What is still to be written to the part record, and the part of it that
+    // a pending call writes.
+    crashes::part_report unrecorded_parts_;
+    crashes::part_report pending_parts_;
+    std::optional<store_call_id> parts_call_;
+    base::time_point next_parts_write_;
     std::unordered_set<suspect_fingerprint> harmless_;
     std::uint64_t last_call_ = 0;
     std::uint64_t last_token_ = 0;
--- a/src/libcrashes/exploration_test.cpp
+++ b/src/libcrashes/exploration_test.cpp
@@ -468,5 +468,5 @@
 
 Test(crashes_exploration, finds_quarantines_that_end_with_all_daemons)
 {
-    cr_assert(explore(20, 4, variant::no_record));
+    cr_assert(explore(200, 4, variant::no_record));
 }
--- a/src/libcrashes/part_tracker.cpp
+++ b/src/libcrashes/part_tracker.cpp
@@ -68,11 +68,13 @@
 bool part_tracker::is_guilty(
     prompt_part part, const suspect& s, base::time_point now) const
 {
+    if (s.crashes_.empty())
+        return false;
     if (now < s.probation_until_)
         return true;
     if (!has_contrast(part, now))
         return false;
-    const auto count = [&s](bool begun_only) {
+    const auto crashed_hosts = [&s](bool begun_only) {
         std::set<std::uint64_t> hosts;
         std::set<std::uint64_t> requests;
         for (const crash_record& c : s.crashes_) {
@@ -81,9 +83,10 @@
             hosts.insert(c.host_run_);
             requests.insert(c.request_);
         }
-        return std::min(hosts.size(), requests.size());
+        return requests.size() < min_requests ? 0 : hosts.size();
     };
-    return count(true) >= min_begun_crashes || count(false) >= min_crashes;
+    return crashed_hosts(true) >= min_begun_crashes ||
+           crashed_hosts(false) >= min_crashes;
 }
 
 
@@ -121,8 +124,8 @@
 }
 
 
-// Returns false when the crash is known already or needs no record.
-bool part_tracker::add_record(
+// Adds a crash unless it is known already.
+part_tracker::suspect& part_tracker::add_record(
     prompt_part part, const crash_record& record, base::time_point now)
 {
     if (!suspects_.contains(part))
@@ -137,11 +140,11 @@
                    c.request_ == record.request_;
         });
     if (known || now < s.quarantined_until_)
-        return false;
+        return s;
     if (s.crashes_.size() >= max_crashes_kept)
         s.crashes_.erase(s.crashes_.begin());
     s.crashes_.push_back(record);
-    return true;
+    return s;
 }
 
 
@@ -246,13 +249,10 @@
             schedule_survivor(c.part_, now + report_delay);
             continue;
         }
-        if (c.age_ > crash_memory ||
-            !add_record(
-                c.part_,
-                {c.host_run_, c.request_, c.begun_, now - c.age_},
-                now))
+        if (c.age_ > crash_memory)
             continue;
-        suspect& s = suspects_[c.part_];
+        suspect& s = add_record(
+            c.part_, {c.host_run_, c.request_, c.begun_, now - c.age_}, now);
         if (!is_guilty(c.part_, s, now))
             continue;
         quarantine(c.part_, s, now + quarantine_time);
@@ -267,6 +267,13 @@
     std::erase_if(survivors_told_, [&](const auto& entry) {
         return now - entry.second >= survivor_report_period;
     });
+    // Known crashes may show more by now, as other requests were completed.
+    for (auto& [part, s] : suspects_) {
+        if (!is_guilty(part, s, now))
+            continue;
+        quarantine(part, s, now + quarantine_time);
+        schedule(quarantined_due_, part, now);
+    }
     part_report report;
     report.survivors_ = take_due(survivors_due_, now);
     for (const prompt_part part : report.survivors_)
--- a/src/libquarantine/exploration_test.cpp
+++ b/src/libquarantine/exploration_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr faults MANY_REQUESTS{false, true, 0, 0, 60, 1};
+constexpr faults CRASHING_PARTS{false, true, 0, 0, 1500, 500, 60};
 
 
 // Explores the seeds from 1 to last_seed, and later seeds that found faults in
@@ -104,6 +105,31 @@
 }
 
 
+// Guards against losing group after group to requests that have only one part
+// of their prompts in common.
+Test(exploration, crashing_parts)
+{
+    expect_invariants_hold("crashing_parts", CRASHING_PARTS, 20);
+}
+
+
+Test(exploration, crashing_parts_and_daemon_restarts)
+{
+    faults f = CRASHING_PARTS;
+    f.daemon_restarts_ = 2;
+    expect_invariants_hold("crashing_parts_and_restarts", f, 20);
+}
+
+
+Test(exploration, parts_that_are_not_recorded_are_detected)
+{
+    expect_defect_detected(
+        "parts_not_recorded",
+        injected_defect::parts_not_recorded,
+        CRASHING_PARTS);
+}
+
+
 Test(exploration, missing_confinement_is_detected)
 {
     expect_defect_detected("not_confined", injected_defect::not_confined);
--- a/src/libquarantine/quarantine_command.cpp
+++ b/src/libquarantine/quarantine_command.cpp
@@ -13,6 +13,8 @@
     switch (reason) {
     case quarantine_refusal::quarantined:
         return "request_quarantined";
+    case quarantine_refusal::part_quarantined:
+        return "prompt_part_quarantined";
     case quarantine_refusal::on_trial_elsewhere:
         return "suspect_on_trial";
     case quarantine_refusal::no_trial_group:
@@ -33,6 +35,10 @@
         return "This request was in progress on two groups when they were "
                "lost and is not sent again. Change the request, or ask an "
                "operator to lift the quarantine.";
+    case quarantine_refusal::part_quarantined:
+        return "Groups were lost under several requests that have a part of "
+               "their messages in common with this one. Change the request, "
+               "or retry later.";
     case quarantine_refusal::on_trial_elsewhere:
         return "This request was in progress on a group that was lost; "
                "another copy of it is running. Retry later.";
--- a/src/libquarantine/simulation_parts_test.hpp
+++ b/src/libquarantine/simulation_parts_test.hpp
@@ -18,6 +18,19 @@
 // Content of the request that crashes every group on which it runs.
 constexpr int CRASHER = -1;
 constexpr milliseconds SIMULATED_TIME = 150s;
+// Contents from this one downwards differ, but share a part of their prompts
+// that crashes every group on which they run.
+constexpr int FIRST_PART_CRASHER = -2;
+constexpr monsoondock::crashes::prompt_part COMMON_PART = 1;
+constexpr monsoondock::crashes::prompt_part CRASHING_PART = 2;
+constexpr monsoondock::crashes::prompt_part FIRST_HARMLESS_PART = 10;
+constexpr int HARMLESS_PARTS = 5;
+// Losses after which the part is to be known, requests with it that may still
+// run then, and the time until all daemons know: 2 s to notice a loss, up to
+// 0.3 s to record it and 0.85 s to read the record.
+constexpr int KNOWN_LOSSES = 5;
+constexpr int LATE_REQUESTS = 3;
+constexpr milliseconds KNOWLEDGE_TIME = 3500ms;
 
 // Defects that a run injects to show that its checks detect them. Each disables
 // one part of the quarantine.
@@ -26,7 +39,8 @@
     none,
     not_confined,
     losses_not_recorded,
-    trials_hidden
+    trials_hidden,
+    parts_not_recorded
 };
 
 
@@ -41,6 +55,8 @@
     // Harmless requests per thousand that may be quarantined because they were
     // in flight on both groups that the crasher took down.
     int max_quarantined_permille_ = 0;
+    // Requests with the part that crashes groups, over the first 100 s.
+    int part_crashers_ = 0;
 };
 
 
--- a/src/libquarantine/simulation_test.hpp
+++ b/src/libquarantine/simulation_test.hpp
@@ -26,10 +26,13 @@
             start_daemon(d);
         for (int i = 0; i < f.harmless_requests_; ++i)
             for (int copies = 1 + random_below(2); copies > 0; --copies)
-                schedule_request(i, random_time(6s));
+                schedule_request(
+                    i, random_time(f.part_crashers_ > 0 ? 100s : 6s));
+        for (int i = 0; i < f.part_crashers_; ++i)
+            schedule_request(FIRST_PART_CRASHER - i, random_time(100s));
         const auto first = random_time(3s);
         const bool at_once = random_below(2) == 0;
-        for (int d = 0; d < DAEMONS; ++d)
+        for (int d = 0; d < DAEMONS && f.part_crashers_ == 0; ++d)
             schedule_request(
                 CRASHER,
                 at_once ? first + random_time(20ms) : random_time(60s),
@@ -175,7 +178,8 @@
 
     void hide_trials(platform::object& object)
     {
-        if (defect_ != injected_defect::trials_hidden || object.value_.empty())
+        if (defect_ != injected_defect::trials_hidden ||
+            object.value_.empty() || object.key_ == PART_RECORD_KEY)
             return;
         auto record = base::value(decode_suspect(object.value_));
         record.trial_.reset();
@@ -184,7 +188,7 @@
 
     void schedule_request(int content, milliseconds when, int daemon = -1)
     {
-        if (content != CRASHER)
+        if (content >= 0)
             ++harmless_requests_;
         schedule_at(when, [this, content, daemon] {
             start_request(
@@ -218,6 +222,7 @@
             fingerprint_request({"w"}, {"m"}, make_name("body", r.content_));
         q.workspace_ = {"w"};
         q.deployment_ = {"m"};
+        q.parts_ = {COMMON_PART, part_of(r.content_)};
         q.available_groups_ = serving_groups(r.daemon_);
         indices_[r.id_] = index;
         if (q.available_groups_.empty())
@@ -228,6 +233,29 @@
                 daemons_[r.daemon_].registry_->request_permit(q, now()));
     }
 
+    static crashes::prompt_part part_of(int content)
+    {
+        if (content <= FIRST_PART_CRASHER)
+            return CRASHING_PART;
+        return FIRST_HARMLESS_PART + static_cast<crashes::prompt_part>(
+                                         std::max(content, 0) % HARMLESS_PARTS);
+    }
+
+    // Counts a request with the crashing part that begins to run.
+    void count_part_run()
+    {
+        if (lost_by_part_ >= KNOWN_LOSSES &&
+            clock_ > part_known_at_ + KNOWLEDGE_TIME &&
+            ++late_runs_ > LATE_REQUESTS)
+            report_violation("requests with a crashing part go on running");
+    }
+
+    void count_part_loss()
+    {
+        if (++lost_by_part_ == KNOWN_LOSSES)
+            part_known_at_ = clock_;
+    }
+
     std::vector<group_instance> serving_groups(int d)
     {
         std::vector<group_instance> serving;
@@ -277,13 +305,19 @@
             schedule_after(500ms, [this, index] { request_permit(index); });
             return;
         }
-        if (requests_[index]->content_ == CRASHER) {
+        const bool by_part = requests_[index]->content_ <= FIRST_PART_CRASHER;
+        if (by_part)
+            count_part_run();
+        if (requests_[index]->content_ < 0) {
             const auto wait =
                 random_below(3) == 0 ? random_time(4s) : random_time(50ms);
-            schedule_after(wait, [this, g, instance] {
+            schedule_after(wait, [this, g, instance, by_part] {
                 if (!is_current_instance(instance))
                     return;
-                ++lost_by_crasher_;
+                if (by_part)
+                    count_part_loss();
+                else
+                    ++lost_by_crasher_;
                 crash_group(g, instance.generation_.value_);
             });
             return;
@@ -377,13 +411,27 @@
     void execute(int, const refuse_dispatch& c)
     {
         request_state& r = *requests_[indices_[c.request_]];
-        if (c.reason_ != quarantine_refusal::quarantined) {
+        const bool by_part = c.reason_ == quarantine_refusal::part_quarantined;
+        if (c.reason_ != quarantine_refusal::quarantined && !by_part) {
             resubmit(r, c.retry_after_ + random_time(500ms));
             return;
         }
         r.finished_ = true;
-        if (r.content_ != CRASHER)
+        if (r.content_ >= 0)
             ++quarantined_harmless_;
+        if (r.content_ >= 0 && by_part)
+            report_violation("a harmless part was quarantined");
+    }
+
+    std::string without_parts(const std::string& value) const
+    {
+        if (defect_ != injected_defect::parts_not_recorded)
+            return value;
+        auto record = decode_suspect(value);
+        if (!base::ok(record))
+            return encode(part_record());
+        base::value(record).parts_.clear();
+        return encode(base::value(record));
     }
 
     template <class Effect>
@@ -414,7 +462,7 @@
         write(d, c.id_, [this, c]() -> platform::write_outcome {
             if (defect_ == injected_defect::losses_not_recorded)
                 return platform::written{store_.current()};
-            return store_.put(c.key_, c.value_, c.condition_);
+            return store_.put(c.key_, without_parts(c.value_), c.condition_);
         });
     }
 
@@ -451,6 +499,9 @@
     std::vector<std::unique_ptr<request_state>> requests_;
     std::map<base::request_id, int> indices_;
     int lost_by_crasher_ = 0;
+    int lost_by_part_ = 0;
+    int late_runs_ = 0;
+    milliseconds part_known_at_{0};
     int harmless_requests_ = 0;
     int completed_ = 0;
     int quarantined_harmless_ = 0;
--- a/src/libquarantine/suspect_feed.cpp
+++ b/src/libquarantine/suspect_feed.cpp
@@ -19,6 +19,13 @@
 
 void suspect_feed::insert(const platform::object& object)
 {
+    if (object.key_ == PART_RECORD_KEY) {
+        auto parts = decode_part_record(object.value_);
+        if (base::ok(parts))
+            parts_ = base::value(std::move(parts));
+        parts_version_ = object.version_;
+        return;
+    }
     const auto fingerprint = fingerprint_of(object.key_);
     auto decoded = decode_suspect(object.value_);
     if (!fingerprint || !base::ok(decoded))
@@ -28,9 +35,22 @@
 }
 
 
+void suspect_feed::erase(std::string_view key)
+{
+    if (key == PART_RECORD_KEY) {
+        parts_ = {};
+        parts_version_.reset();
+    } else if (const auto deleted = fingerprint_of(key)) {
+        suspects_.erase(*deleted);
+    }
+}
+
+
 void suspect_feed::apply(const platform::listing& listing)
 {
     suspects_.clear();
+    parts_ = {};
+    parts_version_.reset();
     for (const platform::object& object : listing.objects_)
         insert(object);
     version_ = listing.version_;
@@ -46,8 +66,7 @@
             insert(change.object_);
             continue;
         }
-        if (const auto deleted = fingerprint_of(change.object_.key_))
-            suspects_.erase(*deleted);
+        erase(change.object_.key_);
     }
     version_ = std::max(version_, batch.next_);
 }
--- a/src/libquarantine/suspect_reconciliation.cpp
+++ b/src/libquarantine/suspect_reconciliation.cpp
@@ -60,6 +60,12 @@
 suspect_registry::target_record(suspect_entry& e, clock_reading now)
 {
     suspect_record target = merged_record(e);
+    if (!e.stored_) {
+        target.parts_ = e.query_.parts_;
+        std::erase_if(target.parts_, [&](crashes::prompt_part part) {
+            return part_tracker_.has_survived(part, now.boot_);
+        });
+    }
     if (has_stale_trial(e))
         target.trial_.reset();
     if (e.phase_ == trial_phase::requested)
@@ -201,6 +207,7 @@
     feed_started_ = true;
     last_feed_update_ = now.boot_;
     add_entries_of_own_trials();
+    apply_recorded_parts(now);
     for (auto& [fingerprint, e] : entries_) {
         const stored_suspect* stored = feed_.find(fingerprint);
         if (stored && stored->version_ > e.latest_version_) {
--- a/src/libquarantine/suspect_record.cpp
+++ b/src/libquarantine/suspect_record.cpp
@@ -66,6 +66,10 @@
     r.lost_at_ = time_at(o, "lost_at_ms");
     for (const json::value& group : o.at("lost").as_array())
         r.lost_.insert(parse_group(group.as_object()));
+    if (const json::value* parts = o.if_contains("parts"))
+        for (const json::value& part : parts->as_array())
+            r.parts_.push_back(
+                crashes::parse_part(json::value_to<std::string>(part)));
     if (const json::value* t = o.if_contains("trial"))
         r.trial_ = parse_trial(t->as_object());
     return r;
@@ -91,6 +95,11 @@
         {"deployment", r.deployment_.value_},
         {"lost_at_ms", r.lost_at_.time_since_epoch().count()},
         {"lost", std::move(lost)}};
+    json::array parts;
+    for (const crashes::prompt_part part : r.parts_)
+        parts.emplace_back(crashes::to_text({part}));
+    if (!parts.empty())
+        o["parts"] = std::move(parts);
     if (r.trial_)
         o["trial"] = to_json(*r.trial_);
     return json::serialize(o);
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -1,3 +1,6 @@
+#include "run_of.hpp"
+
+#include <monsoondock/base/stable_hash.hpp>
 #include <monsoondock/quarantine/suspect_registry.hpp>
 
 #include <algorithm>
@@ -5,6 +8,8 @@
 
 namespace monsoondock::quarantine {
 
+using pvt::run_of;
+
 suspect_registry::suspect_registry(
     base::daemon_id self, std::string token_prefix, quarantine_timing timing)
     : self_(std::move(self)), token_prefix_(std::move(token_prefix)),
@@ -20,6 +25,10 @@
         refuse(query.request_, quarantine_refusal::on_trial_elsewhere);
         return take_commands();
     }
+    if (part_tracker_.find_quarantined(query.parts_, now.boot_)) {
+        refuse(query.request_, quarantine_refusal::part_quarantined);
+        return take_commands();
+    }
     suspect_entry& e = find_or_add_entry(query);
     const suspect_record merged = merged_record(e);
     if (is_quarantined(merged))
@@ -57,6 +66,7 @@
     suspect_entry& e = entries_.at(f.fingerprint_);
     if (f.trial_)
         e.phase_ = trial_phase::succeeded;
+    part_tracker_.add_completion(e.query_.parts_, run_of(f.group_), now.boot_);
     if (f.trial_ || merged_record(e).lost_.empty())
         remember_harmless(f.fingerprint_);
     reconcile(e, now);
@@ -133,6 +143,13 @@
         }
         suspect_entry& e = entries_.at(f->second.fingerprint_);
         e.unrecorded_losses_.insert(group);
+        part_tracker_.add_crash(
+            {e.query_.parts_,
+             run_of(group),
+             base::stable_hash(f->second.fingerprint_.value_),
+             false},
+            part_report_delay(),
+            now.boot_);
         if (f->second.trial_)
             e.phase_ = trial_phase::ended;
         harmless_.erase(f->second.fingerprint_);
@@ -144,6 +161,10 @@
 suspect_registry::commands suspect_registry::write_answered(
     store_call_id id, const platform::write_outcome& outcome, clock_reading now)
 {
+    if (parts_call_ == id) {
+        parts_answered(outcome, now);
+        return take_commands();
+    }
     const auto call = calls_.find(id);
     if (call == calls_.end())
         return {};
@@ -220,6 +241,7 @@
 {
     reconcile_all(now);
     purge_expired(now);
+    write_parts(now);
     return take_commands();
 }
 
@@ -227,11 +249,18 @@
 void suspect_registry::refuse(
     const base::request_id& request, quarantine_refusal reason)
 {
-    const bool final = reason == quarantine_refusal::quarantined;
-    commands_.emplace_back(refuse_dispatch{
-        request,
-        reason,
-        final ? std::chrono::milliseconds(0) : timing_.retry_after_});
+    std::chrono::milliseconds retry_after = timing_.retry_after_;
+    if (reason == quarantine_refusal::quarantined)
+        retry_after = std::chrono::milliseconds(0);
+    if (reason == quarantine_refusal::part_quarantined)
+        retry_after = timing_.part_retry_after_;
+    commands_.emplace_back(refuse_dispatch{request, reason, retry_after});
+}
+
+
+std::vector<crashes::prompt_part> suspect_registry::take_quarantined_parts()
+{
+    return part_tracker_.take_quarantined();
 }
 
 
--- a/src/libtraffic/chat_request.cpp
+++ b/src/libtraffic/chat_request.cpp
@@ -1,6 +1,11 @@
 #include "chat_request.hpp"
 
+#include <monsoondock/base/stable_hash.hpp>
+
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
 
 namespace monsoondock::traffic::pvt {
 
@@ -23,6 +28,18 @@
 }
 
 
+std::vector<crashes::prompt_part>
+hash_shared_messages(const json::array& messages)
+{
+    std::vector<crashes::prompt_part> parts;
+    const std::size_t shared =
+        std::min(messages.size() - 1, crashes::max_prompt_parts);
+    for (std::size_t i = 0; i < shared; ++i)
+        parts.push_back(base::stable_hash(json::serialize(messages[i])));
+    return parts;
+}
+
+
 base::problem invalid(const char* message)
 {
     return {base::problem_code::invalid_argument, message, {}};
@@ -47,7 +64,8 @@
     chat_request request{
         base::deployment_id{std::string(model->get_string())},
         false,
-        read_prefix(messages->get_array().front())};
+        read_prefix(messages->get_array().front()),
+        hash_shared_messages(messages->get_array())};
     if (const json::value* stream = object.if_contains("stream")) {
         if (!stream->is_bool())
             return invalid("`stream` is not true or false");
--- a/src/libtraffic/chat_request.hpp
+++ b/src/libtraffic/chat_request.hpp
@@ -2,9 +2,11 @@
 
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/base/result.hpp>
+#include <monsoondock/crashes/prompt_part.hpp>
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace monsoondock::traffic::pvt {
 
@@ -16,6 +18,8 @@
     /// Start of the first message, used to prefer groups that have the prefix
     /// cached; empty when the content is not a string.
     std::string prefix_;
+    /// Hashes of all messages but the last one, which other requests may share.
+    std::vector<crashes::prompt_part> parts_;
 };
 
 
--- a/src/libtraffic/dispatch_permission.cpp
+++ b/src/libtraffic/dispatch_permission.cpp
@@ -29,6 +29,7 @@
     q.workspace_ = context.workspace_;
     q.deployment_ = progress.chat_.model_;
     q.prefix_ = progress.chat_.prefix_;
+    q.parts_ = progress.chat_.parts_;
     q.fingerprint_ = quarantine::fingerprint_request(
         q.workspace_, q.deployment_, context.request_.body());
     const auto snapshot = thread.options_.snapshots_.get();
--- a/src/libtraffic/shared_suspect_registry.cpp
+++ b/src/libtraffic/shared_suspect_registry.cpp
@@ -1,3 +1,4 @@
+#include <monsoondock/base/event_line.hpp>
 #include <monsoondock/traffic/shared_suspect_registry.hpp>
 
 namespace monsoondock::traffic {
@@ -178,6 +179,14 @@
 void shared_suspect_registry::tick()
 {
     run([&](suspect_registry& r) { return r.tick(now()); });
+    std::vector<crashes::prompt_part> parts;
+    {
+        const std::scoped_lock lock(mutex_);
+        parts = registry_.take_quarantined_parts();
+    }
+    for (const crashes::prompt_part part : parts)
+        base::event_line("part_quarantined", base::severity::warning)
+            .field("part", crashes::to_text({part}));
 }
 
 } // namespace monsoondock::traffic
