--- a/src/include/monsoondock/relay/header_names.hpp
+++ b/src/include/monsoondock/relay/header_names.hpp
@@ -37,6 +37,9 @@
     std::string not_run_;
     /// Present in the responses of an upstream that is leaving.
     std::string leaving_;
+    /// Requests a second that an upstream accepts from all daemons together, a
+    /// decimal number; present in its responses while it has such a limit.
+    std::string limit_;
     /// Address of the host because of which a group cannot serve.
     std::string failed_host_;
     /// Id of the last event of a stream that the receiver has received.
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -40,6 +40,7 @@
     names.seal_ = "X-Seal";
     names.not_run_ = "X-Not-Run";
     names.leaving_ = "X-Leaving";
+    names.limit_ = "X-Limit";
     names.failed_host_ = "X-Failed-Host";
     names.last_event_id_ = "Last-Event-Id";
     return names;
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -177,6 +177,12 @@
         if (c.t_.callbacks_.on_leaving_)
             c.t_.callbacks_.on_leaving_(c.target_.host_);
     }
+    const auto limit = response[c.t_.config_.headers_.limit_];
+    if (!limit.empty())
+        base::event_line("upstream_limited")
+            .field("request", c.e_.id_)
+            .field("host", c.target_.host_)
+            .field("limit", std::string_view(limit));
     if (response.result() != http::status::service_unavailable)
         return;
     const auto pause = parse_retry_after(response[http::field::retry_after]);
