--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -150,7 +150,9 @@
         const std::size_t number = requests_++;
         if (number >= script_.size())
             co_return false;
-        const scripted_response& r = script_[number];
+        scripted_response r = script_[number];
+        if (!r.limited_host_.empty() && request["X-Target"] == r.limited_host_)
+            r.fields_.append("X-Limit: 0.01\r\n");
         if (!r.crashes_on_part_.empty() &&
             request["X-Parts"].find(r.crashes_on_part_) !=
                 boost::beast::string_view::npos) {
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -65,6 +65,9 @@
     /// Sent as it is in place of a response of the form above; `$ID` stands for
     /// the id of the request.
     std::string verbatim_;
+    /// Host that names a limit of 0.01 requests a second in its responses;
+    /// empty for none.
+    std::string limited_host_;
     /// Instead of responding, the upstream crashes as it begins to write when
     /// the prompt of the request has this part; empty for none.
     std::string crashes_on_part_;
