relay, entry: keep to the limits that hosts name

What the users saw: a host that had named a limit of 1.5 requests a second got 19 requests in 4 s from daemons that it had told; 14 are allowed.

The choice of a host goes by its free slots, and a host in need has many of them. The class of fault is a host's word about itself that one part of the code does not know; leaving and pausing hosts are handled, and this is now handled at the same place, so that it holds for first tries, retries and resumed streams.

Change: libhostlimits divides a limit among few daemons, chosen by a hash, each of which spaces its requests; daemons tell each other of limits at once and once a second.

--- a/src/include/monsoondock/relay/availability.hpp
+++ b/src/include/monsoondock/relay/availability.hpp
@@ -22,6 +22,10 @@
 inline constexpr std::chrono::milliseconds ramp_time{1000};
 
 
+/// Pause for callers of a daemon that has no share in the limits of upstreams.
+inline constexpr std::chrono::milliseconds unshared_limit_pause{500};
+
+
 /// Returns the pause that a Retry-After field in seconds asks for, at most
 /// max_pause. Fractions are allowed. Returns nothing when the text is not a
 /// number of seconds greater than 0.
@@ -30,16 +34,20 @@
 
 
 /// Returns the part, from 0 to 1, of its usual requests that an upstream is to
-/// get: 0 when it is leaving or has asked for a pause, and a growing one for
-/// ramp_time after the pause.
+/// get: 0 when it is leaving, has asked for a pause, or has named a limit and
+/// gets nothing of this daemon at present; and a growing one for ramp_time
+/// after a pause.
 ///
 /// Answers upstreams that are full and reject many daemons at the same time:
 /// without the ramp all of them would return together at the end of the pause.
 double usable_share(const upstream_state& s, base::time_point now);
 
 
-/// Returns when the first paused upstream of a model accepts requests again, or
-/// nothing when an upstream of the model accepts them now or none ever will.
+/// Returns when the first paused or limited upstream of a model accepts
+/// requests of this daemon again, or nothing when an upstream of the model
+/// accepts them now or none ever will. For an upstream whose limit is shared by
+/// other daemons alone, which the caller may try, that is after
+/// unshared_limit_pause.
 std::optional<base::time_point> earliest_pause_end(
     const std::vector<upstream>& all,
     const upstream_table& table,
--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -48,9 +48,9 @@
 /// then chosen with a probability proportional to the requests it would get.
 /// Without unreported requests the choice falls on the upstream with the lowest
 /// cost. Unhealthy upstreams are chosen only when there is no other. Upstreams
-/// to which the request has already been sent, that are leaving or that have
-/// asked for a pause are never chosen; after a pause an upstream counts with a
-/// growing part of its slots (see usable_share).
+/// to which the request has already been sent, that are leaving, that have
+/// asked for a pause or whose limit is reached are never chosen; after a pause
+/// an upstream counts with a growing part of its slots (see usable_share).
 ///
 /// Designed for many groups with few requests each, some of them slow, and for
 /// up to hundreds of daemons that choose at the same time from loads of about
--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -4,12 +4,14 @@
 #include <monsoondock/crashes/part_report.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace monsoondock::relay {
 
@@ -28,6 +30,22 @@
     std::map<std::pair<base::deployment_id, std::string>, model_demand>;
 
 
+/// What an upstream has said of the requests that it accepts.
+struct host_limit_report
+{
+    base::host_id host_;
+    /// Process of the host; see upstream::process_start_ms_.
+    std::int64_t process_start_ms_ = 0;
+    /// Requests a second of all daemons; 0 for no limit.
+    double per_second_ = 0;
+    /// Time since the host said so.
+    std::chrono::milliseconds age_{0};
+
+    friend bool
+    operator==(const host_limit_report&, const host_limit_report&) = default;
+};
+
+
 /// What the traffic thread has to tell other daemons.
 struct traffic_stats
 {
@@ -39,6 +57,8 @@
     /// known of such parts; see crashes::part_tracker.
     crashes::part_report part_report_;
     crashes::part_report part_state_;
+    /// Limits that upstreams have named lately, and those that have ended.
+    std::vector<host_limit_report> host_limits_;
 };
 
 
@@ -82,6 +102,9 @@
     /// Called with a report on parts of prompts that peers should be sent at
     /// once.
     std::function<void(const crashes::part_report&)> on_part_report_;
+    /// Called when a response shows that the limit of an upstream has changed;
+    /// peers should be told.
+    std::function<void(const host_limit_report&)> on_limit_;
     /// Called when a peer reports an upstream as unhealthy that responds to
     /// this daemon.
     std::function<void(const base::host_id&)> on_responsive_;
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -21,6 +21,7 @@
 struct proxy_config
 {
     header_names headers_;
+    base::daemon_id daemon_;
     /// Data centre of this daemon, whose upstreams are preferred.
     base::data_centre_id data_centre_;
     retry_limit retry_limit_;
@@ -88,6 +89,10 @@
     void apply_part_report(crashes::part_report report);
 
 
+    /// Records what a peer has heard of the limit of an upstream.
+    void apply_host_limit(host_limit_report report);
+
+
     /// Calls done on the traffic thread with the requests in progress, the
     /// demand since the previous call and what peers are to be told.
     void take_traffic_stats(std::function<void(traffic_stats)> done);
--- a/src/include/monsoondock/relay/serving_view.hpp
+++ b/src/include/monsoondock/relay/serving_view.hpp
@@ -19,6 +19,8 @@
     std::unordered_map<base::deployment_id, std::vector<upstream>> upstreams_;
     /// Number of daemons that serve callers, including this one.
     unsigned daemons_ = 1;
+    /// The others of them.
+    std::vector<base::daemon_id> peers_;
     /// Age that the known loads of upstreams have at most, as long as no report
     /// of them is lost.
     std::chrono::milliseconds load_report_age_{0};
--- a/src/include/monsoondock/relay/upstream_table.hpp
+++ b/src/include/monsoondock/relay/upstream_table.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/hostlimits/host_limit.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -31,7 +32,10 @@
     bool leaving_ = false;
     /// Until this time the upstream wants no requests of this daemon.
     base::time_point paused_until_;
-    /// Process of the upstream that leaving_ and paused_until_ are about.
+    /// Limit of the requests that the upstream accepts.
+    hostlimits::host_limit limit_;
+    /// Process of the upstream that leaving_, paused_until_ and limit_ are
+    /// about.
     std::int64_t process_start_ms_ = 0;
     /// Moving average of the time between two events of a stream; 0 before the
     /// first measurement.
@@ -69,8 +73,15 @@
     std::unordered_map<base::host_id, unsigned> local_loads() const;
 
 
-    /// Forgets that an upstream was leaving or paused when it is another
-    /// process by now.
+    /// Returns the states by host.
+    std::unordered_map<base::host_id, upstream_state>& states()
+    {
+        return states_;
+    }
+
+
+    /// Forgets that an upstream was leaving, paused or limited when it is
+    /// another process by now.
     void
     detect_restart(const base::host_id& host, std::int64_t process_start_ms);
 
--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -236,6 +236,10 @@
     auto view = std::make_shared<relay::serving_view>();
     view->catalog_ = c.catalog_.catalog_;
     view->daemons_ = live_daemons(c);
+    for (const auto& [id, member] : c.node_.members()) {
+        if (member.record_.state_ == membership::member_state::alive)
+            view->peers_.push_back(id);
+    }
     view->load_report_age_ = load_report_age(c);
     view->stopping_ = c.stopping_;
     if (view->catalog_ != nullptr) {
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -176,7 +176,6 @@
 {
     /// Latest knowledge of the traffic thread.
     crashes::part_report known_;
-    base::time_point exchanged_at_;
     /// Parts in the leader record that this daemon wrote last.
     std::vector<crashes::prompt_part> recorded_;
     /// When this daemon last tried to write the leader record because the parts
@@ -215,6 +214,8 @@
     demand_rates demand_;
     load_state loads_;
     part_state parts_;
+    /// When this daemon last repeated what it knows to its peers.
+    base::time_point state_exchanged_at_;
     base::time_point started_at_;
     /// Random number that identifies this run of the daemon, so that positions
     /// in its change log differ from those of an earlier run.
@@ -435,9 +436,10 @@
 
 
 /// Passes on what the traffic thread has to tell about parts of prompts, and
-/// repeats what is known of them for daemons that have been started or were cut
-/// off. A daemon tells the relay of its data centre, which tells all others.
-void exchange_parts(control_plane& c, const relay::traffic_stats& stats);
+/// repeats what is known of them and of limits of upstreams for daemons that
+/// have been started or were cut off. A daemon tells the relay of its data
+/// centre, which tells all others.
+void exchange_state(control_plane& c, const relay::traffic_stats& stats);
 
 
 /// Returns the relay of this data centre: its first live daemon.
--- a/src/libentry/load_reports.cpp
+++ b/src/libentry/load_reports.cpp
@@ -196,7 +196,7 @@
             asio::post(c.context_, [&c, pending, stats = std::move(stats)] {
                 report_loads(c, stats.loads_);
                 report_demand(c, *pending, stats.demand_);
-                exchange_parts(c, stats);
+                exchange_state(c, stats);
             });
         });
     }
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t max_loads = 2000;
 constexpr std::size_t max_changes = 100;
 constexpr std::size_t max_parts = 1024;
+constexpr std::size_t max_limits = 1000;
 constexpr std::size_t max_value_bytes = 4096;
 // The largest datagram less the header of the forwarding message.
 constexpr std::size_t max_forwarded_bytes = 65000;
@@ -321,6 +322,30 @@
 }
 
 
+void put(wire::body_writer& out, const host_limits_message& m)
+{
+    wire::write_count(out, m.limits_.size());
+    for (const relay::host_limit_report& r : m.limits_) {
+        wire::write_text(out, r.host_.value_);
+        out(r.process_start_ms_,
+            r.per_second_,
+            static_cast<std::int64_t>(r.age_.count()));
+    }
+}
+
+
+void get(wire::body_reader& in, host_limits_message& m)
+{
+    m.limits_.resize(wire::read_count(in, max_limits));
+    for (relay::host_limit_report& r : m.limits_) {
+        std::int64_t ms = 0;
+        wire::read_text(in, r.host_.value_, max_name_bytes);
+        in(r.process_start_ms_, r.per_second_, ms);
+        r.age_ = std::chrono::milliseconds(ms);
+    }
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -159,6 +159,13 @@
     crashes::part_report report_;
 };
 
+
+/// What the sender knows of limits that upstreams have named.
+struct host_limits_message
+{
+    std::vector<relay::host_limit_report> limits_;
+};
+
 /// Messages that daemons send each other as datagrams. The index of an
 /// alternative is its type code on the wire, so the order must not change.
 using peer_message = std::variant<
@@ -177,7 +184,8 @@
     data_centre_load_message,
     load_sum_message,
     forwarded_message,
-    part_report_message>;
+    part_report_message,
+    host_limits_message>;
 
 
 /// Returns the datagram for a message.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -66,6 +66,19 @@
 }
 
 
+Test(peer_message, host_limits_round_trip)
+{
+    const pvt::host_limits_message sent{
+        {{{"h"}, 7, 1.5, std::chrono::milliseconds(20)}}};
+    const std::string bytes = pvt::encode(sent);
+    const auto got = pvt::decode(bytes);
+    cr_assert(got.has_value());
+    cr_assert(std::get<pvt::host_limits_message>(*got).limits_ == sent.limits_);
+    // As stated in docs/design/platform.md, with a name of 13 bytes.
+    cr_assert_leq(bytes.size() + 12, 48);
+}
+
+
 Test(peer_message, truncated_or_unknown_messages_are_rejected)
 {
     const std::string bytes =
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -174,6 +174,10 @@
             [&](const part_report_message& m) {
                 c.proxy_->apply_part_report(m.report_);
             },
+            [&](const host_limits_message& m) {
+                for (const relay::host_limit_report& r : m.limits_)
+                    c.proxy_->apply_host_limit(r);
+            },
             [&](const forwarded_message& m) {
                 handle_forwarded(c, m, sender);
             }},
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -22,6 +22,7 @@
 {
     relay::proxy_config result;
     result.headers_ = a.headers_;
+    result.daemon_ = config.daemon_;
     result.data_centre_ = config.data_centre_;
     result.retry_limit_ = {
         config.retries_.window_,
@@ -68,6 +69,11 @@
             pvt::broadcast(c, pvt::part_report_message{report});
         });
     };
+    callbacks.on_limit_ = [&c](const relay::host_limit_report& report) {
+        asio::post(c.context_, [&c, report] {
+            pvt::broadcast(c, pvt::host_limits_message{{report}});
+        });
+    };
     callbacks.on_responsive_ = [&c](const base::host_id& host) {
         asio::post(c.context_, [&c, host] {
             pvt::broadcast(c, pvt::upstream_healthy_message{host});
--- a/src/libentry/part_exchange.cpp
+++ b/src/libentry/state_exchange.cpp
@@ -9,9 +9,8 @@
 constexpr std::chrono::milliseconds exchange_period{1000};
 
 
-void send_state(control_plane& c, const crashes::part_report& state)
+void send_state(control_plane& c, const peer_message& m)
 {
-    const part_report_message m{state};
     if (is_small_cluster(c.node_.members())) {
         send_nearby(c, m);
         return;
@@ -32,17 +31,19 @@
 
 } // namespace
 
-void exchange_parts(control_plane& c, const relay::traffic_stats& stats)
+void exchange_state(control_plane& c, const relay::traffic_stats& stats)
 {
     if (!stats.part_report_.empty())
         broadcast(c, part_report_message{stats.part_report_});
     c.parts_.known_ = stats.part_state_;
     const base::time_point now = base::boot_clock::now();
-    if (c.parts_.known_.empty() ||
-        now - c.parts_.exchanged_at_ < exchange_period)
+    if (now - c.state_exchanged_at_ < exchange_period)
         return;
-    c.parts_.exchanged_at_ = now;
-    send_state(c, c.parts_.known_);
+    c.state_exchanged_at_ = now;
+    if (!stats.part_state_.empty())
+        send_state(c, part_report_message{stats.part_state_});
+    if (!stats.host_limits_.empty())
+        send_state(c, host_limits_message{stats.host_limits_});
 }
 
 } // namespace monsoondock::entry::pvt
--- /dev/null
+++ b/src/libhostlimits/host_limit_test.cpp
@@ -0,0 +1,102 @@
+#include <monsoondock/hostlimits/host_limit.hpp>
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace monsoondock;
+using namespace monsoondock::hostlimits;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point start{1000s};
+
+
+host_limit make_limit(double per_second, double share)
+{
+    host_limit limit;
+    state_limit(limit, per_second, start);
+    set_share(limit, share, start);
+    return limit;
+}
+
+} // namespace
+
+Test(host_limit, parses_decimal_numbers)
+{
+    cr_assert_eq(parse_limit("1.5"), 1.5);
+    cr_assert_eq(parse_limit("0"), min_limit_per_second);
+    cr_assert_eq(parse_limit("99999999"), max_limit_per_second);
+    for (const char* text : {"", "x", "1.5x", "-1", "nan", "inf"})
+        cr_assert_not(parse_limit(text), "%s", text);
+}
+
+
+Test(host_limit, requests_are_spaced_by_the_share)
+{
+    host_limit limit = make_limit(4, 2);
+    cr_assert_not(may_send(limit, start));
+    cr_assert(next_send(limit, start) == start + 500ms);
+    cr_assert(may_send(limit, start + 500ms));
+    record_send(limit, start + 500ms);
+    cr_assert_not(may_send(limit, start + 999ms));
+    cr_assert(may_send(limit, start + 1000ms));
+}
+
+
+Test(host_limit, unused_requests_do_not_add_up)
+{
+    host_limit limit = make_limit(4, 2);
+    record_send(limit, start + 20s);
+    cr_assert_not(may_send(limit, start + 20s));
+}
+
+
+Test(host_limit, a_daemon_without_a_share_sends_nothing)
+{
+    const host_limit limit = make_limit(4, 0);
+    cr_assert_not(may_send(limit, start + 20s));
+    cr_assert_not(next_send(limit, start + 20s));
+}
+
+
+Test(host_limit, the_latest_statement_counts)
+{
+    host_limit limit = make_limit(4, 2);
+    cr_assert_not(state_limit(limit, 0, start - 1s));
+    cr_assert(is_limited(limit, start));
+    cr_assert(state_limit(limit, 0, start + 1s));
+    cr_assert(may_send(limit, start + 1s));
+}
+
+
+Test(host_limit, a_limit_that_nobody_repeats_is_forgotten)
+{
+    const host_limit limit = make_limit(4, 0);
+    cr_assert(may_send(limit, start + limit_memory));
+}
+
+
+Test(host_limit, shares_add_up_to_the_limit)
+{
+    for (const std::size_t daemons : {1U, 4U, 91U, 466U}) {
+        for (const double per_second : {0.3, 1.5, 20.0, 900.0}) {
+            std::vector<base::daemon_id> all;
+            for (std::size_t i = 0; i < daemons; ++i)
+                all.push_back({"d" + std::to_string(i)});
+            double sum = 0;
+            std::size_t sharing = 0;
+            for (const base::daemon_id& self : all) {
+                std::vector<base::daemon_id> others = all;
+                std::erase(others, self);
+                const double share =
+                    share_of_limit(per_second, {"h"}, self, others);
+                sum += share;
+                sharing += share > 0 ? 1 : 0;
+            }
+            cr_assert_float_eq(sum, per_second, 0.000001);
+            cr_assert_eq(sharing, sharing_daemons(per_second, daemons));
+        }
+    }
+}
--- a/src/librelay/availability.cpp
+++ b/src/librelay/availability.cpp
@@ -25,7 +25,8 @@
 
 double usable_share(const upstream_state& s, base::time_point now)
 {
-    if (s.leaving_ || now < s.paused_until_)
+    if (s.leaving_ || now < s.paused_until_ ||
+        !hostlimits::may_send(s.limit_, now))
         return 0;
     if (s.paused_until_ == base::time_point())
         return 1;
@@ -50,10 +51,13 @@
             return std::nullopt;
         if (s->leaving_)
             continue;
-        if (s->paused_until_ <= now)
+        const base::time_point end = std::max(
+            s->paused_until_,
+            hostlimits::next_send(s->limit_, now)
+                .value_or(now + unshared_limit_pause));
+        if (end <= now)
             return std::nullopt;
-        earliest =
-            std::min(earliest.value_or(s->paused_until_), s->paused_until_);
+        earliest = std::min(earliest.value_or(end), end);
     }
     return earliest;
 }
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -1,6 +1,7 @@
 #include "receive_response.hpp"
 
 #include "failure_reason.hpp"
+#include "upstream_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -183,6 +184,7 @@
             .field("request", c.e_.id_)
             .field("host", c.target_.host_)
             .field("limit", std::string_view(limit));
+    record_limit(c.t_, c.target_, {limit.data(), limit.size()});
     if (response.result() != http::status::service_unavailable)
         return;
     const auto pause = parse_retry_after(response[http::field::retry_after]);
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -2,6 +2,7 @@
 #include "crashing_parts.hpp"
 #include "cut_log.hpp"
 #include "proxy_thread.hpp"
+#include "upstream_limits.hpp"
 #include "wait_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -77,7 +78,10 @@
         }
     }
     t.upstream_table_.keep_only(listed);
+    const bool daemons_changed = t.view_->peers_ != view->peers_;
     t.view_ = std::move(view);
+    if (daemons_changed)
+        update_limit_shares(t);
 }
 
 
@@ -251,6 +255,15 @@
 }
 
 
+void reverse_proxy::apply_host_limit(host_limit_report report)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, report = std::move(report)] {
+        pvt::apply_limit_report(t, report);
+    });
+}
+
+
 void reverse_proxy::take_traffic_stats(std::function<void(traffic_stats)> done)
 {
     proxy_thread& t = impl_->thread_state_;
@@ -260,7 +273,8 @@
             {t.upstream_table_.local_loads(),
              std::exchange(t.demand_, {}),
              t.part_tracker_.take_report(now),
-             t.part_tracker_.state(now)});
+             t.part_tracker_.state(now),
+             pvt::host_limits(t)});
     });
 }
 
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -2,6 +2,7 @@
 
 #include "failure_reason.hpp"
 #include "receive_response.hpp"
+#include "upstream_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/keepalive_options.hpp>
@@ -127,6 +128,7 @@
     if (e.stop_reason_ != stop_reason::none)
         co_return try_outcome::caller_gone;
     e.tried_.insert(e.host_);
+    record_limited_send(t, e.host_);
     e.refusal_logged_ = false;
     ++e.sends_;
     discard_partial_event(state.splitter_);
--- a/src/librelay/upstream_table.cpp
+++ b/src/librelay/upstream_table.cpp
@@ -35,6 +35,7 @@
         return;
     found->second.leaving_ = false;
     found->second.paused_until_ = {};
+    found->second.limit_ = {};
     found->second.process_start_ms_ = process_start_ms;
 }
 
