--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/json/parse.hpp>
 
+#include <mutex>
 #include <thread>
 
 namespace monsoondock::traffic::test {
@@ -183,6 +184,18 @@
     std::atomic<int> endless_faults_{0};
     std::atomic<std::size_t> endless_bytes_{0};
     std::atomic<engine_fault> fault_{engine_fault::none};
+    std::mutex mutex_;
+    std::string limit_;
+
+
+    std::string add_limit(std::string answer)
+    {
+        const std::lock_guard lock(mutex_);
+        if (!limit_.empty())
+            answer.insert(
+                answer.find("\r\n") + 2, "X-Request-Limit: " + limit_ + "\r\n");
+        return answer;
+    }
 
 
     engine_fault next_fault()
@@ -241,11 +254,11 @@
                 body.at("messages").at(0).at("content").as_string());
             const std::string resume(request["X-Resume-From"]);
             const engine_fault fault = next_fault();
-            const std::string answer = make_answer(
+            const std::string answer = add_limit(make_answer(
                 fault,
                 std::string(request["X-Request-Id"]),
                 prompt,
-                resume.empty() ? 0 : std::stoull(resume));
+                resume.empty() ? 0 : std::stoull(resume)));
             const std::string repeated = repeated_part(fault);
             if (!repeated.empty())
                 ++endless_faults_;
@@ -300,6 +313,13 @@
 }
 
 
+void fake_engine::set_limit(std::string limit)
+{
+    const std::lock_guard lock(impl_->mutex_);
+    impl_->limit_ = std::move(limit);
+}
+
+
 int fake_engine::requests() const
 {
     return impl_->requests_;
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -73,6 +73,10 @@
     void inject_faults(engine_fault fault, int count);
 
 
+    /// Names a limit of requests a second in all further responses.
+    void set_limit(std::string limit);
+
+
     /// Returns the number of requests received.
     int requests() const;
 
