traffic, groups: keep to the limits that engines name

The choice of a group or host leaves those out whose limit this daemon has used up, and counts every send, also retries and resumed streams.

The engine stand-in names a limit by its fault request_limit.

--- a/src/include/monsoondock/standin/exchange.hpp
+++ b/src/include/monsoondock/standin/exchange.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/json/value.hpp>
@@ -23,6 +24,8 @@
     request request_;
     /// True while the connection can be reused for another request.
     bool keep_alive_ = true;
+    /// Further header fields of the response.
+    boost::beast::http::fields response_fields_{};
 };
 
 
--- a/src/include/monsoondock/traffic/upstream_load.hpp
+++ b/src/include/monsoondock/traffic/upstream_load.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <monsoondock/traffic/shared_host_limit.hpp>
+
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
@@ -21,6 +23,8 @@
     /// Set by a traffic thread when the upstream failed; the control thread
     /// clears it once it has new evidence.
     std::atomic<bool> suspect_{false};
+    /// Limit that the upstream has named.
+    shared_host_limit limit_;
 };
 
 
--- a/src/libdaemon/engine_messages.cpp
+++ b/src/libdaemon/engine_messages.cpp
@@ -31,6 +31,8 @@
     report.phase_ = read_phase(from.at("phase"));
     report.running_ = from.at("running").to_number<std::uint32_t>();
     status.queued_ = from.at("queued").to_number<std::uint32_t>();
+    if (const json::value* limit = from.if_contains("request_limit"))
+        status.limit_ = limit->to_number<double>();
     return status;
 }
 
--- a/src/libdaemon/engine_messages.hpp
+++ b/src/libdaemon/engine_messages.hpp
@@ -5,6 +5,7 @@
 #include <monsoondock/groups/host_report.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,6 +18,8 @@
     groups::host_report report_;
     /// Requests that wait in the engine's queue.
     std::uint32_t queued_ = 0;
+    /// Limit of requests a second that the engine names; absent without one.
+    std::optional<double> limit_;
 };
 
 
--- a/src/libdaemon/engine_messages_test.cpp
+++ b/src/libdaemon/engine_messages_test.cpp
@@ -21,6 +21,17 @@
 }
 
 
+Test(engine_messages, reads_the_limit_of_a_status)
+{
+    const std::string common =
+        R"({"group":"a","generation":1,"phase":"ready","running":0,"queued":0)";
+    cr_assert_not(base::value(parse_engine_status(common + "}")).limit_);
+    const auto limited =
+        parse_engine_status(common + R"(,"request_limit":1.5})");
+    cr_assert_eq(base::value(limited).limit_, 1.5);
+}
+
+
 Test(engine_messages, rejects_malformed_status)
 {
     for (const char* text :
--- a/src/libdaemon/group_health_exchange.cpp
+++ b/src/libdaemon/group_health_exchange.cpp
@@ -116,6 +116,27 @@
 }
 
 
+// Returns the limit that the head of the group has named, if any.
+std::optional<groups::group_limit> limit_of(
+    const group_state& state,
+    const groups::group_record& group,
+    base::time_point now)
+{
+    const auto load = state.loads_.find(group.id_);
+    if (load == state.loads_.end())
+        return std::nullopt;
+    const auto statement = load->second->limit_.statement(now);
+    if (!statement)
+        return std::nullopt;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - statement->stated_at_);
+    return groups::group_limit{
+        groups::group_generation_key(group.id_, group.generation_),
+        statement->per_second_,
+        static_cast<std::uint16_t>(age.count())};
+}
+
+
 groups::health_reply
 make_reply(const group_state& state, const groups::health_request& request)
 {
@@ -129,13 +150,25 @@
             wanted.empty()
                 ? in_own_data_centre(state, group)
                 : std::find(wanted.begin(), wanted.end(), key) != wanted.end();
-        if (requested)
-            reply.entries_.push_back(groups::make_group_health(
-                view_of(state, group),
-                state.evidence_,
-                now,
-                state.timing_.dispatch_lease_));
+        if (!requested)
+            return;
+        reply.entries_.push_back(groups::make_group_health(
+            view_of(state, group),
+            state.evidence_,
+            now,
+            state.timing_.dispatch_lease_));
+        if (const auto limit = limit_of(state, group, now))
+            reply.limits_.push_back(*limit);
     });
+    // A reply has room for a few limits; replies take turns with them.
+    if (!reply.limits_.empty())
+        std::rotate(
+            reply.limits_.begin(),
+            reply.limits_.begin() +
+                static_cast<long>(
+                    state.health_round_ * groups::MAX_GROUP_LIMITS %
+                    reply.limits_.size()),
+            reply.limits_.end());
     for (const auto& [domain, own] : state.own_domains_) {
         const auto claim =
             groups::make_claim(own.control_, domain, now, state.timing_);
@@ -161,6 +194,31 @@
 }
 
 
+void apply_limits(group_state& state, const groups::health_reply& reply)
+{
+    if (reply.limits_.empty())
+        return;
+    const base::time_point now = base::boot_clock::now();
+    for_each_group(state, [&](const groups::group_record& group) {
+        const auto key =
+            groups::group_generation_key(group.id_, group.generation_);
+        const auto load = state.loads_.find(group.id_);
+        for (const groups::group_limit& limit : reply.limits_) {
+            if (limit.key_ != key || load == state.loads_.end())
+                continue;
+            load->second->limit_.state(
+                {limit.per_second_,
+                 now - std::chrono::milliseconds(limit.age_ms_)});
+            load->second->limit_.update_share(
+                {group.id_.value_},
+                state.control_.config_.daemon_,
+                state.control_.live_daemons_,
+                now);
+        }
+    });
+}
+
+
 void handle_health_reply(
     group_state& state,
     const base::daemon_id& sender,
@@ -183,6 +241,7 @@
                 *sent_at);
     });
     observe_lease_claims(state, reply, *sent_at);
+    apply_limits(state, reply);
 }
 
 } // namespace
--- a/src/libdaemon/group_probes.cpp
+++ b/src/libdaemon/group_probes.cpp
@@ -18,11 +18,31 @@
 constexpr std::chrono::milliseconds PROBE_TIMEOUT{1000};
 
 
+// Takes the limit that a status names, or its end.
+void update_limit(
+    const group_state& state,
+    traffic::upstream_load& load,
+    const engine_status& status)
+{
+    const base::time_point now = status.report_.received_at_;
+    if (!status.limit_ && !load.limit_.statement(now))
+        return;
+    const double named = status.limit_.value_or(0);
+    load.limit_.state({named, now});
+    load.limit_.update_share(
+        {status.report_.group_.value_},
+        state.control_.config_.daemon_,
+        state.control_.live_daemons_,
+        now);
+}
+
+
 void update_reported_load(group_state& state, const engine_status& status)
 {
     const auto found = state.loads_.find(status.report_.group_);
     if (found == state.loads_.end())
         return;
+    update_limit(state, *found->second, status);
     if (status.report_.running_ == 0 && status.queued_ == 0 &&
         found->second->reported_running_ == 0)
         return;
--- a/src/libdaemon/snapshot.cpp
+++ b/src/libdaemon/snapshot.cpp
@@ -135,6 +135,18 @@
     }
 }
 
+// Divides the limits of upstreams among the daemons that are alive.
+void update_limit_shares(control_state& state)
+{
+    const base::time_point now = base::boot_clock::now();
+    const base::daemon_id& self = state.config_.daemon_;
+    for (const traffic::group_row& row : state.groups_)
+        row.load_->limit_.update_share(
+            {row.group_.value_}, self, state.live_daemons_, now);
+    for (const auto& [host, load] : state.service_loads_)
+        load->limit_.update_share(host, self, state.live_daemons_, now);
+}
+
 } // namespace
 
 bool is_ready(const control_state& state)
@@ -146,6 +158,7 @@
 
 void publish_snapshot(control_state& state)
 {
+    update_limit_shares(state);
     auto snapshot = std::make_shared<traffic::routing_snapshot>();
     snapshot->ready_ = is_ready(state);
     snapshot->draining_ = state.draining_;
--- a/src/libgroups/health_codec.cpp
+++ b/src/libgroups/health_codec.cpp
@@ -28,6 +28,12 @@
 }
 
 
+void write_item(wire::body_writer& out, const group_limit& limit)
+{
+    out(limit.key_, limit.per_second_, limit.age_ms_);
+}
+
+
 void read_item(wire::body_reader& in, std::uint64_t& key)
 {
     in(key);
@@ -46,6 +52,12 @@
 }
 
 
+void read_item(wire::body_reader& in, group_limit& limit)
+{
+    in(limit.key_, limit.per_second_, limit.age_ms_);
+}
+
+
 template <class Item>
 void write_list(
     wire::body_writer& out, const std::vector<Item>& items, std::size_t limit)
@@ -82,6 +94,7 @@
     in(reply.stamp_);
     read_list(in, reply.entries_, MAX_HEALTH_GROUPS);
     read_list(in, reply.leases_, MAX_LEASE_CLAIMS);
+    read_list(in, reply.limits_, MAX_GROUP_LIMITS);
     return reply;
 }
 
@@ -98,6 +111,7 @@
     out(REPLY_KIND, reply.stamp_);
     write_list(out, reply.entries_, MAX_HEALTH_GROUPS);
     write_list(out, reply.leases_, MAX_LEASE_CLAIMS);
+    write_list(out, reply.limits_, MAX_GROUP_LIMITS);
 }
 
 
--- a/src/libgroups/health_codec_test.cpp
+++ b/src/libgroups/health_codec_test.cpp
@@ -57,13 +57,16 @@
     cr_assert(
         decoded_request &&
         std::get<health_request>(*decoded_request).groups_.size() == 3);
-    const health_message reply = make_reply(22, 2);
+    health_reply sent = make_reply(22, 2);
+    sent.limits_ = {{7, 1.5, 20}, {8, 0, 900}};
+    const health_message reply = sent;
     const auto decoded_reply =
         wire::decode_body<health_message>(wire::encode_body(reply));
     cr_assert(decoded_reply.has_value());
     const auto& decoded = std::get<health_reply>(*decoded_reply);
     cr_assert(decoded.entries_ == std::get<health_reply>(reply).entries_);
     cr_assert(decoded.leases_ == std::get<health_reply>(reply).leases_);
+    cr_assert(decoded.limits_ == sent.limits_);
 }
 
 
@@ -85,8 +88,10 @@
 
 Test(health_codec, largest_reply_fits_a_datagram)
 {
-    const std::string body = wire::encode_body<health_message>(
-        make_reply(MAX_HEALTH_GROUPS + 9, MAX_LEASE_CLAIMS + 9));
+    health_reply reply =
+        make_reply(MAX_HEALTH_GROUPS + 9, MAX_LEASE_CLAIMS + 9);
+    reply.limits_.resize(MAX_GROUP_LIMITS + 9);
+    const std::string body = wire::encode_body<health_message>(reply);
     cr_assert(
         body.size() + wire::MAX_ENVELOPE_OVERHEAD_BYTES <=
         wire::MAX_DATAGRAM_BYTES);
--- a/src/libstandin/event_stream.cpp
+++ b/src/libstandin/event_stream.cpp
@@ -20,6 +20,8 @@
         http::status::ok, e.request_.version());
     head.set(http::field::content_type, "text/event-stream");
     head.set(http::field::cache_control, "no-cache");
+    for (const auto& field : e.response_fields_)
+        head.set(field.name_string(), field.value());
     head.keep_alive(e.request_.keep_alive());
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
--- a/src/libstandin/exchange.cpp
+++ b/src/libstandin/exchange.cpp
@@ -35,6 +35,8 @@
 {
     response r(status, e.request_.version());
     r.set(http::field::content_type, "application/json");
+    for (const auto& field : e.response_fields_)
+        r.set(field.name_string(), field.value());
     r.keep_alive(e.request_.keep_alive());
     return r;
 }
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -3,6 +3,7 @@
 #include "caller_writer.hpp"
 #include "in_flight_guard.hpp"
 #include "refusals.hpp"
+#include "upstream_limit.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -394,6 +395,12 @@
     if (!has_matching_request_id(a, parser))
         co_return fail_attempt(a, "the response has the id of another request");
     const auto& head = parser.get();
+    const auto limit = head[limit_field];
+    record_limit(
+        a.thread_,
+        *a.group_.load_,
+        a.group_.group_.value_,
+        {limit.data(), limit.size()});
     if (is_not_run_status(head.result()))
         co_return reject_attempt(
             a, "the engine refused the request (409 or 503)");
@@ -428,6 +435,7 @@
     attempt a{
         thread, caller, context, progress, group, nullptr, progress.run_, {}};
     const in_flight_guard load_guard(group.load_);
+    group.load_->limit_.record_send(base::boot_clock::now());
     ++context.report_.attempts_;
     context.report_.upstream_ = group.group_.value_;
     if (!co_await open_upstream(a))
--- a/src/libtraffic/claimed_call.cpp
+++ b/src/libtraffic/claimed_call.cpp
@@ -251,7 +251,8 @@
     {
         std::vector<base::host_id> tried;
         for (;;) {
-            const service_host* host = choose_host(service_, tried);
+            const service_host* host =
+                choose_host(service_, tried, base::boot_clock::now());
             if (host == nullptr) {
                 process_event(claims::exchange_ended{
                     claims::run_state::unsent, {}, host_retry_after});
--- a/src/libtraffic/group_choice.cpp
+++ b/src/libtraffic/group_choice.cpp
@@ -23,6 +23,7 @@
 {
     const auto& allowed = query.allowed_;
     return row.deployment_ == query.deployment_ && may_dispatch(row, now) &&
+           row.load_->limit_.may_send(now) &&
            !contains(query.tried_, row.group_) &&
            (allowed.empty() || contains(allowed, row.group_));
 }
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -1,6 +1,7 @@
 #include "service_exchange.hpp"
 
 #include "in_flight_guard.hpp"
+#include "upstream_limit.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/read_response_header.hpp>
@@ -69,6 +70,7 @@
 {
     const limits& bounds = thread.options_.limits_;
     const in_flight_guard load_guard(host.load_);
+    host.load_->limit_.record_send(base::boot_clock::now());
     const auto upstream =
         co_await connect_upstream(host.address_, bounds.connect_timeout_);
     if (upstream == nullptr)
@@ -93,6 +95,9 @@
             run_state::maybe_sent,
             "no complete response received: " + read_failure.message()};
     const auto& answer = parser->get();
+    const auto limit = answer[limit_field];
+    record_limit(
+        thread, *host.load_, host.host_.value_, {limit.data(), limit.size()});
     buffered_response response(answer.result(), http_version_1_1);
     response.set(http::field::content_type, answer[http::field::content_type]);
     response.body() = answer.body();
--- a/src/libtraffic/service_relay.cpp
+++ b/src/libtraffic/service_relay.cpp
@@ -56,7 +56,8 @@
     if (!service->idempotent_)
         co_return co_await serve_claimed_call(
             thread, context, *service, std::move(path));
-    const service_host* host = choose_host(*service, {});
+    const service_host* host =
+        choose_host(*service, {}, base::boot_clock::now());
     if (host == nullptr)
         co_return no_upstream(
             run_state::unsent, "no host of the service can take the call");
--- a/src/monsoondock-engine-standin/completion_handler.cpp
+++ b/src/monsoondock-engine-standin/completion_handler.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
+#include <sstream>
 
 namespace monsoondock::engine_standin {
 
@@ -287,6 +288,12 @@
 
 asio::awaitable<void> handle_completion(engine_host& h, exchange& e)
 {
+    e.response_fields_.clear();
+    if (h.faults_.limit_ > 0) {
+        std::ostringstream limit;
+        limit << h.faults_.limit_;
+        e.response_fields_.set("X-Request-Limit", limit.str());
+    }
     const auto p = parse_prompt(e);
     if (!p) {
         co_await reply(
--- a/src/monsoondock-engine-standin/faults.cpp
+++ b/src/monsoondock-engine-standin/faults.cpp
@@ -28,6 +28,8 @@
         f.ignore_generation_ = v->as_bool();
     if (const auto* v = body.if_contains("crash_on"))
         f.crash_on_ = v->as_string().c_str();
+    if (const auto* v = body.if_contains("request_limit"))
+        f.limit_ = v->to_number<double>();
 }
 
 } // namespace monsoondock::engine_standin
--- a/src/monsoondock-engine-standin/faults.hpp
+++ b/src/monsoondock-engine-standin/faults.hpp
@@ -24,6 +24,8 @@
     bool ignore_generation_ = false;
     /// A prompt that contains this text crashes the host; empty disables it.
     std::string crash_on_;
+    /// Limit of requests a second that the host names; 0 for none.
+    double limit_ = 0;
 };
 
 
--- a/src/monsoondock-engine-standin/status_handler.cpp
+++ b/src/monsoondock-engine-standin/status_handler.cpp
@@ -1,5 +1,7 @@
 #include "status_handler.hpp"
 
+#include <boost/json/serialize.hpp>
+
 namespace monsoondock::engine_standin {
 
 namespace asio = boost::asio;
@@ -21,7 +23,7 @@
 {
     sample_load(h);
     const replica& r = h.replica_;
-    const boost::json::value body{
+    boost::json::object body{
         {"host", h.id_},
         {"group", r.group_},
         {"generation", r.generation_},
@@ -32,7 +34,10 @@
         {"queued", h.load_.queued_},
         {"cached_prefixes", h.load_.cached_prefixes_},
         {"checks_generation", !h.faults_.ignore_generation_}};
-    co_await standin::reply(e, boost::beast::http::status::ok, body);
+    if (h.faults_.limit_ > 0)
+        body["request_limit"] = h.faults_.limit_;
+    co_await standin::reply(
+        e, boost::beast::http::status::ok, boost::json::serialize(body));
 }
 
 } // namespace monsoondock::engine_standin
