soak: a reset of the proxy reaches the daemon at once

The proxy closed a connection while its other thread waited in recv, which keeps the socket open: the daemon saw silence until the next byte, and a reset never. The read direction is shut down first.

--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -82,6 +82,8 @@
     try:
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        # Ends a recv of the other thread, which would keep the socket open.
+        connection.shutdown(socket.SHUT_RD)
         connection.close()
     except OSError:
         # The pump of the other direction has closed it.
