--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import time
+import zlib
 
 from lost_requests import Call
 from soak_workers import SECONDS_PER_TOKEN, SoakEngine
@@ -21,6 +22,15 @@
 THINK_SECONDS = 0.3
 # Time before the next request after one that was not served.
 RETRY_SECONDS = 0.03
+# Parts of prompts that many requests share.
+DOCUMENTS = 5
+
+
+def prompt_parts(request_id):
+    """Returns a part that all requests have, one of a few, and one of its
+    own."""
+    number = zlib.crc32(request_id.encode())
+    return f"a1:40,c{number % DOCUMENTS}:40,{number:x}:20"
 
 
 def header_lines(request_id, deadline_seconds, body, token_counts):
@@ -28,7 +38,8 @@
              f"X-Deadline-Ms: {round(deadline_seconds * 1000)}",
              "Authorization: Bearer k1", f"Content-Length: {len(body)}"]
     if token_counts:
-        lines += ["X-Model-Name: m1", f"X-Token-Counts: {token_counts}"]
+        lines += ["X-Model-Name: m1", f"X-Token-Counts: {token_counts}",
+                  f"X-Prompt-Prefix: {prompt_parts(request_id)}"]
     return lines
 
 
@@ -153,7 +164,12 @@
 
     def chat(self, request_id, token_counts):
         answer, text = self.exchange(
-            "chat", "/chat/1", request_id, token_counts=token_counts)
+            "chat", "/chat/1", request_id, request_id if self.keeps else "",
+            token_counts)
+        # Equal requests may be rejected when three hosts were lost under them.
+        if self.keeps and "request_crashes_upstreams" in text:
+            self.run_.record_violation(
+                f"{request_id}: rejected as one that crashes upstreams")
         if answer.status != 200:
             return
         ids = [int(i) for i in re.findall(r"^id: (\d+)$", text, re.MULTILINE)]
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+from host_troubles import CrashingPart, LimitedHost
 from proxy import MODES
 from session import wait_until
 from soak_workers import SoakEngine, SoakLedger
@@ -19,6 +20,7 @@
 SERIES_STEP_SECONDS = 1.5
 # Time between two faults of a sequence; callers use kept connections meanwhile.
 PAUSE_SECONDS = (0.1, 1.6)
+LIMITED_SECONDS = (5, 9)
 
 
 @contextlib.contextmanager
@@ -165,6 +167,32 @@
     generator.choice(run.ledgers).pause = generator.choice([0.2, 0.7, 1, 2])
 
 
+def limit_host(run, generator):
+    """A host names a limit for some seconds, in which callers go on."""
+    worker = generator.choice([*run.engines, *run.ledgers])
+    if worker.limited is not None:
+        return
+    limited = LimitedHost(run, worker, generator.choice([0.5, 1, 2.5]))
+    run.troubles.append(limited)
+    worker.limited = limited
+    time.sleep(generator.uniform(*LIMITED_SECONDS))
+    worker.limited = None
+
+
+def crash_by_part(run, generator):
+    """Requests with one part of their prompts crash engine after engine; new
+    engines take the place of those."""
+    if run.crashing_parts:
+        return
+    part = CrashingPart(run)
+    run.crashing_parts.append(part)
+    run.troubles.append(part)
+    part.send_requests(generator)
+    for _ in part.crashes:
+        run.add_engine(f"x{len(run.engines)}",
+                       f"d{generator.randrange(run.DOMAINS)}")
+
+
 # Unplanned faults.
 
 def kill_daemon(run, generator):
@@ -241,7 +269,7 @@
 
 PLANNED = [stop_daemon, stop_repeatedly, stop_repeatedly, stop_in_series,
            stop_beside_changes, stop_after_start, reload_daemon,
-           change_configuration]
+           change_configuration, limit_host, crash_by_part]
 ALL = [*PLANNED, kill_daemon, pause_daemon, lose_engine, drain_engine,
        lose_answers, cut_store, break_streams, break_streams, pause_ledger,
        replace_ledger, restore_store, inject_worker_network_fault,
--- a/testsuite/soak/lost_requests.py
+++ b/testsuite/soak/lost_requests.py
@@ -58,6 +58,26 @@
         self.reloads = []
         self.changes = []
         self.faults = []
+        # Daemon and time of each start.
+        self.starts = []
+
+    def add_start(self, daemon):
+        self.starts.append((daemon, time.monotonic()))
+
+    def was_disturbed(self, daemon, begin, end):
+        """Returns whether the daemon was started, or there was an unplanned
+        fault, in a span of time."""
+        return any(begin <= at <= end for number, at in self.starts
+                   if number == daemon) or any(
+                       fault[0] <= end and fault[1] >= begin
+                       for fault in self.faults)
+
+    def disturbances(self, begin, end):
+        """Returns the number of starts and unplanned faults in a span of
+        time."""
+        return sum(1 for _, at in self.starts if begin <= at <= end) + sum(
+            1 for fault in self.faults
+            if fault[0] <= end and fault[1] >= begin)
 
     def add_stop(self, daemon):
         """Notes the first stop signal of a daemon, before it is sent."""
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -60,6 +60,7 @@
         self.version = 3
         self.keys = ["k1", "k2"]
         self.publish_configuration()
+        self.crashing_parts = []
         self.engines = []
         for domain in range(self.DOMAINS):
             for number in range(4):
@@ -74,6 +75,9 @@
         # Two fault sequences must not start one daemon twice on the same ports.
         self.daemon_locks = [threading.Lock() for _ in range(self.DAEMONS)]
         self.starts = 0
+        self.log = FaultLog(GRACE_SECONDS)
+        # Parts of prompts that crash engines, and limits that hosts have named.
+        self.troubles = []
         for number in range(self.DAEMONS):
             self.start_daemon(number, first_start=True)
         self.violations = []
@@ -84,7 +88,6 @@
         self.running = True
         self.refused = set()
         self.calls = []
-        self.log = FaultLog(GRACE_SECONDS)
 
     def publish_configuration(self):
         self.store.put("config", "main", configuration(
@@ -97,6 +100,7 @@
 
     def add_engine(self, name, domain):
         self.engines.append(SoakEngine(self.store, name, "llm", "z1", domain))
+        self.engines[-1].crashing_parts = self.crashing_parts
 
     def start_daemon(self, number, first_start=False):
         if number in self.daemons:
@@ -107,6 +111,7 @@
             self.session, self.store, f"n{number}", "z1", ip, self.ports,
             seeds, first_start, self.store_proxy.address,
             grace=f"{GRACE_SECONDS}s")
+        self.log.add_start(number)
 
     def keep_logs(self, daemon):
         """Renames the logs of a process that has ended."""
@@ -156,6 +161,11 @@
                     self.record_violation(
                         f"{request_id}: ran although it was refused")
 
+    def check_troubles(self):
+        for trouble in self.troubles:
+            for text in trouble.violations():
+                self.record_violation(text)
+
     def check_lost_requests(self):
         works = {}
         for worker in [*self.engines, *self.ledgers, *self.former_ledgers]:
@@ -216,6 +226,7 @@
             thread.join()
         run.check_runs()
         run.check_lost_requests()
+        run.check_troubles()
         return report(run, keep)
 
 
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -19,6 +19,8 @@
 
 JOIN_SECONDS = 0.05
 EVENT_SECONDS = 0.02
+# Time from the header of an answer to the crash that it causes.
+CRASH_SECONDS = 0.05
 
 
 class Server(http.server.ThreadingHTTPServer):
@@ -193,6 +195,9 @@
                       "born": int(time.time() * 1000), **fields}
         self.lock = threading.RLock()
         self.work = []
+        # While set, an object with the limit of requests a second that the
+        # worker names in all answers; it is told of arrivals.
+        self.limited = None
         worker = self
 
         class WorkerHandler(Handler):
@@ -222,6 +227,9 @@
         else:
             handler.work = Work(handler.headers["X-Request-Id"])
             self.work.append(handler.work)
+            limited = self.limited
+            if limited is not None:
+                limited.arrivals.append(time.monotonic())
             try:
                 self.serve(handler, body)
             except OSError:
@@ -230,8 +238,14 @@
             handler.work.end("whole")
 
     def seal_headers(self, handler):
-        return [("X-Request-Id", handler.headers["X-Request-Id"]),
-                ("X-Response-Seal", f"seal-{self.name}")]
+        headers = [("X-Request-Id", handler.headers["X-Request-Id"]),
+                   ("X-Response-Seal", f"seal-{self.name}")]
+        limited = self.limited
+        if limited is not None:
+            if limited.first_named is None:
+                limited.first_named = time.monotonic()
+            headers.append(("Server-Limit", str(limited.limit)))
+        return headers
 
 
 class PlainWorker(Worker):
@@ -290,6 +304,9 @@
 
     def __init__(self, store, name, service, zone, domain):
         self.crash_at_event = None
+        # Parts of prompts under which the worker crashes; see host_troubles of
+        # the soak.
+        self.crashing_parts = []
         # Number of next streams that have neither a length nor chunks, and the
         # event inside which those end; None for complete ones.
         self.unframed_streams = 0
@@ -299,6 +316,9 @@
         self.streams = 0
         self.disconnected_requests = []
         self.timers = []
+        self.crashed = False
+        # Handlers of the streams in progress, which a crash cuts.
+        self.open_streams = set()
         super().__init__(store, name, service, zone, domain=domain,
                          staged=[], models=[], stage="both")
 
@@ -353,6 +373,8 @@
             handler.answer(503, {}, [("X-Not-Executed", "1")])
             return
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        if self.crash_on_part(handler):
+            return
         with self.lock:
             self.streams += 1
             unframed = self.unframed_streams > 0
@@ -368,6 +390,7 @@
             return
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
+        self.open_streams.add(handler)
         try:
             for number in range(first, self.EVENTS + 1):
                 if number == self.crash_at_event:
@@ -380,6 +403,31 @@
         except OSError:
             self.leave(handler)
             handler.close_connection = True
+        finally:
+            self.open_streams.discard(handler)
+
+    def crash_on_part(self, handler):
+        """Crashes as it begins to write if the prompt has such a part."""
+        prompt_parts = handler.headers.get("X-Prompt-Prefix", "")
+        part = next((p for p in self.crashing_parts
+                     if p.matches(prompt_parts)), None)
+        if part is None:
+            return False
+        part.arrivals.append((handler.headers["X-Request-Id"],
+                              time.monotonic()))
+        handler.send_response(200)
+        for name, value in self.seal_headers(handler):
+            handler.send_header(name, value)
+        handler.send_header("Content-Type", "text/event-stream")
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        time.sleep(CRASH_SECONDS)
+        with self.lock:
+            first, self.crashed = not self.crashed, True
+        if first:
+            part.crashes.append(time.monotonic())
+        self.crash(handler)
+        return True
 
     def leave(self, handler):
         handler.work.end("left")
@@ -408,7 +456,18 @@
         """Simulates a crash in the middle of an event: resets the connection,
         closes the listener and removes the entry of the worker."""
         handler.work.end("broke_off")
-        handler.wfile.write(b"a\r\nid: ")
+        try:
+            handler.wfile.write(b"a\r\nid: ")
+        except OSError:
+            # The daemon has closed the connection already.
+            pass
+        for stream in list(self.open_streams):
+            stream.work.end("broke_off")
+            try:
+                stream.connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                # Its caller has closed it.
+                pass
         handler.connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         handler.close_connection = True
