relay: a response that ends with its connection clears no part of a prompt

Read again with the question where else the cause could act: an answer may have neither length nor chunks and end with its connection, so a host that crashes between two events looks like one that has completed its answer, and the part under which it crashes was cleared for a minute. Completed requests are counted against a part only once enough hosts were lost, which spares work.

--- a/src/libcrashes/part_tracker.cpp
+++ b/src/libcrashes/part_tracker.cpp
@@ -72,8 +72,6 @@
         return false;
     if (now < s.probation_until_)
         return true;
-    if (!has_contrast(part, now))
-        return false;
     const auto crashed_hosts = [&s](bool begun_only) {
         std::set<std::uint64_t> hosts;
         std::set<std::uint64_t> requests;
@@ -85,8 +83,9 @@
         }
         return requests.size() < min_requests ? 0 : hosts.size();
     };
-    return crashed_hosts(true) >= min_begun_crashes ||
-           crashed_hosts(false) >= min_crashes;
+    const bool enough = crashed_hosts(true) >= min_begun_crashes ||
+                        crashed_hosts(false) >= min_crashes;
+    return enough && has_contrast(part, now);
 }
 
 
--- a/src/librelay/crashing_part_test.cpp
+++ b/src/librelay/crashing_part_test.cpp
@@ -1,8 +1,10 @@
 #include "proxy_session_test.hpp"
 
+#include <monsoondock/crashes/part_tracker.hpp>
+
 #include <criterion/criterion.h>
 
-#include <algorithm>
+#include <thread>
 
 using namespace monsoondock;
 using namespace monsoondock::relay::test;
@@ -64,6 +66,25 @@
 
 } // namespace
 
+// Guards against taking a response for complete whose end is that of the
+// connection: it may be that of the host.
+Test(crashing_part, a_response_that_ends_with_its_connection_clears_nothing)
+{
+    auto script = make_script();
+    script[sound_before].crashes_on_part_.clear();
+    script[sound_before].framing_ = framing::connection_close;
+    script[sound_before].ending_ = ending::close;
+    proxy_session s(request_kind::resumable_stream, script, make_options());
+    for (int i = 0; i < sound_before; ++i)
+        cr_assert_eq(s.call_once(make_sound_request(i)).status_, 200);
+    cr_assert_eq(s.call_once(make_crashing_request(100)).status_, 200);
+    std::this_thread::sleep_for(2 * crashes::part_tracker::survival_delay);
+    for (int i = 0; i < callers; ++i)
+        s.call_once(make_crashing_request(i));
+    cr_expect_leq(s.upstream_.requests(), sound_before + 1 + max_sends);
+}
+
+
 // Guards against sending requests to host after host while all that they have
 // in common is one part of their prompts, under which the hosts crash.
 Test(crashing_part, requests_that_share_it_stop_reaching_upstreams)
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -265,7 +265,8 @@
         !c.state_.buffered_response_ ||
         http::to_status_class(c.state_.buffered_response_->result()) ==
             http::status_class::successful;
-    if (succeeded)
+    // The end of a connection may be that of the upstream.
+    if (succeeded && c.state_.framing_ != body_framing::connection_close)
         record_part_completion(c.t_, c.e_, u);
 }
 
