--- a/src/libquarantine/suspect_parts.cpp
+++ b/src/libquarantine/suspect_parts.cpp
@@ -9,6 +9,21 @@
 
 // Exchange of what is known of parts of prompts, through the store.
 
+namespace {
+
+// Adds what a report says of quarantined and completed parts.
+void append(crashes::part_report& to, const crashes::part_report& from)
+{
+    to.quarantined_.insert(
+        to.quarantined_.end(),
+        from.quarantined_.begin(),
+        from.quarantined_.end());
+    to.survivors_.insert(
+        to.survivors_.end(), from.survivors_.begin(), from.survivors_.end());
+}
+
+} // namespace
+
 std::chrono::milliseconds suspect_registry::part_report_delay() const
 {
     const auto spread =
@@ -50,14 +65,7 @@
 void suspect_registry::write_parts(clock_reading now)
 {
     const crashes::part_report due = part_tracker_.take_report(now.boot_);
-    unrecorded_parts_.quarantined_.insert(
-        unrecorded_parts_.quarantined_.end(),
-        due.quarantined_.begin(),
-        due.quarantined_.end());
-    unrecorded_parts_.survivors_.insert(
-        unrecorded_parts_.survivors_.end(),
-        due.survivors_.begin(),
-        due.survivors_.end());
+    append(unrecorded_parts_, due);
     if (unrecorded_parts_.empty() || parts_call_ ||
         now.boot_ < next_parts_write_)
         return;
@@ -85,14 +93,7 @@
         return;
     if (std::holds_alternative<platform::not_reached>(outcome))
         next_parts_write_ = now.boot_ + timing_.max_write_backoff_;
-    unrecorded_parts_.quarantined_.insert(
-        unrecorded_parts_.quarantined_.end(),
-        pending_parts_.quarantined_.begin(),
-        pending_parts_.quarantined_.end());
-    unrecorded_parts_.survivors_.insert(
-        unrecorded_parts_.survivors_.end(),
-        pending_parts_.survivors_.begin(),
-        pending_parts_.survivors_.end());
+    append(unrecorded_parts_, pending_parts_);
 }
 
 } // namespace monsoondock::quarantine
