--- /dev/null
+++ b/src/librelay/crash_records.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "exchange.hpp"
+#include "proxy_thread.hpp"
+#include "try_upstream.hpp"
+
+#include <chrono>
+
+namespace monsoondock::relay::pvt {
+
+/// Returns the time since the response of the current try began, or 0 when it
+/// did not begin.
+std::chrono::milliseconds response_age(const response_state& state);
+
+
+/// Records that a try was lost, which may have been the end of its upstream,
+/// and has peers told of it.
+void record_possible_crash(
+    proxy_thread& t,
+    const exchange& e,
+    const response_state& state,
+    const upstream& target);
+
+
+/// Records that an upstream responded completely, which shows that earlier
+/// crashes during the same request, or others with its parts, had other causes.
+void record_completion(
+    proxy_thread& t,
+    const exchange& e,
+    const response_state& state,
+    const upstream& target);
+
+
+/// Records what a peer has reported of parts of prompts.
+void apply_part_report(proxy_thread& t, const crashes::part_report& report);
+
+
+/// Returns true when the request, or requests that share a part of its prompt,
+/// crash the upstreams that run them. It is not to be sent then.
+bool crashes_upstreams(const proxy_thread& t, const exchange& e);
+
+} // namespace monsoondock::relay::pvt
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -1,6 +1,6 @@
 #include "forward.hpp"
 
-#include "crashing_parts.hpp"
+#include "crash_records.hpp"
 #include "rejection_pause.hpp"
 #include "suspended_try.hpp"
 #include "try_upstream.hpp"
@@ -185,21 +185,6 @@
 }
 
 
-// Returns true when the request, or requests that share a part of its prompt,
-// crash the upstreams that run them.
-bool crashes_upstreams(const forward_context& c)
-{
-    const auto part = find_crashing_part(c.t_, c.e_);
-    if (part)
-        base::event_line("crashing_part")
-            .field("request", c.e_.id_)
-            .field("part", crashes::to_text({*part}));
-    return part || c.t_.crash_tracker_.crash_count(
-                       c.e_.fingerprint_, base::boot_clock::now()) >=
-                       crash_tracker::max_crashes;
-}
-
-
 // Returns true when one more upstream may be tried.
 bool may_try_again(forward_context& c)
 {
@@ -212,7 +197,7 @@
         return false;
     if (time_left(e).count() <= 0 || e.caller_->disconnected_)
         return false;
-    if (crashes_upstreams(c))
+    if (crashes_upstreams(c.t_, c.e_))
         return false;
     if (e.connected_sends_ == 0)
         return true;
@@ -226,51 +211,6 @@
 }
 
 
-// Returns the time since the response of the current try began, or 0 when it
-// did not begin.
-milliseconds response_age(const forward_context& c)
-{
-    if (c.state_.response_began_ == base::time_point())
-        return milliseconds(0);
-    return std::chrono::duration_cast<milliseconds>(
-        base::boot_clock::now() - c.state_.response_began_);
-}
-
-
-void record_possible_crash(forward_context& c, const upstream& u)
-{
-    const exchange& e = c.e_;
-    c.t_.metrics_.add(metrics::counter::upstream_failures, label_of(e));
-    // What crashes an upstream does so as the response begins.
-    if (e.stop_reason_ != stop_reason::none ||
-        response_age(c) >= crashes::part_tracker::max_crash_delay)
-        return;
-    const crash_report report{e.fingerprint_, e.host_, false};
-    c.t_.crash_tracker_.add(report, base::boot_clock::now());
-    if (c.t_.callbacks_.on_crash_)
-        c.t_.callbacks_.on_crash_(report);
-    record_part_crash(c.t_, e, c.state_, u);
-}
-
-
-// A complete response shows that earlier crashes during the same request had
-// other causes.
-void record_completion(forward_context& c, const upstream& u)
-{
-    const base::time_point now = base::boot_clock::now();
-    if (c.t_.crash_tracker_.mark_completed(c.e_.fingerprint_, now) &&
-        c.t_.callbacks_.on_crash_)
-        c.t_.callbacks_.on_crash_({c.e_.fingerprint_, {}, true});
-    const bool succeeded =
-        !c.state_.buffered_response_ ||
-        http::to_status_class(c.state_.buffered_response_->result()) ==
-            http::status_class::successful;
-    // The end of a connection may be that of the upstream.
-    if (succeeded && c.state_.framing_ != body_framing::connection_close)
-        record_part_completion(c.t_, c.e_, u);
-}
-
-
 void log_try(const forward_context& c, const upstream& u, try_outcome outcome)
 {
     base::event_line line("try");
@@ -286,7 +226,7 @@
         .field("partial_bytes", c.state_.partial_event_bytes_);
     if (outcome != try_outcome::lost)
         return;
-    line.field("response_age", response_age(c))
+    line.field("response_age", response_age(c.state_))
         .field("parts", crashes::to_text(c.e_.prompt_parts_))
         .field("fingerprint", crashes::to_text({c.e_.fingerprint_}))
         .field(
@@ -298,12 +238,14 @@
 
 void handle_outcome(forward_context& c, const upstream& u, try_outcome outcome)
 {
-    if (outcome == try_outcome::lost)
-        record_possible_crash(c, u);
+    if (outcome == try_outcome::lost) {
+        c.t_.metrics_.add(metrics::counter::upstream_failures, label_of(c.e_));
+        record_possible_crash(c.t_, c.e_, c.state_, u);
+    }
     if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
         log_try(c, u, outcome);
     if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
-        record_completion(c, u);
+        record_completion(c.t_, c.e_, c.state_, u);
     const bool unreachable =
         outcome == try_outcome::not_sent &&
         (c.e_.stop_reason_ == stop_reason::none ||
@@ -493,7 +435,7 @@
             {http::status::service_unavailable,
              "stopping",
              jittered_retry_after(c, rejection_pause(*c.t_.drain_, now))});
-    if (crashes_upstreams(c))
+    if (crashes_upstreams(c.t_, c.e_))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -1,5 +1,5 @@
 #include "caller_session.hpp"
-#include "crashing_parts.hpp"
+#include "crash_records.hpp"
 #include "cut_log.hpp"
 #include "proxy_thread.hpp"
 #include "upstream_limits.hpp"
