--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -1,18 +1,15 @@
 #include "control_plane.hpp"
 #include "election.hpp"
+#include "leader_record.hpp"
 #include "peer_topology.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <algorithm>
 
 namespace monsoondock::entry::pvt {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
@@ -39,95 +36,11 @@
 constexpr std::uint64_t epoch_block_size = 10000;
 // Minimum time between writes of the leader record for the sake of its parts.
 constexpr std::chrono::milliseconds parts_record_period{1000};
-// Number of parts of prompts that the leader record keeps.
-constexpr std::size_t max_recorded_parts = 32;
 // Number of leaders whose records may be missing from a copy of the store that
 // is some seconds old.
 constexpr std::uint64_t max_lost_leaders = 16;
 
 
-/// Record of the placement leader in the platform's store.
-struct leader_record
-{
-    std::string daemon_;
-    /// "ip:port" through which other daemons join; empty when unknown.
-    std::string peer_address_;
-    std::uint64_t term_ = 0;
-    /// Exclusive upper bound of the epochs that this leader may use.
-    std::uint64_t epoch_limit_ = 1;
-    /// Random number that makes each write a change, and identifies it when
-    /// the response to the write is lost.
-    std::uint64_t nonce_ = 0;
-    /// Era of the store when the record was written.
-    std::uint64_t era_ = 0;
-    /// Parts of prompts under which upstreams crash, for a start of all daemons
-    /// at once.
-    crashes::quarantine_list quarantined_;
-};
-
-
-json::array to_json(const crashes::quarantine_list& list)
-{
-    json::array result;
-    for (const crashes::quarantined_part& q : list)
-        result.push_back(json::object{
-            {"part", crashes::to_text({q.part_})},
-            {"ms", q.remaining_.count()}});
-    return result;
-}
-
-
-// Throws when the list is malformed.
-crashes::quarantine_list parse_quarantined(const json::array& list)
-{
-    crashes::quarantine_list result;
-    for (const json::value& v : list) {
-        const json::object& o = v.as_object();
-        const auto& text = o.at("part").as_string();
-        result.push_back(
-            {crashes::parse_part({text.data(), text.size()}),
-             std::chrono::milliseconds(o.at("ms").to_number<std::int64_t>())});
-    }
-    return result;
-}
-
-
-std::string to_text(const leader_record& r)
-{
-    return json::serialize(json::object{
-        {"daemon", r.daemon_},
-        {"peer", r.peer_address_},
-        {"term", r.term_},
-        {"epochs_below", r.epoch_limit_},
-        {"stamp", r.nonce_},
-        {"era", r.era_},
-        {"crashing_parts", to_json(r.quarantined_)}});
-}
-
-
-std::optional<leader_record> parse_record(const std::string& text)
-{
-    try {
-        const json::value v = json::parse(text);
-        const json::object& o = v.as_object();
-        const auto* peer = o.if_contains("peer");
-        const auto* era = o.if_contains("era");
-        const auto* parts = o.if_contains("crashing_parts");
-        return leader_record{
-            std::string(o.at("daemon").as_string()),
-            std::string(peer == nullptr ? "" : peer->as_string()),
-            o.at("term").to_number<std::uint64_t>(),
-            o.at("epochs_below").to_number<std::uint64_t>(),
-            o.at("stamp").to_number<std::uint64_t>(),
-            era == nullptr ? 0 : era->to_number<std::uint64_t>(),
-            parts == nullptr ? crashes::quarantine_list()
-                             : parse_quarantined(parts->as_array())};
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-}
-
-
 std::size_t election_rank(const control_plane& c)
 {
     return precedence_rank(c.node_.members(), c.node_.self());
