--- a/src/libquarantine/simulation_parts_test.hpp
+++ b/src/libquarantine/simulation_parts_test.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/platform/memory_store.hpp>
 #include <monsoondock/quarantine/suspect_registry.hpp>
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <optional>
@@ -77,6 +78,27 @@
 }
 
 
+// Returns the part of the prompt that some contents share.
+inline monsoondock::crashes::prompt_part part_of(int content)
+{
+    if (content <= FIRST_PART_CRASHER)
+        return CRASHING_PART;
+    return FIRST_HARMLESS_PART + static_cast<monsoondock::crashes::prompt_part>(
+                                     std::max(content, 0) % HARMLESS_PARTS);
+}
+
+
+// Returns a record of the store without all that it says of parts.
+inline std::string without_parts(const std::string& value)
+{
+    auto record = decode_suspect(value);
+    if (!base::ok(record))
+        return encode(part_record());
+    base::value(record).parts_.clear();
+    return encode(base::value(record));
+}
+
+
 struct request_state
 {
     int content_ = 0;
--- a/src/libquarantine/simulation_test.hpp
+++ b/src/libquarantine/simulation_test.hpp
@@ -233,14 +233,6 @@
                 daemons_[r.daemon_].registry_->request_permit(q, now()));
     }
 
-    static crashes::prompt_part part_of(int content)
-    {
-        if (content <= FIRST_PART_CRASHER)
-            return CRASHING_PART;
-        return FIRST_HARMLESS_PART + static_cast<crashes::prompt_part>(
-                                         std::max(content, 0) % HARMLESS_PARTS);
-    }
-
     // Counts a request with the crashing part that begins to run.
     void count_part_run()
     {
@@ -423,15 +415,11 @@
             report_violation("a harmless part was quarantined");
     }
 
-    std::string without_parts(const std::string& value) const
+    std::string recorded(const std::string& value) const
     {
-        if (defect_ != injected_defect::parts_not_recorded)
-            return value;
-        auto record = decode_suspect(value);
-        if (!base::ok(record))
-            return encode(part_record());
-        base::value(record).parts_.clear();
-        return encode(base::value(record));
+        return defect_ == injected_defect::parts_not_recorded
+                   ? without_parts(value)
+                   : value;
     }
 
     template <class Effect>
@@ -462,7 +450,7 @@
         write(d, c.id_, [this, c]() -> platform::write_outcome {
             if (defect_ == injected_defect::losses_not_recorded)
                 return platform::written{store_.current()};
-            return store_.put(c.key_, without_parts(c.value_), c.condition_);
+            return store_.put(c.key_, recorded(c.value_), c.condition_);
         });
     }
 
