entry: a new leader does not forget the parts of the record that it replaces

Read with the question what happens between the election and the first news of the traffic thread: the list of this daemon was still empty, so the record was written once more without the parts, and a second power failure within a second would have lost them.

--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -85,14 +85,34 @@
     std::vector<crashes::prompt_part> parts;
     for (const crashes::quarantined_part& q : list)
         parts.push_back(q.part_);
+    std::sort(parts.begin(), parts.end());
     return parts;
 }
 
 
+// Adds to a list the parts of another that it lacks.
+void add_missing(
+    crashes::quarantine_list& list, const crashes::quarantine_list& other)
+{
+    for (const crashes::quarantined_part& q : other) {
+        const bool known =
+            std::any_of(list.begin(), list.end(), [&](const auto& listed) {
+                return listed.part_ == q.part_;
+            });
+        if (!known)
+            list.push_back(q);
+    }
+}
+
+
+// Takes over the parts of a stored record. They are known at once, so that a
+// new leader does not write a record without them meanwhile.
 void apply_recorded_parts(control_plane& c, const leader_record& r)
 {
-    if (!r.quarantined_.empty())
-        c.proxy_->apply_part_report({r.quarantined_, {}, {}});
+    if (r.quarantined_.empty())
+        return;
+    add_missing(c.parts_.known_.quarantined_, r.quarantined_);
+    c.proxy_->apply_part_report({r.quarantined_, {}, {}});
 }
 
 
@@ -155,15 +175,9 @@
                         epoch_block_size;
     next.nonce_ = c.random_() >> 1U;
     next.era_ = c.store_.era();
-    // The parts of the stored record are kept until the traffic thread has
-    // taken them over.
-    for (crashes::quarantined_part& q : parts_to_record(c)) {
-        const auto same = [&](const auto& r) {
-            return r.part_ == q.part_;
-        };
-        std::erase_if(next.quarantined_, same);
-        next.quarantined_.push_back(q);
-    }
+    next.quarantined_ = parts_to_record(c);
+    if (stored)
+        add_missing(next.quarantined_, stored->quarantined_);
     return next;
 }
 
