--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -103,14 +103,15 @@
 
 
 def free_port():
-    """Returns a port that is free for both TCP and UDP on loopback."""
+    """Returns a port that is free for both TCP and UDP on all addresses, as
+    several daemons of a session use it on addresses of their own."""
     while True:
         with socket.socket() as tcp, \
                 socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
+            tcp.bind(("", 0))
             port = tcp.getsockname()[1]
             try:
-                udp.bind(("127.0.0.1", port))
+                udp.bind(("", port))
             except OSError:
                 continue
             return port
