entry: log which peer reported a host

The daemons that were not cut off refused requests without a try of their own, and their logs did not show whose report had changed their view.

--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -129,6 +129,22 @@
 }
 
 
+// A report of a peer changes what this daemon believes of a host without any
+// evidence of its own.
+void log_report(
+    const control_plane& c,
+    const membership::endpoint& sender,
+    const base::host_id& host,
+    std::string_view report)
+{
+    base::event_line("peer_report")
+        .field("host", host)
+        .field("report", report)
+        .field("from", to_string(sender))
+        .field("daemon", c.config_.daemon_);
+}
+
+
 void handle_message(
     control_plane& c,
     const peer_message& message,
@@ -143,6 +159,7 @@
             },
             [&](const leader_heartbeat& m) { handle_heartbeat(c, m, sender); },
             [&](const upstream_suspected_message& m) {
+                log_report(c, sender, m.host_, "upstream_suspected");
                 c.proxy_->mark_unhealthy(m.host_);
                 check_group(c, m);
             },
@@ -164,6 +181,7 @@
                 apply_pushed_changes(c, m, sender);
             },
             [&](const host_unreachable_message& m) {
+                log_report(c, sender, m.host_, "host_unreachable");
                 mark_host_unreachable(c, m.host_);
             },
             [&](const host_leaving_message& m) { mark_host_leaving(c, m); },
