--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -487,7 +487,8 @@
     """A monsoondockd --entry process; its log is written to a file."""
 
     def __init__(self, session, store, name, zone, ip, ports, seeds=(),
-                 first_start=True, platform_address=None, grace="6s"):
+                 first_start=True, platform_address=None, grace="6s",
+                 links=None):
         self.name = name
         self.ip = ip
         self.ports = ports
@@ -506,7 +507,8 @@
         self.popen = subprocess.Popen(
             [str(session.bin / "monsoondockd"), "--entry", "--config",
              str(config)],
-            stdout=open(self.stdout, "wb"), stderr=open(self.log, "wb"))
+            stdout=open(self.stdout, "wb"), stderr=open(self.log, "wb"),
+            env=links.environment() if links else None)
         session.processes[f"{name}.{self.popen.pid}"] = self
 
     def address(self, key):
