testsuite: links are cut by functions linked into a test daemon

The functions that cut links are linked into a daemon of the tests instead; the product's daemon is not changed.

--- a/testsuite/entry-upstreams-cut/run.py
+++ b/testsuite/entry-upstreams-cut/run.py
@@ -5,7 +5,7 @@
 import re
 
 from entry_calls import call, chat, is_ready, serves, status
-from link_faults import LinkFaults
+from link_faults_test import LinkFaults
 from session import Session, wait_until
 from users_platform import (
     EngineWorker, EntryDaemon, PlainWorker, Store, configuration, daemon_ports)
--- a/testsuite/link_faults/link_faults.cpp
+++ b/testsuite/link_faults/link_faults_test.cpp
@@ -1,7 +1,8 @@
-// Library for the daemons of golden sessions and of the soak. It makes the
-// connections of one process to given ports fail as links between hosts do,
-// which no proxy on loopback can: a connection to a proxy is always
-// established. link_faults.py writes the file that it reads.
+// Part of the daemon with which golden sessions and the soak cut links. It
+// makes the connections of one process to given ports fail as links between
+// hosts do, which no proxy on loopback can: a connection to a proxy is always
+// established. Its functions stand in for those of the C library.
+// link_faults_test.py writes the file that it reads.
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -12,7 +13,6 @@
 #include <fcntl.h>
 #include <iterator>
 #include <netinet/in.h>
-#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,7 +31,7 @@
 };
 
 
-/// Content of the file, as link_faults.py writes it.
+/// Content of the file, as link_faults_test.py writes it.
 struct link_state
 {
     link_mode mode_;
@@ -42,47 +42,43 @@
 };
 
 
-const link_state* map_state()
+int open_file()
 {
     const char* path = std::getenv("LINK_FAULTS_FILE");
-    const int file = path == nullptr ? -1 : open(path, O_RDONLY | O_CLOEXEC);
-    if (file < 0)
-        return nullptr;
-    void* memory =
-        mmap(nullptr, sizeof(link_state), PROT_READ, MAP_SHARED, file, 0);
-    close(file);
-    return memory == MAP_FAILED ? nullptr
-                                : static_cast<const link_state*>(memory);
+    return path == nullptr ? -1 : open(path, O_RDONLY | O_CLOEXEC);
 }
 
 
-const volatile link_state* state()
+link_state read_state()
 {
-    static const volatile link_state* const mapped = map_state();
-    return mapped;
+    static const int file = open_file();
+    link_state state{};
+    if (file < 0 || pread(file, &state, sizeof state, 0) != sizeof state)
+        return {};
+    return state;
 }
 
 
-bool is_cut(std::uint16_t port)
+bool is_cut(const link_state& state, std::uint16_t port)
 {
-    const auto* const ports =
-        std::begin(const_cast<link_state*>(state())->ports_);
-    return std::find(ports, ports + state()->port_count_, port) !=
-           ports + state()->port_count_;
+    const auto* const end = std::begin(state.ports_) + state.port_count_;
+    return state.mode_ != link_mode::open &&
+           std::find(std::begin(state.ports_), end, port) != end;
 }
 
 
 /// Returns the mode of the link that a connected socket uses.
 link_mode mode_of(int socket)
 {
-    if (state() == nullptr || state()->mode_ == link_mode::open)
+    const link_state state = read_state();
+    if (state.mode_ == link_mode::open)
         return link_mode::open;
     sockaddr_in peer{};
     socklen_t size = sizeof peer;
     if (getpeername(socket, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
-        peer.sin_family != AF_INET || !is_cut(ntohs(peer.sin_port)))
+        peer.sin_family != AF_INET || !is_cut(state, ntohs(peer.sin_port)))
         return link_mode::open;
-    return state()->mode_;
+    return state.mode_;
 }
 
 
@@ -118,15 +114,15 @@
 {
     static const auto original = next<decltype(connect)>("connect");
     const auto* const to = reinterpret_cast<const sockaddr_in*>(address);
-    if (state() == nullptr || state()->mode_ == link_mode::open ||
-        to->sin_family != AF_INET || !is_cut(ntohs(to->sin_port)))
+    const link_state state = read_state();
+    if (to->sin_family != AF_INET || !is_cut(state, ntohs(to->sin_port)))
         return original(socket, address, size);
-    if (state()->mode_ != link_mode::silent) {
+    if (state.mode_ != link_mode::silent) {
         errno = ECONNREFUSED;
         return -1;
     }
     sockaddr_in silent = *to;
-    silent.sin_port = htons(state()->silent_port_);
+    silent.sin_port = htons(state.silent_port_);
     return original(
         socket, reinterpret_cast<const sockaddr*>(&silent), sizeof silent);
 }
--- a/testsuite/link_faults.py
+++ b/testsuite/link_faults_test.py
@@ -1,15 +1,14 @@
-"""Faults of the links from one daemon to upstreams. A library in the daemon's
-process, link_faults/link_faults.cpp, carries them out; other processes reach
+"""Faults of the links from one daemon to upstreams. The daemon is built with
+link_faults/link_faults_test.cpp, which carries them out; other processes reach
 the same upstreams meanwhile."""
 
-import mmap
 import os
 import socket
 import struct
 
 STATE_BYTES = 4 + 2 + 2 + 2 * 256
 
-# Modes of the links; see link_faults.cpp.
+# Modes of the links; see link_faults_test.cpp.
 OPEN, RESET, SILENT, NEW_REFUSED = range(4)
 MODES = {"reset": RESET, "silent": SILENT, "new_refused": NEW_REFUSED}
 
@@ -19,11 +18,9 @@
 
     def __init__(self, session, name):
         self.path = session.scratch_path(f"{name}.links")
-        self.library = session.bin / "liblink_faults.so"
+        self.program = session.bin / "monsoondockd-link-faults"
         with open(self.path, "wb") as file:
             file.write(bytes(STATE_BYTES))
-        with open(self.path, "r+b") as file:
-            self.state = mmap.mmap(file.fileno(), STATE_BYTES)
         # A listener whose queue is full does not answer connections.
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=0)
         self.silent_port = self.listener.getsockname()[1]
@@ -36,15 +33,19 @@
 
     def environment(self):
         """Returns the environment of the daemon."""
-        return {**os.environ, "LD_PRELOAD": str(self.library),
-                "LINK_FAULTS_FILE": str(self.path)}
+        return {**os.environ, "LINK_FAULTS_FILE": str(self.path)}
 
     def cut(self, mode, workers):
         """Cuts the links to the workers."""
         ports = [w.server.port for w in workers]
-        self.state[4:8 + 2 * len(ports)] = struct.pack(
-            f"=HH{len(ports)}H", self.silent_port, len(ports), *ports)
-        self.state[0:4] = struct.pack("=I", MODES[mode])
+        self.write(MODES[mode], ports)
 
     def restore(self):
-        self.state[0:4] = struct.pack("=I", OPEN)
+        self.write(OPEN, [])
+
+    def write(self, mode, ports):
+        """Writes the state, which the daemon reads at once, in one call."""
+        state = struct.pack(f"=IHH{len(ports)}H", mode, self.silent_port,
+                            len(ports), *ports)
+        with open(self.path, "r+b", buffering=0) as file:
+            file.write(state.ljust(STATE_BYTES, b"\0"))
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -505,8 +505,8 @@
         self.stdout = session.scratch_path(f"{name}.stdout")
         self.log = pathlib.Path(session.scratch_path(f"{name}.stderr"))
         self.popen = subprocess.Popen(
-            [str(session.bin / "monsoondockd"), "--entry", "--config",
-             str(config)],
+            [str(links.program if links else session.bin / "monsoondockd"),
+             "--entry", "--config", str(config)],
             stdout=open(self.stdout, "wb"), stderr=open(self.log, "wb"),
             env=links.environment() if links else None)
         session.processes[f"{name}.{self.popen.pid}"] = self
