membership, metrics: a mode for daemons that serve through others

A daemon whose links to the upstreams are cut accepts callers, but other daemons serve them better, and it should lead last. monsoondock_detours_total counts the requests that it passes on.

--- a/src/include/monsoondock/membership/entry_mode.hpp
+++ b/src/include/monsoondock/membership/entry_mode.hpp
@@ -8,7 +8,10 @@
 enum class entry_mode : std::uint8_t
 {
     open,
-    draining
+    draining,
+    /// Serves its callers through other daemons, since its links to the
+    /// upstreams are cut.
+    detouring
 };
 
 
--- a/src/include/monsoondock/metrics/metric.hpp
+++ b/src/include/monsoondock/metrics/metric.hpp
@@ -24,7 +24,9 @@
     bad_requests,
     peer_bytes_sent,
     peer_bytes_received,
-    peer_datagrams_dropped
+    peer_datagrams_dropped,
+    /// Requests passed on to another daemon because links were cut.
+    detours
 };
 
 
--- a/src/libmembership/message_codec.cpp
+++ b/src/libmembership/message_codec.cpp
@@ -107,7 +107,7 @@
     archive(status.sequence_);
     archive(status.settings_revision_);
     archive(status.load_permille_);
-    transfer_enum(archive, status.entry_mode_, entry_mode::draining);
+    transfer_enum(archive, status.entry_mode_, entry_mode::detouring);
 }
 
 
--- a/src/libmembership/names.cpp
+++ b/src/libmembership/names.cpp
@@ -21,7 +21,15 @@
 
 const char* to_string(entry_mode mode) noexcept
 {
-    return mode == entry_mode::open ? "open" : "draining";
+    switch (mode) {
+    case entry_mode::open:
+        return "open";
+    case entry_mode::draining:
+        return "draining";
+    case entry_mode::detouring:
+        break;
+    }
+    return "detouring";
 }
 
 } // namespace monsoondock::membership
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -47,6 +47,8 @@
         return "monsoondock_peer_bytes_received_total";
     case counter::peer_datagrams_dropped:
         return "monsoondock_peer_datagrams_dropped_total";
+    case counter::detours:
+        return "monsoondock_detours_total";
     case counter::bad_requests:
         break;
     }
