relay: pass requests on to a daemon that has links to the upstreams

A request whose upstreams, or those of them that have room, are behind cut links takes a detour: another daemon gets it as it came, with the time that is left, the last event, the upstreams that were tried and how many of them may have executed it, and the response is relayed. It takes one at most, and none from a daemon that serves one. A request that may run once is not sent again after a detour whose response was lost.

A response that was lost is counted as a possible crash only once the control thread has found that the link was not cut; five lost requests in a row quarantined the request before. The report that an upstream does not respond says whether others do at the same time.

--- a/src/include/monsoondock/relay/availability.hpp
+++ b/src/include/monsoondock/relay/availability.hpp
@@ -34,9 +34,9 @@
 
 
 /// Returns the part, from 0 to 1, of its usual requests that an upstream is to
-/// get: 0 when it is leaving, has asked for a pause, or has named a limit and
-/// gets nothing of this daemon at present; and a growing one for ramp_time
-/// after a pause.
+/// get: 0 when the link to it is cut, when it is leaving, has asked for a
+/// pause, or has named a limit and gets nothing of this daemon at present; and
+/// a growing one for ramp_time after a pause.
 ///
 /// Answers upstreams that are full and reject many daemons at the same time:
 /// without the ramp all of them would return together at the end of the pause.
--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -74,4 +74,12 @@
     const std::set<base::host_id>& excluded,
     base::time_point now);
 
+
+/// Same for the upstreams of a model whose links to this daemon are cut,
+/// whether or not they accept requests.
+std::optional<long> max_free_slots_behind_cuts(
+    const std::vector<upstream>& all,
+    const upstream_table& table,
+    const std::string& model);
+
 } // namespace monsoondock::relay
--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -59,6 +60,8 @@
     crashes::part_report part_state_;
     /// Limits that upstreams have named lately, and those that have ended.
     std::vector<host_limit_report> host_limits_;
+    /// Upstreams that accepted a connection since the previous reading.
+    std::set<base::host_id> connected_;
 };
 
 
@@ -82,6 +85,9 @@
     /// Address of the failed host as "ip:port", when the upstream named a host
     /// other than itself; otherwise empty.
     std::string failed_address_;
+    /// True when other upstreams respond to this daemon at the same time, so
+    /// that its links are not cut in general.
+    bool others_respond_ = false;
 };
 
 
@@ -94,6 +100,10 @@
     /// Called when this daemon has received nothing from an upstream for too
     /// long; peers should be asked whether it responds to them.
     std::function<void(const base::host_id&)> on_no_progress_;
+    /// Called when a response of an upstream was lost and it is not known
+    /// whether the upstream crashed or the link to it was cut;
+    /// reverse_proxy::resolve_losses is to be called.
+    std::function<void(const base::host_id&)> on_connection_lost_;
     /// Called once when a response says that an upstream is leaving; peers
     /// should be told.
     std::function<void(const base::host_id&)> on_leaving_;
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -4,6 +4,7 @@
 #include <monsoondock/metrics/registry.hpp>
 #include <monsoondock/relay/drain_schedule.hpp>
 #include <monsoondock/relay/header_names.hpp>
+#include <monsoondock/relay/link_view.hpp>
 #include <monsoondock/relay/proxy_callbacks.hpp>
 #include <monsoondock/relay/retry_limiter.hpp>
 #include <monsoondock/relay/serving_view.hpp>
@@ -54,6 +55,23 @@
     start(const boost::asio::ip::tcp::endpoint& address);
 
 
+    /// Binds another address, at which requests are accepted that other daemons
+    /// pass on because they have no links to the upstreams. To be called before
+    /// start. Fails with problem code unavailable when it cannot listen there.
+    base::result<base::done>
+    accept_detours(const boost::asio::ip::tcp::endpoint& address);
+
+
+    /// Replaces the state of this daemon's links to the upstreams.
+    void publish_links(link_view_pointer links);
+
+
+    /// Ends the wait for the cause of the responses that were lost at a host;
+    /// see proxy_callbacks::on_connection_lost_. They are counted as possible
+    /// crashes unless the link to the host was cut.
+    void resolve_losses(base::host_id host, bool link_cut);
+
+
     /// Replaces the view from which requests are routed.
     void publish(view_pointer view);
 
--- a/src/include/monsoondock/relay/upstream_table.hpp
+++ b/src/include/monsoondock/relay/upstream_table.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <unordered_map>
 
 namespace monsoondock::relay {
@@ -28,6 +29,8 @@
     /// Until this time the upstream counts as unhealthy and is used only when
     /// there is no other.
     base::time_point unhealthy_until_;
+    /// True while this daemon's link to the upstream is cut.
+    bool link_cut_ = false;
     /// True once a response has said that the upstream is leaving.
     bool leaving_ = false;
     /// Until this time the upstream wants no requests of this daemon.
@@ -80,6 +83,11 @@
     }
 
 
+    /// Records the hosts whose links to this daemon are cut; those to all
+    /// others are not.
+    void set_cut_links(const std::set<base::host_id>& hosts);
+
+
     /// Forgets that an upstream was leaving, paused or limited when it is
     /// another process by now.
     void
--- a/src/librelay/availability.cpp
+++ b/src/librelay/availability.cpp
@@ -25,7 +25,7 @@
 
 double usable_share(const upstream_state& s, base::time_point now)
 {
-    if (s.leaving_ || now < s.paused_until_ ||
+    if (s.link_cut_ || s.leaving_ || now < s.paused_until_ ||
         !hostlimits::may_send(s.limit_, now))
         return 0;
     if (s.paused_until_ == base::time_point())
@@ -49,7 +49,7 @@
         const upstream_state* s = table.find(u.host_);
         if (s == nullptr)
             return std::nullopt;
-        if (s->leaving_)
+        if (s->leaving_ || s->link_cut_)
             continue;
         const base::time_point end = std::max(
             s->paused_until_,
--- a/src/librelay/caller_connection.hpp
+++ b/src/librelay/caller_connection.hpp
@@ -34,6 +34,9 @@
     caller_phase phase_ = caller_phase::idle;
     /// When the phase times out.
     base::time_point phase_deadline_ = base::time_point::max();
+    /// True when the other end is a daemon that passes requests of its callers
+    /// on.
+    bool from_daemon_ = false;
     /// True when the phase has timed out.
     bool timed_out_ = false;
     /// True when the connection has carried a request.
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.hpp"
 
+#include "detour.hpp"
 #include "forward.hpp"
 #include "http_serializer.hpp"
 
@@ -243,6 +244,8 @@
         return rejection(http::status::not_found, "no_route");
     if (auto refusal = check_key(*e, c))
         return *refusal;
+    if (connection->from_daemon_)
+        read_detour_fields(*e);
     e->model_ = std::string(e->request_[names.model_]);
     read_token_counts(*e, names);
     e->fingerprint_ = fingerprint(*e);
@@ -338,11 +341,13 @@
 
 } // namespace
 
-asio::awaitable<void> run_session(proxy_thread& t, asio::ip::tcp::socket socket)
+asio::awaitable<void>
+run_session(proxy_thread& t, asio::ip::tcp::socket socket, bool from_daemon)
 {
     base::enable_keepalive(socket, connection_bounds);
     const auto connection =
         std::make_shared<caller_connection>(std::move(socket));
+    connection->from_daemon_ = from_daemon;
     t.caller_connections_.insert(connection);
     co_await run_requests(t, connection);
     t.caller_connections_.erase(connection);
--- a/src/librelay/choose_upstream.cpp
+++ b/src/librelay/choose_upstream.cpp
@@ -155,4 +155,21 @@
     return most;
 }
 
+
+std::optional<long> max_free_slots_behind_cuts(
+    const std::vector<upstream>& all,
+    const upstream_table& table,
+    const std::string& model)
+{
+    std::optional<long> most;
+    for (const upstream& u : all) {
+        const upstream_state& s = state_of(table, u);
+        if (u.model_ != model || !s.link_cut_)
+            continue;
+        const long free_slots = long{u.slots_} - long{total_load(s)};
+        most = std::max(most.value_or(free_slots), free_slots);
+    }
+    return most;
+}
+
 } // namespace monsoondock::relay
--- a/src/librelay/crash_records.cpp
+++ b/src/librelay/crash_records.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::relay::pvt {
 
 namespace http = boost::beast::http;
@@ -47,21 +49,20 @@
             .field("part", crashes::to_text({part}));
 }
 
-// What crashes an upstream does so as the response begins.
-void record_part_crash(
-    proxy_thread& t,
-    const exchange& e,
-    const response_state& state,
-    const upstream& target)
+// Losses are recorded after this time if nothing has shown their cause.
+constexpr milliseconds max_cause_wait{1000};
+
+
+void record(proxy_thread& t, const possible_crash& crash)
 {
-    if (e.prompt_parts_.empty() ||
-        response_age(state) >= crashes::part_tracker::max_crash_delay)
+    const base::time_point now = base::boot_clock::now();
+    t.crash_tracker_.add(crash.report_, now);
+    if (t.callbacks_.on_crash_)
+        t.callbacks_.on_crash_(crash.report_);
+    if (!crash.part_)
         return;
-    const bool begun = state.response_began_ != base::time_point();
-    const crashes::part_report report = t.part_tracker_.add_crash(
-        {e.prompt_parts_, run_of(target), content_of(e), begun},
-        report_delay(t),
-        base::boot_clock::now());
+    const crashes::part_report report =
+        t.part_tracker_.add_crash(*crash.part_, report_delay(t), now);
     log_quarantined(t);
     if (!report.empty() && t.callbacks_.on_part_report_)
         t.callbacks_.on_part_report_(report);
@@ -86,11 +87,50 @@
 {
     if (e.stop_reason_ != stop_reason::none)
         return;
-    const crash_report report{e.fingerprint_, target.host_, false};
-    t.crash_tracker_.add(report, base::boot_clock::now());
-    if (t.callbacks_.on_crash_)
-        t.callbacks_.on_crash_(report);
-    record_part_crash(t, e, state, target);
+    possible_crash crash{
+        {e.fingerprint_, target.host_, false}, {}, base::boot_clock::now()};
+    // What crashes an upstream does so as the response begins.
+    if (!e.prompt_parts_.empty() &&
+        response_age(state) < crashes::part_tracker::max_crash_delay)
+        crash.part_ = crashes::part_crash{
+            e.prompt_parts_,
+            run_of(target),
+            content_of(e),
+            state.response_began_ != base::time_point()};
+    if (!t.callbacks_.on_connection_lost_) {
+        record(t, crash);
+        return;
+    }
+    t.possible_crashes_.push_back(std::move(crash));
+    t.callbacks_.on_connection_lost_(target.host_);
+}
+
+
+void resolve_losses(proxy_thread& t, const base::host_id& host, bool link_cut)
+{
+    std::vector<possible_crash> resolved;
+    std::erase_if(t.possible_crashes_, [&](possible_crash& c) {
+        if (c.report_.host_ != host)
+            return false;
+        resolved.push_back(std::move(c));
+        return true;
+    });
+    if (link_cut)
+        return;
+    for (const possible_crash& c : resolved)
+        record(t, c);
+}
+
+
+void expire_losses(proxy_thread& t, base::time_point now)
+{
+    std::vector<base::host_id> hosts;
+    for (const possible_crash& c : t.possible_crashes_) {
+        if (now - c.lost_at_ >= max_cause_wait)
+            hosts.push_back(c.report_.host_);
+    }
+    for (const base::host_id& host : hosts)
+        resolve_losses(t, host, false);
 }
 
 
--- a/src/librelay/crash_records.hpp
+++ b/src/librelay/crash_records.hpp
@@ -22,6 +22,15 @@
     const upstream& target);
 
 
+/// Ends the wait for the cause of the losses at a host: drops them when the
+/// link to it was cut, and records them as possible crashes otherwise.
+void resolve_losses(proxy_thread& t, const base::host_id& host, bool link_cut);
+
+
+/// Records losses whose cause was not found in time.
+void expire_losses(proxy_thread& t, base::time_point now);
+
+
 /// Records that an upstream responded completely, which shows that earlier
 /// crashes during the same request, or others with its parts, had other causes.
 void record_completion(
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -99,6 +99,18 @@
     /// True when the log says that the current try may not be replaced.
     bool refusal_logged_ = false;
 
+    /// True when another daemon passed the request on, and that daemon. Such a
+    /// request is not passed on again.
+    bool is_detour_ = false;
+    base::daemon_id detour_from_;
+    /// True while the current try is a detour over another daemon.
+    bool on_detour_ = false;
+    /// True once the request has been sent to another daemon; at most one gets
+    /// it.
+    bool detour_sent_ = false;
+    /// Daemons tried for a detour.
+    std::set<base::daemon_id> tried_helpers_;
+
     /// Upstreams tried so far.
     std::set<base::host_id> tried_;
     /// Number of tries.
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -1,6 +1,7 @@
 #include "forward.hpp"
 
 #include "crash_records.hpp"
+#include "detour.hpp"
 #include "rejection_pause.hpp"
 #include "suspended_try.hpp"
 #include "try_upstream.hpp"
@@ -120,7 +121,7 @@
     if (c.e_.sends_ == 0)
         return {
             http::status::service_unavailable,
-            "no_upstream",
+            c.t_.links_->cut_hosts_.empty() ? "no_upstream" : "links_cut",
             jittered_retry_after(c, group_repair_retry_after)};
     return {
         http::status::service_unavailable,
@@ -236,6 +237,38 @@
 }
 
 
+void log_detour_end(
+    const forward_context& c, const paths::helper& helper, try_outcome outcome)
+{
+    base::event_line("detour_end")
+        .field("request", c.e_.id_)
+        .field("helper", helper.daemon_)
+        .field("outcome", to_string(outcome))
+        .field("stop_reason", to_string(c.e_.stop_reason_))
+        .field("reason", c.state_.failure_)
+        .field("events", c.state_.splitter_.events_);
+}
+
+
+// Sends the request to another daemon, which has links to the upstreams.
+asio::awaitable<try_outcome>
+take_detour(forward_context& c, const paths::helper& helper)
+{
+    base::event_line("detour")
+        .field("request", c.e_.id_)
+        .field("helper", helper.daemon_)
+        .field("data_centre", helper.data_centre_)
+        .field("reason", "links_cut")
+        .field("cut_links", c.t_.links_->cut_hosts_.size())
+        .field("sends", c.e_.sends_);
+    c.t_.metrics_.add(metrics::counter::detours, label_of(c.e_));
+    const try_outcome outcome =
+        co_await try_detour(c.t_, c.e_, c.state_, helper);
+    log_detour_end(c, helper, outcome);
+    co_return outcome;
+}
+
+
 void handle_outcome(forward_context& c, const upstream& u, try_outcome outcome)
 {
     if (outcome == try_outcome::lost) {
@@ -294,11 +327,17 @@
     try_outcome outcome = try_outcome::not_sent;
     for (;;) {
         std::optional<upstream> u;
-        if (!prefers_suspended_try(c, outcome) && may_try_again(c))
-            u = choose(c.t_, c.e_);
+        std::optional<paths::helper> helper;
+        if (!prefers_suspended_try(c, outcome) && may_try_again(c)) {
+            helper = choose_detour(c.t_, c.e_);
+            if (!helper)
+                u = choose(c.t_, c.e_);
+        }
         const bool may_resume = c.e_.suspended_ != nullptr && !c.t_.aborting_ &&
                                 time_left(c.e_).count() > 0;
-        if (u) {
+        if (helper) {
+            outcome = co_await take_detour(c, *helper);
+        } else if (u) {
             outcome = co_await try_upstream(c.t_, c.e_, c.state_, *u);
         } else if (may_resume) {
             u = c.e_.suspended_->target_;
@@ -306,7 +345,8 @@
         } else {
             break;
         }
-        handle_outcome(c, *u, outcome);
+        if (!helper)
+            handle_outcome(c, *u, outcome);
         if (outcome == try_outcome::relayed ||
             outcome == try_outcome::caller_gone)
             break;
@@ -369,6 +409,10 @@
         .field("catalog", e.view_->catalog_->version_)
         .field("in_time", is_in_time(c, now) ? "yes" : "no")
         .field("total", now - e.received_);
+    if (e.detour_sent_)
+        line.field("detour_to", e.host_);
+    if (e.is_detour_)
+        line.field("detour_from", e.detour_from_);
     if (c.state_.first_response_at_ != base::time_point())
         line.field("first", c.state_.first_response_at_ - e.received_);
 }
@@ -392,7 +436,8 @@
 {
     c.t_.arrival_meters_[{c.e_.deployment_, c.e_.model_}].add(
         base::boot_clock::now());
-    if (c.e_.model_.empty())
+    // The daemon that passed a request on reports its demand.
+    if (c.e_.model_.empty() || c.e_.is_detour_)
         return;
     model_demand& demand = c.t_.demand_[{c.e_.deployment_, c.e_.model_}];
     ++demand.requests_;
@@ -429,6 +474,12 @@
 {
     record_demand(c);
     const base::time_point now = base::boot_clock::now();
+    if (c.e_.is_detour_ && c.t_.detours_ > max_detours)
+        co_return co_await send_local_response(
+            c,
+            {http::status::service_unavailable,
+             "too_many_detours",
+             jittered_retry_after(c, busy_retry_after)});
     if (c.t_.drain_ && !accepts(*c.t_.drain_, now, response_end_of(c, now)))
         co_return co_await send_local_response(
             c,
@@ -447,7 +498,9 @@
             {http::status::service_unavailable,
              "overloaded",
              jittered_retry_after(c, busy_retry_after)});
-    retry_limiter_of(c.t_, c.e_.deployment_).add_request(now);
+    // The daemon that passed a request on has counted it.
+    if (!c.e_.is_detour_)
+        retry_limiter_of(c.t_, c.e_.deployment_).add_request(now);
     const try_outcome outcome = co_await try_all(c);
     co_return co_await respond_to_caller(c, outcome);
 }
@@ -465,6 +518,7 @@
         e->deployment_ = *chosen;
     t.exchanges_.insert(e);
     ++t.active_;
+    t.detours_ += e->is_detour_ ? 1 : 0;
     e->caller_->on_disconnect_ = [weak = std::weak_ptr(e)] {
         if (const auto live = weak.lock())
             stop(*live, stop_reason::caller_left);
@@ -474,6 +528,7 @@
     e->caller_->on_disconnect_ = nullptr;
     t.exchanges_.erase(e);
     --t.active_;
+    t.detours_ -= e->is_detour_ ? 1 : 0;
     log_request(c);
     record_metrics(c);
     record_response_time(c);
--- a/src/librelay/http_serializer.cpp
+++ b/src/librelay/http_serializer.cpp
@@ -45,13 +45,6 @@
 }
 
 
-void append_field(
-    std::string& text, std::string_view name, std::string_view value)
-{
-    text.append(name).append(": ").append(value).append("\r\n");
-}
-
-
 // Returns the additional hop-by-hop fields that the Connection field names.
 template <class Fields>
 std::vector<std::string> connection_tokens(const Fields& fields)
@@ -118,7 +111,14 @@
 
 } // namespace
 
-std::string serialize_upstream_request(
+void append_field(
+    std::string& text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
+
+std::string make_request_head(
     const exchange& e,
     const header_names& names,
     const forwarding_fields& fields)
@@ -138,19 +138,36 @@
     }
     const auto left = std::max<std::int64_t>(1, fields.time_left_.count());
     append_field(text, names.time_left_, std::to_string(left));
-    append_field(text, names.target_host_, fields.target_.value_);
-    if (!e.workspace_.empty())
-        append_field(text, names.workspace_, e.workspace_);
     if (!fields.last_event_id_.empty())
         append_field(text, names.last_event_id_, fields.last_event_id_);
-    if (!e.model_.empty())
-        append_field(text, names.priority_, std::to_string(e.priority_));
+    return text;
+}
+
+
+std::string finish_request(std::string head, const exchange& e)
+{
+    const http_request& r = e.request_;
     const bool has_body =
         !r.body().empty() || r.has_content_length() || r.chunked();
     if (has_body)
-        append_field(text, "Content-Length", std::to_string(r.body().size()));
-    text.append("\r\n").append(r.body());
-    return text;
+        append_field(head, "Content-Length", std::to_string(r.body().size()));
+    head.append("\r\n").append(r.body());
+    return head;
+}
+
+
+std::string serialize_upstream_request(
+    const exchange& e,
+    const header_names& names,
+    const forwarding_fields& fields)
+{
+    std::string head = make_request_head(e, names, fields);
+    append_field(head, names.target_host_, fields.target_.value_);
+    if (!e.workspace_.empty())
+        append_field(head, names.workspace_, e.workspace_);
+    if (!e.model_.empty())
+        append_field(head, names.priority_, std::to_string(e.priority_));
+    return finish_request(std::move(head), e);
 }
 
 
--- a/src/librelay/http_serializer.hpp
+++ b/src/librelay/http_serializer.hpp
@@ -28,6 +28,24 @@
 };
 
 
+/// Appends a header field.
+void append_field(
+    std::string& text, std::string_view name, std::string_view value);
+
+
+/// Returns the beginning of a request to be forwarded: the request line and the
+/// caller's end-to-end header fields but its key and those that the proxy sets,
+/// the remaining time, and the last event received.
+std::string make_request_head(
+    const exchange& e,
+    const header_names& names,
+    const forwarding_fields& fields);
+
+
+/// Appends the length and the body to the head of a request.
+std::string finish_request(std::string head, const exchange& e);
+
+
 /// Serializes the request for an upstream: the caller's method, target, body
 /// and end-to-end header fields, and the header fields that the proxy sets.
 std::string serialize_upstream_request(
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -109,6 +109,19 @@
 }
 
 
+proxy_callbacks
+make_callbacks(reverse_proxy& proxy, const session_options& options)
+{
+    proxy_callbacks callbacks;
+    if (options.losses_by_cut_link_)
+        callbacks.on_connection_lost_ =
+            [&proxy, cut = *options.losses_by_cut_link_](const auto& host) {
+                proxy.resolve_losses(host, cut);
+            };
+    return callbacks;
+}
+
+
 tcp::endpoint free_address(asio::io_context& context)
 {
     const tcp::acceptor port(context, {asio::ip::address_v4::loopback(), 0});
@@ -137,9 +150,13 @@
     catalog::request_kind kind,
     std::vector<scripted_response> script,
     const session_options& options)
-    : upstream_(std::move(script)), proxy_(make_config(options), {}, metrics_)
+    : upstream_(std::move(script)),
+      proxy_(make_config(options), make_callbacks(proxy_, options), metrics_)
 {
     deadline_ = options.deadline_;
+    hosts_ = options.hosts_;
+    detour_address_ = free_address(context_);
+    cr_assert(base::ok(proxy_.accept_detours(detour_address_)));
     address_ = free_address(context_);
     cr_assert(base::ok(proxy_.start(address_)));
     proxy_.publish(make_view(kind, options, upstream_.address()));
@@ -176,6 +193,21 @@
 }
 
 
+void proxy_session::cut_links(const std::vector<const proxy_session*>& helpers)
+{
+    auto links = std::make_shared<link_view>();
+    for (const char* host : hosts_)
+        links->cut_hosts_.insert({host});
+    for (const proxy_session* s : helpers)
+        links->helpers_.helpers_.push_back(
+            {{"helper" + std::to_string(links->helpers_.helpers_.size())},
+             {"here"},
+             s->detour_address(),
+             1});
+    proxy_.publish_links(std::move(links));
+}
+
+
 tcp::socket proxy_session::connect()
 {
     tcp::socket socket(context_);
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -9,6 +9,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <optional>
+
 namespace monsoondock::relay::test {
 
 /// Response as a caller of the proxy receives it.
@@ -36,6 +38,9 @@
     std::vector<const char*> hosts_{"a", "b", "c"};
     /// Time that callers give their requests.
     std::chrono::milliseconds deadline_{60000};
+    /// Set when the cause of lost responses is found out: true when the link
+    /// was cut, false when the upstream has failed.
+    std::optional<bool> losses_by_cut_link_;
 };
 
 
@@ -79,6 +84,17 @@
     caller_response call_once(const request_options& options);
 
 
+    /// Has all links to the upstreams cut, with other sessions that help.
+    void cut_links(const std::vector<const proxy_session*>& helpers);
+
+
+    /// Returns the address for detours.
+    boost::asio::ip::tcp::endpoint detour_address() const
+    {
+        return detour_address_;
+    }
+
+
     /// Opens another connection and returns it.
     boost::asio::ip::tcp::socket connect();
 
@@ -92,7 +108,9 @@
 
 private:
     boost::asio::ip::tcp::endpoint address_;
+    boost::asio::ip::tcp::endpoint detour_address_;
     std::chrono::milliseconds deadline_;
+    std::vector<const char*> hosts_;
 };
 
 
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -1,5 +1,6 @@
 #include "proxy_thread.hpp"
 
+#include "crash_records.hpp"
 #include "suspended_try.hpp"
 #include "upstream_choice.hpp"
 #include "wait_limits.hpp"
@@ -23,6 +24,8 @@
 // How long after the deadline the connection to a caller that does not read its
 // response is closed.
 constexpr std::chrono::milliseconds write_grace{400};
+// Upstreams that have responded within this time respond now.
+constexpr std::chrono::milliseconds concurrent_progress{100};
 // Peers reply to a query within a few milliseconds.
 constexpr std::chrono::milliseconds peer_query_timeout{40};
 
@@ -71,12 +74,16 @@
     const auto limit = wait_limit(e);
     if (limit.count() == 0 || now - e.phase_start_ < limit)
         return;
+    // The daemon that serves a detour watches over its upstream.
+    if (e.on_detour_ && e.phase_ != wait_phase::connect)
+        return;
     if (e.phase_ != wait_phase::connect &&
         catalog::is_stream(e.route_->kind_)) {
-        const bool unresponsive = is_unresponsive(t, e, now);
+        const bool link_cut = t.upstream_table_.state_of(e.host_).link_cut_;
+        const bool unresponsive = link_cut || is_unresponsive(t, e, now);
         if (!unresponsive && now - e.phase_start_ < stall_limit(e))
             return;
-        if (unresponsive &&
+        if (unresponsive && !link_cut &&
             t.upstream_table_.state_of(e.host_).unhealthy_until_ <= now)
             report_unhealthy(t, {e.host_, unhealthy_reason::silent, {}});
     }
@@ -128,6 +135,7 @@
 void sweep(proxy_thread& t, base::time_point now)
 {
     count_connections(t);
+    expire_losses(t, now);
     for (const auto& e : t.exchanges_)
         sweep_exchange(t, *e, now);
     for (const auto& connection : t.caller_connections_)
@@ -153,6 +161,16 @@
     }
 }
 
+bool others_respond(proxy_thread& t, const base::host_id& host)
+{
+    const base::time_point now = base::boot_clock::now();
+    const auto& states = t.upstream_table_.states();
+    return std::any_of(states.begin(), states.end(), [&](const auto& entry) {
+        return entry.first != host &&
+               now - entry.second.last_progress_ < concurrent_progress;
+    });
+}
+
 } // namespace
 
 double random_fraction(proxy_thread& t)
@@ -176,14 +194,16 @@
 }
 
 
-void report_unhealthy(proxy_thread& t, const unhealthy_report& report)
+void report_unhealthy(proxy_thread& t, unhealthy_report report)
 {
+    report.others_respond_ = others_respond(t, report.host_);
     t.upstream_table_.state_of(report.host_).unhealthy_until_ =
         base::boot_clock::now() + unhealthy_period;
     base::event_line("upstream_unhealthy")
         .field("host", report.host_)
         .field("reason", to_string(report.reason_))
-        .field("failed_address", report.failed_address_);
+        .field("failed_address", report.failed_address_)
+        .field("others_respond", report.others_respond_);
     if (t.callbacks_.on_unhealthy_)
         t.callbacks_.on_unhealthy_(report);
 }
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -2,11 +2,13 @@
 
 #include "exchange.hpp"
 #include "longest_response.hpp"
+#include "possible_crash.hpp"
 
 #include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/crashes/part_tracker.hpp>
 #include <monsoondock/relay/arrival_meter.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
+#include <monsoondock/relay/link_view.hpp>
 #include <monsoondock/relay/reverse_proxy.hpp>
 #include <monsoondock/relay/upstream_table.hpp>
 
@@ -17,6 +19,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -39,8 +42,8 @@
         proxy_callbacks callbacks,
         metrics::registry& metrics)
         : config_(std::move(config)), callbacks_(std::move(callbacks)),
-          metrics_(metrics), acceptor_(context_), sweep_timer_(context_),
-          random_(std::random_device()())
+          metrics_(metrics), acceptor_(context_), detour_acceptor_(context_),
+          sweep_timer_(context_), random_(std::random_device()())
     {}
 
     proxy_config config_;
@@ -50,15 +53,26 @@
         max_response_memory_bytes, small_response_bytes, 0};
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
+    /// Accepts requests that other daemons pass on.
+    boost::asio::ip::tcp::acceptor detour_acceptor_;
     boost::asio::steady_timer sweep_timer_;
     std::mt19937_64 random_;
     view_pointer view_ = std::make_shared<serving_view>();
     upstream_table upstream_table_;
+    /// Daemons that serve requests for this one, by their names.
+    upstream_table helper_table_;
+    link_view_pointer links_ = std::make_shared<link_view>();
+    /// Number of requests of other daemons in progress.
+    std::size_t detours_ = 0;
     crash_tracker crash_tracker_;
     crashes::part_tracker part_tracker_;
     connection_pool upstream_pool_;
+    /// Losses whose cause the control thread is finding out.
+    std::vector<possible_crash> possible_crashes_;
     std::unordered_map<base::deployment_id, retry_limiter> retry_limiters_;
     demand_table demand_;
+    /// Upstreams that accepted a connection since the latest reading.
+    std::set<base::host_id> connected_;
     std::map<std::pair<base::deployment_id, std::string>, arrival_meter>
         arrival_meters_;
     /// By route and model.
@@ -98,6 +112,6 @@
 
 
 /// Marks an upstream unhealthy and reports it to the control thread.
-void report_unhealthy(proxy_thread& t, const unhealthy_report& report);
+void report_unhealthy(proxy_thread& t, unhealthy_report report);
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -1,5 +1,6 @@
 #include "receive_response.hpp"
 
+#include "detour.hpp"
 #include "failure_reason.hpp"
 #include "upstream_limits.hpp"
 
@@ -40,7 +41,7 @@
 void record_progress(try_context& c)
 {
     const base::time_point now = base::boot_clock::now();
-    upstream_state& s = c.t_.upstream_table_.state_of(c.target_.host_);
+    upstream_state& s = target_state(c);
     s.last_progress_ = now;
     if (c.e_.phase_ == wait_phase::next_event) {
         const std::chrono::duration<double, std::milli> pause =
@@ -165,8 +166,9 @@
 // yet.
 void record_availability(try_context& c, const http_response& response)
 {
-    // Another host may respond at the address of a host that has gone.
-    if (response.result() == http::status::misdirected_request)
+    // Another host may respond at the address of a host that has gone. What a
+    // response that took a detour says is for the daemon that received it.
+    if (c.detour_ || response.result() == http::status::misdirected_request)
         return;
     upstream_state& s = c.t_.upstream_table_.state_of(c.target_.host_);
     s.process_start_ms_ = c.target_.process_start_ms_;
@@ -239,11 +241,15 @@
     return_to_pool(c, parser);
     http_response response = parser.release();
     c.parser_.reset();
-    if (was_not_run(c, response)) {
+    const bool sealed = response.count(c.t_.config_.headers_.seal_) > 0;
+    if (c.detour_ && !sealed && is_refused_by_helper(response)) {
+        fail(c, "refused_by_helper");
+        co_return try_outcome::rejected;
+    }
+    if (!c.detour_ && was_not_run(c, response)) {
         handle_rejection(c, response);
         co_return try_outcome::rejected;
     }
-    const bool sealed = response.count(c.t_.config_.headers_.seal_) > 0;
     const bool encoded = response.count(http::field::content_encoding) > 0;
     const bool success = http::to_status_class(response.result()) ==
                          http::status_class::successful;
@@ -362,6 +368,13 @@
 
 } // namespace
 
+upstream_state& target_state(const try_context& c)
+{
+    return (c.detour_ ? c.t_.helper_table_ : c.t_.upstream_table_)
+        .state_of(c.target_.host_);
+}
+
+
 std::unique_ptr<http_response_parser> make_parser(const exchange& e)
 {
     auto parser =
--- a/src/librelay/receive_response.hpp
+++ b/src/librelay/receive_response.hpp
@@ -17,9 +17,15 @@
     upstream target_;
     /// Parser of the response; null before the request has been sent.
     std::unique_ptr<http_response_parser> parser_;
+    /// True when the target is another daemon.
+    bool detour_ = false;
 };
 
 
+/// Returns the state of the target.
+upstream_state& target_state(const try_context& c);
+
+
 /// Returns a parser for the response to a request.
 std::unique_ptr<http_response_parser> make_parser(const exchange& e);
 
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -32,20 +32,25 @@
 constexpr std::chrono::milliseconds recent_progress{80};
 
 
-void start_session(proxy_thread& t, asio::ip::tcp::socket socket)
+void start_session(
+    proxy_thread& t, asio::ip::tcp::socket socket, bool from_daemon)
 {
     ++t.open_connections_;
     asio::co_spawn(
-        t.context_, pvt::run_session(t, std::move(socket)), asio::detached);
+        t.context_,
+        pvt::run_session(t, std::move(socket), from_daemon),
+        asio::detached);
 }
 
 
-asio::awaitable<void> accept_callers(proxy_thread& t)
+// Accepts connections of callers, or of other daemons.
+asio::awaitable<void> accept_connections(
+    proxy_thread& t, asio::ip::tcp::acceptor& acceptor, bool from_daemons)
 {
     asio::steady_timer pause(t.context_);
     for (;;) {
         auto [failure, socket] =
-            co_await t.acceptor_.async_accept(base::await_tuple);
+            co_await acceptor.async_accept(base::await_tuple);
         if (failure == asio::error::operation_aborted)
             co_return;
         if (failure) {
@@ -61,7 +66,7 @@
                 .field("connections", t.caller_connections_.size());
             continue;
         }
-        start_session(t, std::move(socket));
+        start_session(t, std::move(socket), from_daemons);
     }
 }
 
@@ -78,6 +83,7 @@
         }
     }
     t.upstream_table_.keep_only(listed);
+    t.upstream_table_.set_cut_links(t.links_->cut_hosts_);
     const bool daemons_changed = t.view_->peers_ != view->peers_;
     t.view_ = std::move(view);
     if (daemons_changed)
@@ -111,19 +117,38 @@
 }
 
 
-// Accepts the connections that wait in the queue of the listener, which would
+// Accepts the connections that wait in the queue of a listener, which would
 // otherwise be reset, and closes it.
-void close_listener(proxy_thread& t)
+void close_listener(
+    proxy_thread& t, asio::ip::tcp::acceptor& acceptor, bool from_daemons)
 {
     boost::system::error_code failure;
-    t.acceptor_.non_blocking(true, failure);
+    acceptor.non_blocking(true, failure);
     while (!failure) {
         asio::ip::tcp::socket socket(t.context_);
-        t.acceptor_.accept(socket, failure);
+        acceptor.accept(socket, failure);
         if (!failure)
-            start_session(t, std::move(socket));
+            start_session(t, std::move(socket), from_daemons);
+    }
+    acceptor.close(failure);
+}
+
+
+base::result<base::done> listen(
+    asio::ip::tcp::acceptor& acceptor, const asio::ip::tcp::endpoint& address)
+{
+    try {
+        acceptor.open(address.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(address);
+        acceptor.listen(accept_backlog);
+    } catch (const boost::system::system_error& failure) {
+        return base::problem{
+            base::problem_code::unavailable,
+            std::string("can't listen: ") + failure.what(),
+            "set the address to a free one of this host"};
     }
-    t.acceptor_.close(failure);
+    return base::done{};
 }
 
 
@@ -168,18 +193,11 @@
 reverse_proxy::start(const asio::ip::tcp::endpoint& address)
 {
     proxy_thread& t = impl_->thread_state_;
-    try {
-        t.acceptor_.open(address.protocol());
-        t.acceptor_.set_option(asio::socket_base::reuse_address(true));
-        t.acceptor_.bind(address);
-        t.acceptor_.listen(accept_backlog);
-    } catch (const boost::system::system_error& failure) {
-        return base::problem{
-            base::problem_code::unavailable,
-            std::string("can't listen for callers: ") + failure.what(),
-            "set caller_address to a free address of this host"};
-    }
-    asio::co_spawn(t.context_, accept_callers(t), asio::detached);
+    auto listening = listen(t.acceptor_, address);
+    if (!base::ok(listening))
+        return listening;
+    asio::co_spawn(
+        t.context_, accept_connections(t, t.acceptor_, false), asio::detached);
     pvt::start_sweep(t);
     impl_->thread_ = std::thread([&t] {
         const auto guard = asio::make_work_guard(t.context_);
@@ -189,6 +207,39 @@
 }
 
 
+base::result<base::done>
+reverse_proxy::accept_detours(const asio::ip::tcp::endpoint& address)
+{
+    proxy_thread& t = impl_->thread_state_;
+    auto listening = listen(t.detour_acceptor_, address);
+    if (base::ok(listening))
+        asio::co_spawn(
+            t.context_,
+            accept_connections(t, t.detour_acceptor_, true),
+            asio::detached);
+    return listening;
+}
+
+
+void reverse_proxy::publish_links(link_view_pointer links)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, links = std::move(links)]() mutable {
+        t.links_ = std::move(links);
+        t.upstream_table_.set_cut_links(t.links_->cut_hosts_);
+    });
+}
+
+
+void reverse_proxy::resolve_losses(base::host_id host, bool link_cut)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(t.context_, [&t, host = std::move(host), link_cut] {
+        pvt::resolve_losses(t, host, link_cut);
+    });
+}
+
+
 void reverse_proxy::publish(view_pointer view)
 {
     proxy_thread& t = impl_->thread_state_;
@@ -274,7 +325,8 @@
              std::exchange(t.demand_, {}),
              t.part_tracker_.take_report(now),
              t.part_tracker_.state(now),
-             pvt::host_limits(t)});
+             pvt::host_limits(t),
+             std::exchange(t.connected_, {})});
     });
 }
 
@@ -322,7 +374,9 @@
 {
     proxy_thread& t = impl_->thread_state_;
     asio::post(t.context_, [&t] {
-        close_listener(t);
+        close_listener(t, t.acceptor_, false);
+        if (t.detour_acceptor_.is_open())
+            close_listener(t, t.detour_acceptor_, true);
         t.closing_ = true;
         close_idle_callers(t);
     });
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,5 +1,6 @@
 #include "try_upstream.hpp"
 
+#include "detour.hpp"
 #include "failure_reason.hpp"
 #include "receive_response.hpp"
 #include "upstream_limits.hpp"
@@ -33,6 +34,8 @@
     base::enable_keepalive(socket, connection_bounds);
     const auto [failure] =
         co_await socket.async_connect(c.target_.address_, base::await_tuple);
+    if (!failure && !c.detour_)
+        c.t_.connected_.insert(c.target_.host_);
     co_return !failure && e.stop_reason_ == stop_reason::none;
 }
 
@@ -49,7 +52,10 @@
         fields.last_event_id_ =
             std::string(e.request_[c.t_.config_.headers_.last_event_id_]);
     const std::string text =
-        serialize_upstream_request(e, c.t_.config_.headers_, fields);
+        c.detour_
+            ? serialize_detour_request(
+                  e, c.t_.config_.headers_, fields, c.t_.config_.daemon_)
+            : serialize_upstream_request(e, c.t_.config_.headers_, fields);
     enter_phase(e, wait_phase::first_response);
     e.upstream_->header_bytes_ = 0;
     const auto [failure, sent] = co_await asio::async_write(
@@ -65,6 +71,7 @@
     exchange& e = c.e_;
     if (!co_await connect(c))
         co_return try_outcome::not_sent;
+    e.detour_sent_ |= c.detour_;
     ++e.possible_runs_;
     ++e.connected_sends_;
     if (!co_await send_request(c))
@@ -101,7 +108,7 @@
                               c.parser_ != nullptr;
     if (was_rerouted && e.upstream_ != nullptr && !e.caller_->disconnected_)
         return suspend(c);
-    --c.t_.upstream_table_.state_of(c.target_.host_).in_flight_;
+    --target_state(c).in_flight_;
     if (outcome == try_outcome::lost) {
         discard_partial_event(c.state_.splitter_);
         c.state_.memory_ = {};
@@ -116,32 +123,56 @@
     return outcome;
 }
 
-} // namespace
-
-asio::awaitable<try_outcome> try_upstream(
-    proxy_thread& t, exchange& e, response_state& state, upstream target)
+// Runs a try from its beginning to its end.
+asio::awaitable<try_outcome> begin_try(try_context& c)
 {
-    try_context c{t, e, state, std::move(target), nullptr};
+    exchange& e = c.e_;
     e.host_ = c.target_.host_;
+    e.on_detour_ = c.detour_;
     e.stop_reason_ =
         e.caller_->disconnected_ ? stop_reason::caller_left : stop_reason::none;
     if (e.stop_reason_ != stop_reason::none)
         co_return try_outcome::caller_gone;
-    e.tried_.insert(e.host_);
-    record_limited_send(t, e.host_);
     e.refusal_logged_ = false;
     ++e.sends_;
+    response_state& state = c.state_;
     discard_partial_event(state.splitter_);
-    state.memory_ = base::byte_lease(t.response_memory_);
+    state.memory_ = base::byte_lease(c.t_.response_memory_);
     state.failure_ = {};
     state.framing_ = body_framing::none;
     state.response_began_ = {};
     state.partial_event_bytes_ = 0;
-    ++t.upstream_table_.state_of(e.host_).in_flight_;
+    ++target_state(c).in_flight_;
     const try_outcome outcome = co_await run_try(c);
     co_return finish_try(c, outcome);
 }
 
+} // namespace
+
+asio::awaitable<try_outcome> try_upstream(
+    proxy_thread& t, exchange& e, response_state& state, upstream target)
+{
+    try_context c{t, e, state, std::move(target), nullptr};
+    e.tried_.insert(c.target_.host_);
+    record_limited_send(t, c.target_.host_);
+    co_return co_await begin_try(c);
+}
+
+
+asio::awaitable<try_outcome> try_detour(
+    proxy_thread& t,
+    exchange& e,
+    response_state& state,
+    const paths::helper& helper)
+{
+    upstream target;
+    target.host_ = {helper.daemon_.value_};
+    target.address_ = helper.address_;
+    try_context c{t, e, state, std::move(target), nullptr, true};
+    e.tried_helpers_.insert(helper.daemon_);
+    co_return co_await begin_try(c);
+}
+
 
 asio::awaitable<try_outcome>
 resume_try(proxy_thread& t, exchange& e, response_state& state)
@@ -150,6 +181,7 @@
     try_context c{
         t, e, state, suspended->target_, std::move(suspended->parser_)};
     e.host_ = c.target_.host_;
+    e.on_detour_ = false;
     e.upstream_ = std::move(suspended->connection_);
     e.stop_reason_ =
         e.caller_->disconnected_ ? stop_reason::caller_left : stop_reason::none;
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -5,6 +5,8 @@
 #include "http_serializer.hpp"
 #include "proxy_thread.hpp"
 
+#include <monsoondock/paths/helper.hpp>
+
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
@@ -67,6 +69,15 @@
     proxy_thread& t, exchange& e, response_state& state, upstream target);
 
 
+/// Sends the request to another daemon, which serves it in place of this one,
+/// and relays the response.
+boost::asio::awaitable<try_outcome> try_detour(
+    proxy_thread& t,
+    exchange& e,
+    response_state& state,
+    const paths::helper& helper);
+
+
 /// Goes on with the suspended try of the exchange.
 boost::asio::awaitable<try_outcome>
 resume_try(proxy_thread& t, exchange& e, response_state& state);
--- a/src/librelay/upstream_choice.cpp
+++ b/src/librelay/upstream_choice.cpp
@@ -44,8 +44,53 @@
         .field("reason", reason);
 }
 
+// A helper that does not accept the connection is replaced by another one.
+constexpr std::size_t max_tried_helpers = 2;
+
+
+bool may_detour(const proxy_thread& t, const exchange& e)
+{
+    return !e.is_detour_ && !e.detour_sent_ &&
+           e.tried_helpers_.size() < max_tried_helpers &&
+           !t.links_->helpers_.helpers_.empty();
+}
+
+
+// Returns true when the upstreams that can serve the request, or those of them
+// that have room, are behind cut links.
+bool needs_detour(const proxy_thread& t, const exchange& e)
+{
+    const auto* upstreams = upstreams_of(t, e);
+    if (upstreams == nullptr)
+        return false;
+    const auto reachable = max_free_slots(
+        *upstreams,
+        t.upstream_table_,
+        e.model_,
+        e.tried_,
+        base::boot_clock::now());
+    if (reachable.value_or(0) > 0)
+        return false;
+    const auto behind_cuts =
+        max_free_slots_behind_cuts(*upstreams, t.upstream_table_, e.model_);
+    return behind_cuts && (!reachable || *behind_cuts > 0);
+}
+
 } // namespace
 
+std::optional<paths::helper> choose_detour(proxy_thread& t, const exchange& e)
+{
+    const paths::helper_list& list = t.links_->helpers_;
+    if (!may_detour(t, e) || !needs_detour(t, e))
+        return std::nullopt;
+    const auto i = paths::choose_helper(
+        list, t.config_.data_centre_, e.tried_helpers_, random_fraction(t));
+    if (!i)
+        return std::nullopt;
+    return list.helpers_[*i];
+}
+
+
 std::optional<upstream> choose(proxy_thread& t, const exchange& e)
 {
     const auto* upstreams = upstreams_of(t, e);
@@ -68,7 +113,8 @@
 bool is_overloaded(const proxy_thread& t, const exchange& e)
 {
     const auto* upstreams = upstreams_of(t, e);
-    if (upstreams == nullptr || e.model_.empty())
+    if (upstreams == nullptr || e.model_.empty() ||
+        (may_detour(t, e) && needs_detour(t, e)))
         return false;
     const auto most = max_free_slots(
         *upstreams, t.upstream_table_, e.model_, {}, base::boot_clock::now());
@@ -97,7 +143,7 @@
         return false;
     const auto room =
         max_free_slots(*upstreams, t.upstream_table_, e.model_, e.tried_, now);
-    if (room.value_or(0) <= 0) {
+    if (room.value_or(0) <= 0 && !(may_detour(t, e) && needs_detour(t, e))) {
         log_refusal(e, "no_upstream");
         return false;
     }
--- a/src/librelay/upstream_choice.hpp
+++ b/src/librelay/upstream_choice.hpp
@@ -11,6 +11,12 @@
 std::optional<upstream> choose(proxy_thread& t, const exchange& e);
 
 
+/// Chooses the daemon for a detour of a request; nothing when the request is to
+/// be sent to an upstream, or no daemon can help. A detour is for a request
+/// whose upstreams are behind cut links, all of them or those that have room.
+std::optional<paths::helper> choose_detour(proxy_thread& t, const exchange& e);
+
+
 /// Returns true when so many requests are queued at every healthy upstream that
 /// this one would not start in time.
 bool is_overloaded(const proxy_thread& t, const exchange& e);
--- a/src/librelay/upstream_table.cpp
+++ b/src/librelay/upstream_table.cpp
@@ -26,6 +26,15 @@
 }
 
 
+void upstream_table::set_cut_links(const std::set<base::host_id>& hosts)
+{
+    for (auto& [host, state] : states_)
+        state.link_cut_ = hosts.contains(host);
+    for (const base::host_id& host : hosts)
+        states_[host].link_cut_ = true;
+}
+
+
 void upstream_table::detect_restart(
     const base::host_id& host, std::int64_t process_start_ms)
 {
