entry: do not blame hosts for cut links of a daemon

Cause: a daemon took each connection that it could not establish for the failure of the host. The leader dissolved every group within 80 ms, without a second opinion; its orders to leave, refused by the cut, counted as done. Class: evidence about the observer taken for evidence about the observed.

A host that accepts no connection is now blamed only on the word of a daemon that reached another host at the same time, and by nobody as long as one reaches it. Orders that find no connection are checked the same way. A leader without links resigns; daemons without links lead last, are left out of the directory while others have links, and test their links four times a second.

--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -289,8 +289,9 @@
 {
     membership::member_status status;
     status.settings_revision_ = catalog_rank(c);
-    status.entry_mode_ = is_ready(c) ? membership::entry_mode::open
-                                     : membership::entry_mode::draining;
+    status.entry_mode_ = !is_ready(c)        ? membership::entry_mode::draining
+                         : c.links_.cut_off_ ? membership::entry_mode::detouring
+                                             : membership::entry_mode::open;
     apply_node_output(c, c.node_.set_status(status, base::boot_clock::now()));
 }
 
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -2,6 +2,7 @@
 
 #include "host_sync.hpp"
 #include "leaving_hosts.hpp"
+#include "link_checks.hpp"
 #include "peer_message.hpp"
 
 #include <monsoondock/entry/platform_adapter.hpp>
@@ -211,6 +212,7 @@
     leader_state leader_;
     std::map<base::deployment_id, placement::planner> planners_;
     std::map<base::host_id, host_reachability> reachability_;
+    link_state links_;
     demand_rates demand_;
     load_state loads_;
     part_state parts_;
@@ -477,6 +479,10 @@
 configured_seeds(const settings::entry_config& config);
 
 
+/// Gives up leadership so that another daemon takes it over.
+void resign_leadership(control_plane& c);
+
+
 /// Confirms that this daemon still leads by a conditional write of the leader
 /// record; a recent successful write is enough. Returns false when
 /// another daemon leads or the result of the write is unknown.
--- a/src/libentry/group_checks.cpp
+++ b/src/libentry/group_checks.cpp
@@ -1,5 +1,4 @@
 #include "control_plane.hpp"
-#include "http_call.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 
@@ -14,7 +13,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds probe_timeout{200};
 constexpr std::chrono::milliseconds min_check_interval{600};
 // Time for which a host that failed its probes is treated as unreachable. By
 // its end the store shows whether the host is gone.
@@ -77,18 +75,13 @@
 
 
 asio::awaitable<void> check_host(
-    control_plane& c,
-    std::shared_ptr<group_check> check,
-    base::host_id id,
-    asio::ip::tcp::endpoint address)
+    control_plane& c, std::shared_ptr<group_check> check, base::host_id id)
 {
-    bool reached = co_await can_connect(c.context_, address, probe_timeout);
-    if (!reached)
-        reached = co_await can_connect(c.context_, address, probe_timeout);
-    if (reached) {
+    const paths::conclusion conclusion = co_await check_link(c, id);
+    if (conclusion == paths::conclusion::reached) {
         if (!check->member_reported_)
             c.reachability_[id].unreachable_until_ = {};
-    } else {
+    } else if (conclusion == paths::conclusion::host_failed) {
         mark_host_unreachable(c, id);
         broadcast(c, host_unreachable_message{id});
         check->any_unreachable_ = true;
@@ -136,20 +129,7 @@
     const auto members = members_of(c, suspicion.host_);
     check->pending_probes_ = members.size();
     for (const base::host_id& id : members) {
-        const auto address =
-            settings::parse_socket_address(c.hosts_.hosts_.at(id).address_);
-        if (!address) {
-            --check->pending_probes_;
-            continue;
-        }
-        asio::co_spawn(
-            c.context_,
-            check_host(
-                c,
-                check,
-                id,
-                {asio::ip::make_address(address->ip_), address->port_}),
-            asio::detached);
+        asio::co_spawn(c.context_, check_host(c, check, id), asio::detached);
     }
 }
 
--- a/src/libentry/http_endpoints.cpp
+++ b/src/libentry/http_endpoints.cpp
@@ -1,5 +1,6 @@
 #include "control_plane.hpp"
 #include "http_call.hpp"
+#include "link_peers.hpp"
 #include "shutdown_cover.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -152,17 +153,23 @@
     entry_daemons daemons;
     const std::set<base::daemon_id> covering = covering_daemons(c);
     daemons.covering_ = !covering.empty();
-    if (is_ready(c) || covering.contains(c.config_.daemon_))
+    // Callers are better served by daemons that have links to the upstreams.
+    const bool detours = c.links_.cut_off_ && has_open_peer(c.node_.members());
+    if ((is_ready(c) && !detours) || covering.contains(c.config_.daemon_))
         add_daemon(
             daemons,
             query,
             c.config_.data_centre_,
             settings::to_string(c.config_.caller_address_));
+    const bool all_detour =
+        c.links_.cut_off_ && !has_open_peer(c.node_.members());
     for (const auto& [id, member] : c.node_.members()) {
         const membership::member_record& r = member.record_;
         const bool ready =
             r.state_ == membership::member_state::alive &&
-            r.status_.entry_mode_ == membership::entry_mode::open;
+            (r.status_.entry_mode_ == membership::entry_mode::open ||
+             (all_detour &&
+              r.status_.entry_mode_ == membership::entry_mode::detouring));
         if (ready || covering.contains(id))
             add_daemon(daemons, query, r.data_centre_, to_string(r.caller_));
     }
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -43,7 +43,7 @@
 
 std::size_t election_rank(const control_plane& c)
 {
-    return precedence_rank(c.node_.members(), c.node_.self());
+    return leadership_rank(c.node_.members(), c.node_.self());
 }
 
 
@@ -342,6 +342,22 @@
 
 } // namespace
 
+void resign_leadership(control_plane& c)
+{
+    leader_state& l = c.leader_;
+    base::event_line("leadership_resigned", base::severity::warning)
+        .field("daemon", c.config_.daemon_)
+        .field("term", l.term_);
+    broadcast_heartbeat(c, {{}, l.term_, {}, {}});
+    l.leading_ = false;
+    l.resigned_ = true;
+    l.leader_ = {};
+    l.last_heartbeat_at_ = base::boot_clock::now();
+    l.leader_store_contact_at_ = l.last_heartbeat_at_;
+    c.planners_.clear();
+}
+
+
 asio::awaitable<bool> confirm_leadership(control_plane& c)
 {
     leader_state& l = c.leader_;
--- /dev/null
+++ b/src/libentry/link_checks.cpp
@@ -0,0 +1,451 @@
+#include "link_checks.hpp"
+
+#include "control_plane.hpp"
+#include "election.hpp"
+#include "http_call.hpp"
+#include "link_peers.hpp"
+
+#include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/event_line.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace monsoondock::entry::pvt {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds probe_timeout{200};
+// Peers answer within the time of a probe and a round trip.
+constexpr std::chrono::milliseconds answer_timeout{350};
+constexpr std::chrono::milliseconds test_period{250};
+// The conclusion of a check holds for this time without another one.
+constexpr std::chrono::milliseconds conclusion_validity{100};
+// The leader probes a host twice and asks other daemons meanwhile.
+constexpr std::chrono::milliseconds leader_verdict_time{650};
+constexpr std::chrono::milliseconds comparison_poll_period{5};
+// Number of other hosts that are probed to tell a failed host from cut links.
+constexpr std::size_t compared_hosts = 3;
+
+
+std::set<base::host_id> listed_hosts(const control_plane& c)
+{
+    std::set<base::host_id> hosts;
+    for (const auto& [id, host] : c.hosts_.hosts_)
+        hosts.insert(id);
+    return hosts;
+}
+
+
+// Connects to a host and records the result.
+asio::awaitable<bool> probe(control_plane& c, base::host_id id)
+{
+    const auto found = c.hosts_.hosts_.find(id);
+    if (found == c.hosts_.hosts_.end())
+        co_return false;
+    const auto address = settings::parse_socket_address(found->second.address_);
+    if (!address)
+        co_return false;
+    const bool reached = co_await can_connect(
+        c.context_,
+        {asio::ip::make_address(address->ip_), address->port_},
+        probe_timeout);
+    if (reached)
+        c.links_.table_.record_reached(id, base::boot_clock::now());
+    co_return reached;
+}
+
+
+asio::awaitable<void> probe_and_forget(control_plane& c, base::host_id id)
+{
+    co_await probe(c, std::move(id));
+}
+
+
+// Probes some other hosts at the same time, unless one was reached since.
+void probe_others(
+    control_plane& c, const base::host_id& host, base::time_point since)
+{
+    if (c.links_.table_.reached_other_since(host, since))
+        return;
+    std::vector<base::host_id> others;
+    for (const auto& [id, info] : c.hosts_.hosts_) {
+        if (id != host && !info.draining_)
+            others.push_back(id);
+    }
+    std::shuffle(others.begin(), others.end(), c.random_);
+    others.resize(std::min(others.size(), compared_hosts));
+    for (base::host_id& id : others)
+        asio::co_spawn(
+            c.context_, probe_and_forget(c, std::move(id)), asio::detached);
+}
+
+
+void log_check(
+    const control_plane& c, const base::host_id& host, const link_check& check)
+{
+    base::event_line("link_check")
+        .field("host", host)
+        .field("conclusion", to_string(check.conclusion_))
+        .field("asked", check.evidence_.asked_)
+        .field("answered", check.evidence_.answered_)
+        .field("reached_by_peer", check.evidence_.reached_by_peer_)
+        .field("missed_by_peer", check.evidence_.missed_by_peer_)
+        .field("reached_other_host", check.evidence_.reached_other_host_)
+        .field("elapsed", check.ended_at_ - check.began_)
+        .field("daemon", c.config_.daemon_);
+}
+
+
+void publish_links(control_plane& c)
+{
+    auto view = std::make_shared<relay::link_view>();
+    view->cut_hosts_ = c.links_.unusable_;
+    if (!view->cut_hosts_.empty())
+        view->helpers_ =
+            find_helpers(c.node_.members(), c.node_.self(), catalog_rank(c));
+    c.proxy_->publish_links(std::move(view));
+}
+
+
+void log_cut_off(const control_plane& c, bool cut_off, base::time_point now)
+{
+    base::event_line line(
+        cut_off ? "upstreams_cut" : "upstreams_restored",
+        base::severity::warning);
+    line.field("daemon", c.config_.daemon_)
+        .field("hosts", c.links_.unusable_.size())
+        .field("listed", c.hosts_.hosts_.size());
+    if (!cut_off)
+        line.field("elapsed", now - c.links_.cut_off_since_);
+}
+
+
+void update_cut_off(
+    control_plane& c,
+    const std::set<base::host_id>& listed,
+    base::time_point now)
+{
+    const bool cut_off = c.links_.table_.is_cut_off(listed, now);
+    if (cut_off == c.links_.cut_off_)
+        return;
+    c.links_.cut_off_ = cut_off;
+    log_cut_off(c, cut_off, now);
+    if (cut_off)
+        c.links_.cut_off_since_ = now;
+    publish_status(c);
+}
+
+
+// Publishes the links to the traffic thread when they have changed, and while
+// any is cut, since helpers come and go.
+void update_links(control_plane& c)
+{
+    const base::time_point now = base::boot_clock::now();
+    const auto listed = listed_hosts(c);
+    auto unusable = c.links_.table_.unusable_hosts(listed, now);
+    const bool changed = unusable != c.links_.unusable_;
+    c.links_.unusable_ = std::move(unusable);
+    if (changed || !c.links_.unusable_.empty())
+        publish_links(c);
+    update_cut_off(c, listed, now);
+    // A daemon without links cannot send orders to hosts.
+    if (c.links_.cut_off_ && c.leader_.leading_ &&
+        has_open_peer(c.node_.members()))
+        resign_leadership(c);
+}
+
+
+void end_check(
+    control_plane& c,
+    const base::host_id& host,
+    link_check& check,
+    paths::conclusion conclusion)
+{
+    if (check.conclusion_ != paths::conclusion::pending)
+        return;
+    check.conclusion_ = conclusion;
+    check.ended_at_ = base::boot_clock::now();
+    check.ended_.cancel();
+    if (conclusion != paths::conclusion::reached)
+        log_check(c, host, check);
+    if (conclusion == paths::conclusion::link_cut) {
+        c.links_.table_.record_cut(host, check.ended_at_);
+        update_links(c);
+    }
+}
+
+
+void try_to_conclude(
+    control_plane& c,
+    const base::host_id& host,
+    link_check& check,
+    bool time_is_over)
+{
+    check.evidence_.reached_other_host_ =
+        c.links_.table_.reached_other_since(host, check.began_);
+    const auto conclusion = paths::conclude(check.evidence_, time_is_over);
+    if (conclusion != paths::conclusion::pending)
+        end_check(c, host, check, conclusion);
+}
+
+
+asio::awaitable<void> probe_again(
+    control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
+{
+    check->evidence_.reached_ = co_await probe(c, host);
+    if (check->evidence_.reached_)
+        try_to_conclude(c, host, *check, false);
+}
+
+
+void send_queries(
+    control_plane& c, const base::host_id& host, const link_check& check)
+{
+    for (const membership::endpoint& peer : check.awaited_)
+        send_to_peer(c, peer, host_query_message{check.number_, host});
+}
+
+
+void ask_peers(control_plane& c, const base::host_id& host, link_check& check)
+{
+    const auto found = c.hosts_.hosts_.find(host);
+    if (found == c.hosts_.hosts_.end())
+        return;
+    const auto peers = choose_witnesses(
+        c.node_.members(),
+        c.node_.self(),
+        found->second.data_centre_,
+        c.random_);
+    check.evidence_.asked_ = peers.size();
+    check.awaited_ = {peers.begin(), peers.end()};
+    send_queries(c, host, check);
+}
+
+
+void ask_leader_to_check(control_plane& c, const base::host_id& head)
+{
+    const auto leader = c.node_.members().find(c.leader_.leader_);
+    if (c.leader_.leading_)
+        check_group(c, {head, {}});
+    else if (leader != c.node_.members().end())
+        send_to_peer(
+            c, leader->second.record_.peer_, group_check_message{head});
+}
+
+
+bool awaits_leader(const control_plane& c)
+{
+    return !c.leader_.leading_ && !c.leader_.resigned_ &&
+           c.node_.members().contains(c.leader_.leader_) &&
+           base::boot_clock::now() - c.leader_.last_heartbeat_at_ <
+               heartbeat_timeout;
+}
+
+
+asio::awaitable<void> run_check(
+    control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
+{
+    const bool reached = co_await probe(c, host);
+    if (reached) {
+        end_check(c, host, *check, paths::conclusion::reached);
+        co_return;
+    }
+    // What the leader finds is told to all, which spares each of many daemons
+    // its questions.
+    if (awaits_leader(c)) {
+        ask_leader_to_check(c, host);
+        asio::steady_timer wait(c.context_, leader_verdict_time);
+        check->verdict_wait_ = &wait;
+        co_await wait.async_wait(base::await_tuple);
+        check->verdict_wait_ = nullptr;
+    }
+    if (check->conclusion_ != paths::conclusion::pending)
+        co_return;
+    ask_peers(c, host, *check);
+    probe_others(c, host, check->began_);
+    asio::co_spawn(c.context_, probe_again(c, host, check), asio::detached);
+    co_await sleep_for(c, answer_timeout / 2);
+    // A datagram may have been lost.
+    if (check->conclusion_ == paths::conclusion::pending)
+        send_queries(c, host, *check);
+    co_await sleep_for(c, answer_timeout / 2);
+    if (check->conclusion_ == paths::conclusion::pending)
+        try_to_conclude(c, host, *check, true);
+}
+
+
+// Ends the check that awaits the leader's verdict on a host, if there is one.
+void take_verdict(
+    control_plane& c, const base::host_id& host, paths::conclusion verdict)
+{
+    const auto found = c.links_.checks_.find(host);
+    if (found == c.links_.checks_.end() ||
+        found->second->verdict_wait_ == nullptr)
+        return;
+    found->second->verdict_wait_->cancel();
+    end_check(c, host, *found->second, verdict);
+}
+
+
+// Returns the check of a host that is under way or has just ended, or starts
+// one.
+std::shared_ptr<link_check>
+current_check(control_plane& c, const base::host_id& host)
+{
+    std::shared_ptr<link_check>& check = c.links_.checks_[host];
+    const base::time_point now = base::boot_clock::now();
+    if (check != nullptr && (check->conclusion_ == paths::conclusion::pending ||
+                             now - check->ended_at_ < conclusion_validity))
+        return check;
+    check = std::make_shared<link_check>(c.context_);
+    check->number_ = c.links_.next_number_++;
+    check->began_ = now;
+    asio::co_spawn(c.context_, run_check(c, host, check), asio::detached);
+    return check;
+}
+
+
+void forget_old_checks(control_plane& c)
+{
+    std::erase_if(c.links_.checks_, [&](const auto& entry) {
+        return entry.second->conclusion_ != paths::conclusion::pending &&
+               !c.hosts_.hosts_.contains(entry.first);
+    });
+}
+
+
+asio::awaitable<void> test_link(control_plane& c, base::host_id host)
+{
+    if (c.links_.table_.is_cut(host))
+        co_await probe(c, host);
+    else
+        co_await check_link(c, host);
+}
+
+
+void report_suspicion(
+    control_plane& c, const upstream_suspected_message& suspicion)
+{
+    broadcast(c, suspicion);
+    check_group(c, suspicion);
+}
+
+} // namespace
+
+asio::awaitable<paths::conclusion>
+check_link(control_plane& c, base::host_id host)
+{
+    if (c.links_.table_.is_cut(host))
+        co_return paths::conclusion::link_cut;
+    const auto check = current_check(c, host);
+    if (check->conclusion_ == paths::conclusion::pending)
+        co_await check->ended_.async_wait(base::await_tuple);
+    co_return check->conclusion_;
+}
+
+
+asio::awaitable<void>
+handle_unhealthy(control_plane& c, relay::unhealthy_report report)
+{
+    const upstream_suspected_message suspicion{
+        report.host_, report.failed_address_};
+    const bool group_failed =
+        report.reason_ == relay::unhealthy_reason::group_failed;
+    const bool reported = group_failed || report.others_respond_;
+    if (reported)
+        report_suspicion(c, suspicion);
+    if (group_failed)
+        co_return;
+    ask_leader_to_check(c, report.host_);
+    const paths::conclusion conclusion = co_await check_link(c, report.host_);
+    const bool silent = report.reason_ == relay::unhealthy_reason::silent;
+    const bool at_fault = conclusion == paths::conclusion::host_failed ||
+                          (conclusion == paths::conclusion::reached && silent);
+    if (at_fault && !reported)
+        report_suspicion(c, suspicion);
+    if (at_fault || conclusion == paths::conclusion::unresolved)
+        co_return;
+    c.proxy_->mark_healthy(report.host_);
+    if (reported)
+        broadcast(c, upstream_healthy_message{report.host_});
+}
+
+
+asio::awaitable<void>
+handle_lost_connection(control_plane& c, base::host_id host)
+{
+    const paths::conclusion conclusion = co_await check_link(c, host);
+    c.proxy_->resolve_losses(host, conclusion == paths::conclusion::link_cut);
+}
+
+
+void handle_reached_host(control_plane& c, const base::host_id& host)
+{
+    take_verdict(c, host, paths::conclusion::link_cut);
+}
+
+
+void handle_unreachable_host(control_plane& c, const base::host_id& host)
+{
+    c.links_.table_.record_failed(host);
+    take_verdict(c, host, paths::conclusion::host_failed);
+}
+
+
+asio::awaitable<void> answer_host_query(
+    control_plane& c, host_query_message m, membership::endpoint sender)
+{
+    const base::time_point began = base::boot_clock::now();
+    probe_others(c, m.host_, began);
+    const bool reached = co_await probe(c, m.host_);
+    paths::peer_finding finding = paths::peer_finding::reached;
+    if (!reached) {
+        // A refused connection leaves the probes of other hosts no time.
+        while (!c.links_.table_.reached_other_since(m.host_, began) &&
+               base::boot_clock::now() - began < probe_timeout)
+            co_await sleep_for(c, comparison_poll_period);
+        finding = c.links_.table_.reached_other_since(m.host_, began)
+                      ? paths::peer_finding::not_reached
+                      : paths::peer_finding::unknown;
+    }
+    send_to_peer(c, sender, host_finding_message{m.number_, finding});
+}
+
+
+void handle_finding(
+    control_plane& c,
+    const host_finding_message& m,
+    const membership::endpoint& sender)
+{
+    for (auto& [host, check] : c.links_.checks_) {
+        if (check->number_ != m.number_)
+            continue;
+        if (check->awaited_.erase(sender) > 0)
+            add_finding(check->evidence_, m.finding_);
+        if (check->conclusion_ == paths::conclusion::pending)
+            try_to_conclude(c, host, *check, false);
+        return;
+    }
+}
+
+
+asio::awaitable<void> run_link_tests(control_plane& c)
+{
+    for (;;) {
+        co_await sleep_for(c, test_period);
+        forget_old_checks(c);
+        const auto listed = listed_hosts(c);
+        for (base::host_id& host :
+             c.links_.table_.take_tests(listed, base::boot_clock::now()))
+            asio::co_spawn(
+                c.context_, test_link(c, std::move(host)), asio::detached);
+        update_links(c);
+    }
+}
+
+} // namespace monsoondock::entry::pvt
--- a/src/libentry/load_reports.cpp
+++ b/src/libentry/load_reports.cpp
@@ -194,6 +194,9 @@
         co_await sleep_for(c, report_period(c));
         c.proxy_->take_traffic_stats([&c, pending](relay::traffic_stats stats) {
             asio::post(c.context_, [&c, pending, stats = std::move(stats)] {
+                for (const base::host_id& host : stats.connected_)
+                    c.links_.table_.record_reached(
+                        host, base::boot_clock::now());
                 report_loads(c, stats.loads_);
                 report_demand(c, *pending, stats.demand_);
                 exchange_state(c, stats);
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -346,6 +346,48 @@
 }
 
 
+void put(wire::body_writer& out, const host_query_message& m)
+{
+    out(m.number_);
+    wire::write_text(out, m.host_.value_);
+}
+
+
+void get(wire::body_reader& in, host_query_message& m)
+{
+    in(m.number_);
+    wire::read_text(in, m.host_.value_, max_name_bytes);
+}
+
+
+void put(wire::body_writer& out, const host_finding_message& m)
+{
+    out(m.number_, static_cast<std::uint8_t>(m.finding_));
+}
+
+
+void get(wire::body_reader& in, host_finding_message& m)
+{
+    std::uint8_t finding = 0;
+    in(m.number_, finding);
+    if (finding > static_cast<std::uint8_t>(paths::peer_finding::unknown))
+        throw std::range_error("unknown finding");
+    m.finding_ = static_cast<paths::peer_finding>(finding);
+}
+
+
+void put(wire::body_writer& out, const group_check_message& m)
+{
+    wire::write_text(out, m.head_.value_);
+}
+
+
+void get(wire::body_reader& in, group_check_message& m)
+{
+    wire::read_text(in, m.head_.value_, max_name_bytes);
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -4,6 +4,7 @@
 #include "load_exchange.hpp"
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/paths/host_check.hpp>
 #include <monsoondock/relay/proxy_callbacks.hpp>
 #include <monsoondock/wire/body_codec.hpp>
 
@@ -166,6 +167,30 @@
     std::vector<relay::host_limit_report> limits_;
 };
 
+/// The sender cannot connect to a host and asks whether the receiver can.
+struct host_query_message
+{
+    /// Repeated in the answer.
+    std::uint64_t number_ = 0;
+    base::host_id host_;
+};
+
+
+struct host_finding_message
+{
+    std::uint64_t number_ = 0;
+    paths::peer_finding finding_ = paths::peer_finding::unknown;
+};
+
+
+/// The sender asks the leader to check the hosts of the group that a host
+/// belongs to.
+struct group_check_message
+{
+    base::host_id head_;
+};
+
+
 /// Messages that daemons send each other as datagrams. The index of an
 /// alternative is its type code on the wire, so the order must not change.
 using peer_message = std::variant<
@@ -185,7 +210,10 @@
     load_sum_message,
     forwarded_message,
     part_report_message,
-    host_limits_message>;
+    host_limits_message,
+    host_query_message,
+    host_finding_message,
+    group_check_message>;
 
 
 /// Returns the datagram for a message.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -25,6 +25,23 @@
 }
 
 
+Test(peer_message, questions_about_hosts_round_trip)
+{
+    const auto query =
+        pvt::decode(pvt::encode(pvt::host_query_message{7, {"h"}}));
+    cr_assert_eq(std::get<pvt::host_query_message>(*query).number_, 7);
+    cr_assert_eq(std::get<pvt::host_query_message>(*query).host_.value_, "h");
+    const auto finding = pvt::decode(pvt::encode(pvt::host_finding_message{
+        7, monsoondock::paths::peer_finding::not_reached}));
+    cr_assert_eq(
+        std::get<pvt::host_finding_message>(*finding).finding_,
+        monsoondock::paths::peer_finding::not_reached);
+    const auto check =
+        pvt::decode(pvt::encode(pvt::group_check_message{{"h"}}));
+    cr_assert_eq(std::get<pvt::group_check_message>(*check).head_.value_, "h");
+}
+
+
 Test(peer_message, host_changes_round_trip)
 {
     const pvt::host_changes_message sent{
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -165,6 +165,7 @@
             },
             [&](const upstream_healthy_message& m) {
                 c.proxy_->mark_healthy(m.host_);
+                handle_reached_host(c, m.host_);
             },
             [&](const load_message& m) { handle_loads(c, m); },
             [&](const data_centre_load_message& m) { handle_loads(c, m); },
@@ -182,6 +183,7 @@
             },
             [&](const host_unreachable_message& m) {
                 log_report(c, sender, m.host_, "host_unreachable");
+                handle_unreachable_host(c, m.host_);
                 mark_host_unreachable(c, m.host_);
             },
             [&](const host_leaving_message& m) { mark_host_leaving(c, m); },
@@ -196,6 +198,18 @@
                 for (const relay::host_limit_report& r : m.limits_)
                     c.proxy_->apply_host_limit(r);
             },
+            [&](const host_query_message& m) {
+                asio::co_spawn(
+                    c.context_,
+                    answer_host_query(c, m, sender),
+                    asio::detached);
+            },
+            [&](const host_finding_message& m) {
+                handle_finding(c, m, sender);
+            },
+            [&](const group_check_message& m) {
+                check_group(c, {m.head_, {}});
+            },
             [&](const forwarded_message& m) {
                 handle_forwarded(c, m, sender);
             }},
--- a/src/libentry/peer_topology.cpp
+++ b/src/libentry/peer_topology.cpp
@@ -71,6 +71,24 @@
 }
 
 
+std::size_t
+leadership_rank(const member_table& members, const member_record& self)
+{
+    const auto has_links = [](const member_record& r) {
+        return r.status_.entry_mode_ != membership::entry_mode::detouring;
+    };
+    std::size_t count = 0;
+    for (const auto& [id, member] : members) {
+        const member_record& r = member.record_;
+        const bool precedes = has_links(r) == has_links(self)
+                                  ? takes_precedence(r, self)
+                                  : has_links(r);
+        count += r.state_ == member_state::alive && precedes;
+    }
+    return count;
+}
+
+
 bool is_small_cluster(const member_table& members)
 {
     std::size_t count = 1;
--- a/src/libentry/peer_topology.hpp
+++ b/src/libentry/peer_topology.hpp
@@ -48,6 +48,14 @@
     const membership::member_record& self);
 
 
+/// Returns the number of live daemons that are to lead before self: those that
+/// take precedence over it, but daemons without links to the upstreams come
+/// last.
+std::size_t leadership_rank(
+    const membership::member_table& members,
+    const membership::member_record& self);
+
+
 /// Returns true when there are so few daemons, including self, that all of them
 /// exchange messages directly.
 bool is_small_cluster(const membership::member_table& members);
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -65,13 +65,17 @@
 }
 
 
-void record_order_failure(
-    control_plane& c, const base::host_id& id, const call_result& result)
+// Returns the outcome of an order to a host that did not accept the connection.
+// The host may be all right and the link of this daemon cut.
+asio::awaitable<placement::order_outcome> outcome_without_connection(
+    control_plane& c, base::host_id id, placement::order_outcome outcome)
 {
-    const auto* failure = std::get_if<call_failure>(&result);
-    if (failure != nullptr && *failure != call_failure::unanswered)
-        c.reachability_[id].unreachable_until_ =
-            base::boot_clock::now() + order_unreachable_period;
+    const paths::conclusion conclusion = co_await check_link(c, id);
+    if (conclusion != paths::conclusion::host_failed)
+        co_return placement::order_outcome::unanswered;
+    c.reachability_[id].unreachable_until_ =
+        base::boot_clock::now() + order_unreachable_period;
+    co_return outcome;
 }
 
 
@@ -91,7 +95,9 @@
             order_connect_timeout,
             order_timeout);
         outcome = outcome_of(c, result);
-        record_order_failure(c, o.host_, result);
+        const auto* failure = std::get_if<call_failure>(&result);
+        if (failure != nullptr && *failure != call_failure::unanswered)
+            outcome = co_await outcome_without_connection(c, o.host_, outcome);
         if (const auto* response = std::get_if<call_response>(&result))
             status = std::to_string(response->result_int());
     }
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "link_peers.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/event_writer.hpp>
@@ -43,10 +44,18 @@
     relay::proxy_callbacks callbacks;
     callbacks.on_unhealthy_ = [&c](const relay::unhealthy_report& suspicion) {
         asio::post(c.context_, [&c, suspicion] {
-            const pvt::upstream_suspected_message m{
-                suspicion.host_, suspicion.failed_address_};
-            pvt::broadcast(c, m);
-            pvt::check_group(c, m);
+            asio::co_spawn(
+                c.context_,
+                pvt::handle_unhealthy(c, suspicion),
+                asio::detached);
+        });
+    };
+    callbacks.on_connection_lost_ = [&c](const base::host_id& host) {
+        asio::post(c.context_, [&c, host] {
+            asio::co_spawn(
+                c.context_,
+                pvt::handle_lost_connection(c, host),
+                asio::detached);
         });
     };
     callbacks.on_no_progress_ = [&c](const base::host_id& host) {
@@ -107,6 +116,7 @@
     asio::co_spawn(context, pvt::run_discovery(c), asio::detached);
     asio::co_spawn(context, pvt::run_leadership(c), asio::detached);
     asio::co_spawn(context, pvt::run_placement(c), asio::detached);
+    asio::co_spawn(context, pvt::run_link_tests(c), asio::detached);
 }
 
 
@@ -126,6 +136,12 @@
             std::string("can't listen: ") + failure.what(),
             "check the addresses in the settings file"};
     }
+    // Without the listener the daemon serves its own callers all the same.
+    const auto detours =
+        c.proxy_->accept_detours(pvt::detour_address(c.node_.self().peer_));
+    if (!base::ok(detours))
+        base::event_line("detours_unavailable", base::severity::error)
+            .field("reason", base::error(detours).message_);
     auto started = c.proxy_->start(
         {asio::ip::make_address(config.caller_address_.ip_),
          config.caller_address_.port_});
--- a/src/libentry/shutdown_cover.cpp
+++ b/src/libentry/shutdown_cover.cpp
@@ -22,7 +22,7 @@
 bool is_ready(const member& m)
 {
     return m.record_.state_ == member_state::alive &&
-           m.record_.status_.entry_mode_ == membership::entry_mode::open;
+           m.record_.status_.entry_mode_ != membership::entry_mode::draining;
 }
 
 
--- a/testsuite/entry-upstreams-cut/run.py
+++ b/testsuite/entry-upstreams-cut/run.py
@@ -1,6 +1,7 @@
 """Daemons that lose their links to all upstreams, the leader among them, while
 callers, the store and another daemon reach them."""
 
+import concurrent.futures
 import itertools
 import re
 
@@ -11,6 +12,8 @@
     EngineWorker, EntryDaemon, PlainWorker, Store, configuration, daemon_ports)
 
 REQUESTS = 20
+# Calls at the same time; the groups have as many slots.
+CALLERS = 4
 # Share of the first tries that a daemon without links serves in the end.
 SERVED = 0.9
 
@@ -21,8 +24,10 @@
 
 def served(daemon, send, name):
     """Returns the share of requests that the daemon serves at the first try."""
-    answers = [send(daemon, f"{name}-{i}") for i in range(REQUESTS)]
-    return sum(a.status == 200 for a in answers) / REQUESTS
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as callers:
+        answers = callers.map(
+            lambda i: send(daemon, f"{name}-{i}").status, range(REQUESTS))
+        return sum(status == 200 for status in answers) / REQUESTS
 
 
 def serves_all(daemon, payouts, name):
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -6,6 +6,7 @@
 <process/host>.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -102,16 +103,21 @@
             "max_tokens": max_tokens, "stream": stream, **fields}
 
 
-def free_port():
+def free_port(count=1):
     """Returns a port that is free for both TCP and UDP on all addresses, as
-    several daemons of a session use it on addresses of their own."""
+    several daemons of a session use it on addresses of their own. With a
+    count, so are the ports after it."""
     while True:
-        with socket.socket() as tcp, \
-                socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("", 0))
-            port = tcp.getsockname()[1]
+        with contextlib.ExitStack() as sockets:
+            port = 0
             try:
-                udp.bind(("", port))
+                for number in range(count):
+                    tcp = sockets.enter_context(socket.socket())
+                    udp = sockets.enter_context(
+                        socket.socket(type=socket.SOCK_DGRAM))
+                    tcp.bind(("", port + number if port else 0))
+                    port = port or tcp.getsockname()[1]
+                    udp.bind(("", port + number))
             except OSError:
                 continue
             return port
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -478,9 +478,16 @@
 
 def daemon_ports():
     """Returns the ports of the daemons of a session. Each daemon has its own
-    loopback address in place of a host, so all use the same ports."""
-    return {key: free_port() for key in (
-        "caller", "ready", "directory", "peer", "metrics")}
+    loopback address in place of a host, so all use the same ports. The port
+    after that of the peers is for detours."""
+    peer = free_port(2)
+    ports = {"peer": peer}
+    for key in ("caller", "ready", "directory", "metrics"):
+        port = peer + 1
+        while port in (peer, peer + 1, *ports.values()):
+            port = free_port()
+        ports[key] = port
+    return ports
 
 
 class EntryDaemon:
