--- a/src/librelay/availability_test.cpp
+++ b/src/librelay/availability_test.cpp
@@ -70,6 +70,39 @@
 }
 
 
+// Guards against forgetting what a host said of itself when its entry lapses,
+// or its group is out of use, and comes back: it got requests in its pause.
+Test(availability, a_pause_outlasts_a_lapse_of_the_entry)
+{
+    std::vector<scripted_response> script(many_requests + 1, make_success());
+    script.front() = make_rejection("60");
+    proxy_session s(request_kind::at_most_once, script);
+    cr_assert(s.call().status_ == 200);
+    s.list_hosts({});
+    cr_assert(s.call().status_ == 503);
+    s.list_hosts({"a", "b", "c"});
+    for (int i = 2; i < many_requests; ++i)
+        cr_assert(s.call().status_ == 200);
+    cr_assert_eq(requests_to_first_host(s), 1);
+}
+
+
+// The same for a host that is leaving.
+Test(availability, a_leaving_host_is_known_after_a_lapse_of_the_entry)
+{
+    std::vector<scripted_response> script(many_requests, make_success());
+    script.front().fields_ = "X-Leaving: 1\r\n";
+    proxy_session s(request_kind::idempotent, script);
+    cr_assert(s.call().status_ == 200);
+    s.list_hosts({});
+    cr_assert(s.call().status_ == 503);
+    s.list_hosts({"a", "b", "c"});
+    for (int i = 1; i < many_requests; ++i)
+        cr_assert(s.call().status_ == 200);
+    cr_assert_eq(requests_to_first_host(s), 1);
+}
+
+
 // A host that asked for a pause got further requests during it.
 Test(availability, a_host_that_asks_for_a_pause_gets_nothing_during_it)
 {
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -151,10 +151,10 @@
     std::vector<scripted_response> script,
     const session_options& options)
     : upstream_(std::move(script)),
-      proxy_(make_config(options), make_callbacks(proxy_, options), metrics_)
+      proxy_(make_config(options), make_callbacks(proxy_, options), metrics_),
+      kind_(kind), options_(options)
 {
     deadline_ = options.deadline_;
-    hosts_ = options.hosts_;
     detour_address_ = free_address(context_);
     cr_assert(base::ok(proxy_.accept_detours(detour_address_)));
     address_ = free_address(context_);
@@ -193,10 +193,18 @@
 }
 
 
+void proxy_session::list_hosts(const std::vector<const char*>& hosts)
+{
+    session_options options = options_;
+    options.hosts_ = hosts;
+    proxy_.publish(make_view(kind_, options, upstream_.address()));
+}
+
+
 void proxy_session::cut_links(const std::vector<const proxy_session*>& helpers)
 {
     auto links = std::make_shared<link_view>();
-    for (const char* host : hosts_)
+    for (const char* host : options_.hosts_)
         links->cut_hosts_.insert({host});
     for (const proxy_session* s : helpers)
         links->helpers_.helpers_.push_back(
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -88,6 +88,10 @@
     void cut_links(const std::vector<const proxy_session*>& helpers);
 
 
+    /// Publishes a view that lists these hosts only.
+    void list_hosts(const std::vector<const char*>& hosts);
+
+
     /// Returns the address for detours.
     boost::asio::ip::tcp::endpoint detour_address() const
     {
@@ -110,7 +114,8 @@
     boost::asio::ip::tcp::endpoint address_;
     boost::asio::ip::tcp::endpoint detour_address_;
     std::chrono::milliseconds deadline_;
-    std::vector<const char*> hosts_;
+    catalog::request_kind kind_;
+    session_options options_;
 };
 
 
