relay: remember what a host said of itself while it is not listed

Cause: the state of a host, with its pause, its leaving and its limit, was dropped when its entry lapsed or its group was out of use for a moment; it came back as a host that had said nothing. Class: what is known of a process was tied to a list that shows less than the process does. It is kept for ten minutes now; another process under the same name starts anew, as before.

relay availability/a_pause_outlasts_a_lapse_of_the_entry and a_leaving_host_is_known_after_a_lapse_of_the_entry failed before.

--- a/src/include/monsoondock/relay/upstream_table.hpp
+++ b/src/include/monsoondock/relay/upstream_table.hpp
@@ -40,12 +40,19 @@
     /// Process of the upstream that leaving_, paused_until_ and limit_ are
     /// about.
     std::int64_t process_start_ms_ = 0;
+    /// When the host was first missing in the list; unset while it is listed.
+    base::time_point unlisted_since_;
     /// Moving average of the time between two events of a stream; 0 before the
     /// first measurement.
     double event_interval_ms_ = 0;
 };
 
 
+/// Time for which it is remembered that a host which is not listed any longer
+/// was leaving, paused or limited.
+inline constexpr std::chrono::minutes unlisted_memory{10};
+
+
 /// Load and health of all upstreams, by host.
 class upstream_table
 {
@@ -95,8 +102,11 @@
 
 
     /// Removes hosts that are not listed and have no request of this daemon in
-    /// progress.
-    void keep_only(const std::unordered_map<base::host_id, bool>& listed);
+    /// progress. What a host has said of itself is kept for unlisted_memory:
+    /// its entry may lapse and come back while its process goes on.
+    void keep_only(
+        const std::unordered_map<base::host_id, bool>& listed,
+        base::time_point now);
 
 private:
     std::unordered_map<base::host_id, upstream_state> states_;
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -82,7 +82,7 @@
             t.upstream_table_.detect_restart(u.host_, u.process_start_ms_);
         }
     }
-    t.upstream_table_.keep_only(listed);
+    t.upstream_table_.keep_only(listed, base::boot_clock::now());
     t.upstream_table_.set_cut_links(t.links_->cut_hosts_);
     const bool daemons_changed = t.view_->peers_ != view->peers_;
     t.view_ = std::move(view);
--- a/src/librelay/upstream_table.cpp
+++ b/src/librelay/upstream_table.cpp
@@ -2,6 +2,17 @@
 
 namespace monsoondock::relay {
 
+namespace {
+
+// Returns true when something that the host has said of itself is in force.
+bool has_spoken(const upstream_state& s, base::time_point now)
+{
+    return s.leaving_ || s.paused_until_ > now ||
+           hostlimits::is_limited(s.limit_, now);
+}
+
+} // namespace
+
 void upstream_table::set_peer_loads(
     const base::daemon_id& peer,
     const std::unordered_map<base::host_id, unsigned>& loads)
@@ -50,10 +61,22 @@
 
 
 void upstream_table::keep_only(
-    const std::unordered_map<base::host_id, bool>& listed)
+    const std::unordered_map<base::host_id, bool>& listed, base::time_point now)
 {
+    for (auto& [host, s] : states_) {
+        if (listed.contains(host))
+            s.unlisted_since_ = {};
+        else if (s.unlisted_since_ == base::time_point())
+            s.unlisted_since_ = now;
+        // A host that is listed again starts out healthy.
+        if (s.unlisted_since_ == now)
+            s.unhealthy_until_ = {};
+    }
     std::erase_if(states_, [&](const auto& entry) {
-        return entry.second.in_flight_ == 0 && !listed.contains(entry.first);
+        const upstream_state& s = entry.second;
+        return s.in_flight_ == 0 && s.unlisted_since_ != base::time_point() &&
+               (!has_spoken(s, now) ||
+                now - s.unlisted_since_ > unlisted_memory);
     });
 }
 
