--- a/src/librelay/crashing_part_test.cpp
+++ b/src/librelay/crashing_part_test.cpp
@@ -85,6 +85,34 @@
 }
 
 
+// Guards against counting requests as one that differ in nothing but the last
+// part of their prompts: one alone shows nothing about the part that they
+// share.
+Test(crashing_part, requests_that_differ_in_their_last_part_are_several)
+{
+    proxy_session s(
+        request_kind::resumable_stream, make_script(), make_options());
+    for (int i = 0; i < sound_before; ++i) {
+        request_options sound = make_sound_request(i);
+        sound.body_.clear();
+        cr_assert_eq(s.call_once(sound).status_, 200);
+    }
+    for (int i = 0; i < callers; ++i) {
+        request_options crashing = make_crashing_request(i);
+        crashing.body_.clear();
+        s.call_once(crashing);
+    }
+    request_options later = make_sound_request(7);
+    later.body_.clear();
+    cr_expect_eq(s.call_once(later).status_, 200);
+    request_options crashing = make_crashing_request(callers);
+    crashing.body_ = "another";
+    const std::size_t before = s.upstream_.requests();
+    cr_expect_eq(s.call_once(crashing).status_, 503);
+    cr_expect_eq(s.upstream_.requests(), before);
+}
+
+
 // Guards against sending requests to host after host while all that they have
 // in common is one part of their prompts, under which the hosts crash.
 Test(crashing_part, requests_that_share_it_stop_reaching_upstreams)
