relay: requests that differ in the last part of their prompts are several

The content of a request is now hashed with the whole list of parts.

relay crashing_part/requests_that_differ_in_their_last_part_are_several failed before.

--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -250,6 +250,7 @@
     read_token_counts(*e, names);
     e->fingerprint_ = fingerprint(*e);
     const auto parts = e->request_[names.prompt_parts_];
+    e->prompt_hash_ = base::stable_hash({parts.data(), parts.size()});
     e->prompt_parts_ =
         crashes::parse_shared_parts({parts.data(), parts.size()});
     e->deadline_ =
--- a/src/librelay/crash_records.cpp
+++ b/src/librelay/crash_records.cpp
@@ -35,10 +35,11 @@
 }
 
 
-// Requests that differ in a part only are different ones, too.
+// Requests that differ in a part only are different ones, also if that is the
+// last part, which no other request has.
 std::uint64_t content_of(const exchange& e)
 {
-    return base::stable_hash(crashes::to_text(e.prompt_parts_), e.fingerprint_);
+    return e.fingerprint_ ^ e.prompt_hash_;
 }
 
 
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -77,6 +77,8 @@
     double answer_tokens_ = 0;
     /// Equal for a request and its resubmissions; see crash_report.
     std::uint64_t fingerprint_ = 0;
+    /// Hash of all parts of the prompt, also of the last one.
+    std::uint64_t prompt_hash_ = 0;
     /// Parts of the prompt that other requests may share.
     std::vector<crashes::prompt_part> prompt_parts_;
     base::time_point received_;
