crashes: a crash blames a part only by what was completed before it

Cause: the daemon learned of earlier losses from its peers when it had completed requests itself; it took these as the contrast, although nothing was completed when the hosts were lost. The contrast is now measured at the time of the crash, and a loss whose cause is found out later keeps its time.

crashes part_tracker/earlier_losses_blame_nothing_at_a_daemon_that_was_started failed before.

--- a/src/include/monsoondock/crashes/part_crash.hpp
+++ b/src/include/monsoondock/crashes/part_crash.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/crashes/prompt_part.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -18,6 +19,8 @@
     std::uint64_t request_ = 0;
     /// True when the response had begun to arrive, but not long before.
     bool begun_ = false;
+    /// Time since it was lost.
+    std::chrono::milliseconds age_{0};
 };
 
 } // namespace monsoondock::crashes
--- a/src/include/monsoondock/crashes/part_tracker.hpp
+++ b/src/include/monsoondock/crashes/part_tracker.hpp
@@ -134,9 +134,13 @@
         base::time_point time_;
     };
 
-    bool has_contrast(prompt_part part, base::time_point now) const;
-    bool
-    is_guilty(prompt_part part, const suspect& s, base::time_point now) const;
+    /// Returns true when requests without the part were completed shortly
+    /// before a time.
+    bool has_contrast(prompt_part part, base::time_point time) const;
+    /// Returns true when the latest crash, at a time, shows that the part
+    /// crashes hosts.
+    bool is_guilty(
+        prompt_part part, const suspect& s, base::time_point crashed_at) const;
     bool add_record(
         prompt_part part, const crash_record& record, base::time_point now);
     void quarantine(prompt_part part, suspect& s, base::time_point until);
--- a/src/libcrashes/part_tracker.cpp
+++ b/src/libcrashes/part_tracker.cpp
@@ -53,11 +53,11 @@
 }
 
 
-bool part_tracker::has_contrast(prompt_part part, base::time_point now) const
+bool part_tracker::has_contrast(prompt_part part, base::time_point time) const
 {
     const auto count = std::count_if(
         completions_.begin(), completions_.end(), [&](const completion& c) {
-            return now - c.time_ <= contrast_time &&
+            return c.time_ <= time && time - c.time_ <= contrast_time &&
                    std::find(c.parts_.begin(), c.parts_.end(), part) ==
                        c.parts_.end();
         });
@@ -66,11 +66,11 @@
 
 
 bool part_tracker::is_guilty(
-    prompt_part part, const suspect& s, base::time_point now) const
+    prompt_part part, const suspect& s, base::time_point crashed_at) const
 {
     if (s.crashes_.empty())
         return false;
-    if (now < s.probation_until_)
+    if (crashed_at < s.probation_until_)
         return true;
     const auto crashed_hosts = [&s](bool begun_only) {
         std::set<std::uint64_t> hosts;
@@ -85,7 +85,7 @@
     };
     const bool enough = crashed_hosts(true) >= min_begun_crashes ||
                         crashed_hosts(false) >= min_crashes;
-    return enough && has_contrast(part, now);
+    return enough && has_contrast(part, crashed_at);
 }
 
 
@@ -153,7 +153,7 @@
     part_report report;
     for (const prompt_part part : crash.parts_)
         report.crashes_.push_back(
-            {part, crash.host_run_, crash.request_, crash.begun_, {}});
+            {part, crash.host_run_, crash.request_, crash.begun_, crash.age_});
     apply(report, report_delay, now);
     std::erase_if(report.crashes_, [&](const suspected_crash& c) {
         return has_survived(c.part_, now) ||
@@ -255,7 +255,7 @@
         // Known crashes blame nothing anew: what was lost while nothing was
         // completed tells no part from another.
         suspect& s = suspects_[c.part_];
-        if (!is_new || !is_guilty(c.part_, s, now))
+        if (!is_new || !is_guilty(c.part_, s, now - c.age_))
             continue;
         quarantine(c.part_, s, now + quarantine_time);
         schedule(quarantined_due_, c.part_, now + report_delay);
--- a/src/libcrashes/part_tracker_test.cpp
+++ b/src/libcrashes/part_tracker_test.cpp
@@ -115,6 +115,21 @@
 
 
 // A short response may be complete before the crash that it causes.
+// Guards against blaming the parts of requests that were lost while nothing was
+// completed at a daemon that learns of the losses later, when others are.
+Test(part_tracker, earlier_losses_blame_nothing_at_a_daemon_that_was_started)
+{
+    part_tracker tracker;
+    for (std::size_t i = 0; i < part_tracker::min_contrast; ++i)
+        tracker.add_completion({common}, healthy_host, start);
+    part_report state;
+    for (std::uint64_t i = 0; i < 9; ++i)
+        state.crashes_.push_back({sound, i, 100 + i, true, 7s});
+    tracker.apply(state, 0ms, start + 1s);
+    cr_assert_not(tracker.find_quarantined({sound}, start + 1s));
+}
+
+
 Test(part_tracker, a_response_just_before_the_crash_clears_nothing)
 {
     part_tracker tracker = make_tracker();
--- a/src/librelay/crash_records.cpp
+++ b/src/librelay/crash_records.cpp
@@ -62,8 +62,10 @@
         t.callbacks_.on_crash_(crash.report_);
     if (!crash.part_)
         return;
+    crashes::part_crash part = *crash.part_;
+    part.age_ = std::chrono::duration_cast<milliseconds>(now - crash.lost_at_);
     const crashes::part_report report =
-        t.part_tracker_.add_crash(*crash.part_, report_delay(t), now);
+        t.part_tracker_.add_crash(part, report_delay(t), now);
     log_quarantined(t);
     if (!report.empty() && t.callbacks_.on_part_report_)
         t.callbacks_.on_part_report_(report);
@@ -97,7 +99,8 @@
             e.prompt_parts_,
             run_of(target),
             content_of(e),
-            state.response_began_ != base::time_point()};
+            state.response_began_ != base::time_point(),
+            {}};
     if (!t.callbacks_.on_connection_lost_) {
         record(t, crash);
         return;
