--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -256,8 +256,8 @@
         co_return;
     }
     // What the leader finds is told to all, which spares each of many daemons
-    // its questions.
-    if (awaits_leader(c)) {
+    // its questions. It may be cut off too when other links are cut already.
+    if (awaits_leader(c) && !c.links_.table_.has_cut_links()) {
         ask_leader_to_check(c, host);
         asio::steady_timer wait(c.context_, leader_verdict_time);
         check->verdict_wait_ = &wait;
