testsuite, soak: links of daemons to workers are cut

The golden session cuts links to some workers, kills the daemon that serves the detours while payouts run, and follows a detoured request with explain-request. The soak cuts the links of one or two daemons to all workers or half of them, in three ways, again and again (--faults links: beside planned work and the troubles of hosts), and checks the users' rule RECOVER on first tries.

--- a/testsuite/entry-upstreams-cut/run.py
+++ b/testsuite/entry-upstreams-cut/run.py
@@ -41,6 +41,11 @@
     return call(daemon, request_id, "/payout/1")
 
 
+def count_detours(daemon, helper):
+    return sum(f"helper={helper} " in line
+               for line in log_events(daemon, "detour"))
+
+
 class Payouts:
     """Sends payouts and checks how often they ran."""
 
@@ -111,6 +116,49 @@
             wait_until(
                 lambda: all(serves_all(d, payouts, f"{mode}-end-{next(number)}")
                             for d in daemons.values()), "service after the cut")
+        # Links to some upstreams only: requests for the others take no detour.
+        links[other].cut("silent", ledgers)
+        number = itertools.count()
+        wait_until(
+            lambda: served(daemons[other], payouts,
+                           f"p-some-{next(number)}") >= SERVED,
+            "payouts with links to ledgers cut")
+        detours = len(log_events(daemons[other], "detour"))
+        session.say("some links cut: streams served "
+                    f"{served(daemons[other], chat, 'c-some') >= SERVED}, "
+                    "of them over detours "
+                    f"{len(log_events(daemons[other], 'detour')) - detours}")
+
+        # The daemon that serves a detour is killed.
+        links[other].cut("reset", workers)
+        wait_until(lambda: served(daemons[other], chat, "c-kill") >= SERVED,
+                   "detours")
+        killed = max((n for n in "abc" if n != other),
+                     key=lambda n: count_detours(daemons[other], n))
+        for ledger in ledgers:
+            ledger.requests_to_hang = 2
+        with concurrent.futures.ThreadPoolExecutor(2 * CALLERS) as callers:
+            answers = [callers.submit(payouts, daemons[other], f"p-kill-{i}")
+                       for i in range(2 * CALLERS)]
+            wait_until(lambda: sum(
+                payouts.runs(f"p-kill-{i}") for i in range(2 * CALLERS))
+                >= CALLERS, "payouts that run")
+            daemons[killed].popen.kill()
+            statuses = {a.result().status for a in answers}
+        session.say("the helper is killed: answers among 200, 502, 503 "
+                    f"{statuses <= {200, 502, 503}}")
+        wait_until(lambda: served(daemons[other], chat, "c-after") >= SERVED,
+                   "detours over the daemon that is left")
+        session.say("served by way of the daemon that is left")
+
+        explained = session.run_tool(
+            "monsoondockctl", "explain-request", "c-after-0",
+            *[d.stdout for d in daemons.values()])
+        own = explained.stdout.partition("related events")[0]
+        session.say("explain-request shows " + ", ".join(
+            word for word in ("event=detour ", "event=detour_end",
+                              "detour_from=", "detour_to=") if word in own))
+
         now = {(e.entry["group"]["name"], e.entry["group"]["epoch"])
                for e in engines if "group" in e.entry}
         session.say(f"groups are the same as before: {now == groups}")
--- a/testsuite/link_faults_test.py
+++ b/testsuite/link_faults_test.py
@@ -37,7 +37,7 @@
 
     def cut(self, mode, workers):
         """Cuts the links to the workers."""
-        ports = [w.server.port for w in workers]
+        ports = [int(w.entry["address"].rsplit(":", 1)[1]) for w in workers]
         self.write(MODES[mode], ports)
 
     def restore(self):
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -154,6 +154,7 @@
             self.connection.sendall(data)
         call.sent = time.monotonic()
         answer, text = receive(self.connection, call)
+        call.status = answer.status
         if answer.will_close or not self.keeps:
             self.close()
         if answer.status != 200:
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+from cut_links import cut_links
 from host_troubles import CrashingPart, LimitedHost
 from proxy import MODES
 from session import wait_until
@@ -273,7 +274,11 @@
 ALL = [*PLANNED, kill_daemon, pause_daemon, lose_engine, drain_engine,
        lose_answers, cut_store, break_streams, break_streams, pause_ledger,
        replace_ledger, restore_store, inject_worker_network_fault,
-       inject_worker_network_fault, inject_store_network_fault]
+       inject_worker_network_fault, inject_store_network_fault,
+       cut_links, cut_links]
+
+# Cut links beside planned work and the troubles of hosts.
+LINKS = [*PLANNED, *4 * [cut_links], pause_ledger, lose_engine]
 
 
 def inject_faults(run, faults, seconds):
--- a/testsuite/soak/lost_requests.py
+++ b/testsuite/soak/lost_requests.py
@@ -44,6 +44,8 @@
     # "whole", "cut" (with a status, without its end), "unanswered" (closed
     # without a byte), "timeout" (the caller left) or "unsent".
     outcome: str = "unsent"
+    # Status of the answer, if there was one.
+    status: int = None
 
     def is_lost(self):
         return self.sent is not None and self.outcome in ("cut", "unanswered")
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -2,12 +2,14 @@
 """Soak test of entry daemons with random fault injection.
 
 usage: soak.py --bin BIN_FOLDER [--seeds FIRST-LAST] [--seconds N]
+               [--faults all|links]
 
 Runs real daemons with stand-ins of the users' platform, injects faults chosen
 by a seed, and checks at the callers and upstreams that responses are complete
 and belong to their requests, streams have no gaps, a payout runs at most once
 and not at all when it was refused, no request is lost around planned work, and
-service recovers. Even seeds have planned work alone. Ends only the processes
+service recovers. Even seeds have planned work alone; with --faults links, all
+have cut links between daemons and workers beside it. Ends only the processes
 that it started, by their ids. See docs/soak.md.
 """
 
@@ -25,6 +27,7 @@
 
 import faults  # noqa: E402
 from callers import Caller  # noqa: E402
+from link_faults_test import LinkFaults  # noqa: E402
 from lost_requests import Call, FaultLog, describe, find_lost  # noqa: E402
 from proxy import Proxy  # noqa: E402
 from session import (  # noqa: E402
@@ -72,6 +75,10 @@
         self.saved = self.store.copy()
         self.ports = daemon_ports()
         self.daemons = {}
+        self.links = [LinkFaults(session, f"n{number}")
+                      for number in range(self.DAEMONS)]
+        # Only one sequence of faults cuts links at a time.
+        self.links_lock = threading.Lock()
         # Two fault sequences must not start one daemon twice on the same ports.
         self.daemon_locks = [threading.Lock() for _ in range(self.DAEMONS)]
         self.starts = 0
@@ -110,7 +117,7 @@
         self.daemons[number] = EntryDaemon(
             self.session, self.store, f"n{number}", "z1", ip, self.ports,
             seeds, first_start, self.store_proxy.address,
-            grace=f"{GRACE_SECONDS}s")
+            grace=f"{GRACE_SECONDS}s", links=self.links[number])
         self.log.add_start(number)
 
     def keep_logs(self, daemon):
@@ -206,7 +213,13 @@
     return not run.violations
 
 
-def run_seed(seed, seconds, keep):
+def chosen_faults(name, seed):
+    if name == "links":
+        return faults.LINKS
+    return faults.PLANNED if seed % 2 == 0 else faults.ALL
+
+
+def run_seed(seed, seconds, keep, kind):
     with Session() as session:
         run = SoakRun(session, seed)
         threading.excepthook = run.record_exception
@@ -218,8 +231,7 @@
         threads = [threading.Thread(target=c.run) for c in callers]
         for thread in threads:
             thread.start()
-        faults.inject_faults(
-            run, faults.PLANNED if seed % 2 == 0 else faults.ALL, seconds)
+        faults.inject_faults(run, chosen_faults(kind, seed), seconds)
         run.wait_for_service("after the faults", RECOVERY_SECONDS)
         run.running = False
         for thread in threads:
@@ -230,11 +242,12 @@
         return report(run, keep)
 
 
-def passes(seed, seconds, keep):
+def passes(seed, seconds, keep, kind):
     """Runs a seed in a process of its own, whose sockets and threads end with
     it."""
     process = multiprocessing.Process(
-        target=lambda: sys.exit(0 if run_seed(seed, seconds, keep) else 1))
+        target=lambda: sys.exit(0 if run_seed(seed, seconds, keep, kind)
+                                else 1))
     process.start()
     process.join()
     return process.exitcode == 0
@@ -245,6 +258,7 @@
     parser.add_argument("--bin", required=True)
     parser.add_argument("--seeds", default="1-5")
     parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--faults", choices=["all", "links"], default="all")
     parser.add_argument("--keep", type=pathlib.Path,
                         default=pathlib.Path("build/soak"))
     arguments = parser.parse_args()
@@ -253,7 +267,8 @@
     first, _, last = arguments.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
     failed = [s for s in seeds
-              if not passes(s, arguments.seconds, arguments.keep)]
+              if not passes(s, arguments.seconds, arguments.keep,
+                            arguments.faults)]
     print(f"{len(seeds) - len(failed)} passed, {len(failed)} failed")
     return 1 if failed else 0
 
