--- a/src/monsoondockctl/request_timeline.cpp
+++ b/src/monsoondockctl/request_timeline.cpp
@@ -53,12 +53,15 @@
     static const std::set<std::string> events{
         "leadership_lost",
         "leadership_gained",
+        "leadership_resigned",
         "process_paused",
         "settings_in_force",
         "started",
         "stopping",
         "store_lost",
-        "store_recovered"};
+        "store_recovered",
+        "upstreams_cut",
+        "upstreams_restored"};
     return events.contains(field(line, "event"));
 }
 
