traffic: keep to the rest that engines and services ask for

The pause stands beside the limit of an upstream, which every send of both kinds looks at; the parser of Retry-After moves to libhostlimits, which both relays use.

--- a/src/include/monsoondock/relay/availability.hpp
+++ b/src/include/monsoondock/relay/availability.hpp
@@ -7,16 +7,10 @@
 #include <chrono>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace monsoondock::relay {
 
-/// Longest pause that an upstream can ask for. Longer ones are shortened to it,
-/// so that a malformed value does not exclude an upstream for good.
-inline constexpr std::chrono::minutes max_pause{5};
-
-
 /// Time over which the share of requests of an upstream grows to its full one
 /// after a pause.
 inline constexpr std::chrono::milliseconds ramp_time{1000};
@@ -26,13 +20,6 @@
 inline constexpr std::chrono::milliseconds unshared_limit_pause{500};
 
 
-/// Returns the pause that a Retry-After field in seconds asks for, at most
-/// max_pause. Fractions are allowed. Returns nothing when the text is not a
-/// number of seconds greater than 0.
-std::optional<std::chrono::milliseconds>
-parse_retry_after(std::string_view text);
-
-
 /// Returns the part, from 0 to 1, of its usual requests that an upstream is to
 /// get: 0 when the link to it is cut, when it is leaving, has asked for a
 /// pause, or has named a limit and gets nothing of this daemon at present; and
--- a/src/include/monsoondock/traffic/shared_host_limit.hpp
+++ b/src/include/monsoondock/traffic/shared_host_limit.hpp
@@ -18,7 +18,8 @@
 };
 
 
-/// Thread-safe limit of the requests that an upstream accepts.
+/// Thread-safe limit of the requests that an upstream accepts, and the pause
+/// that it has asked this daemon for.
 class shared_host_limit
 {
 public:
@@ -32,6 +33,11 @@
     bool state_response(std::string_view limit, base::time_point now);
 
 
+    /// Records that the upstream wants no requests of this daemon before a
+    /// time.
+    void pause_until(base::time_point time);
+
+
     /// Divides the limit among this daemon and the others.
     void update_share(
         const base::host_id& upstream,
@@ -54,6 +60,7 @@
 private:
     mutable std::mutex mutex_;
     hostlimits::host_limit limit_;
+    base::time_point paused_until_;
 };
 
 } // namespace monsoondock::traffic
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -45,7 +45,7 @@
 // As stated in docs/CAPACITY.md.
 Test(peer_message, questions_about_hosts_are_small)
 {
-    const base::host_id host{"i-0123456789"};
+    const monsoondock::base::host_id host{"i-0123456789"};
     cr_assert_eq(pvt::encode(pvt::host_query_message{7, host}).size(), 26);
     cr_assert_eq(pvt::encode(pvt::host_finding_message{}).size(), 11);
     cr_assert_eq(pvt::encode(pvt::group_check_message{host}).size(), 18);
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -6,7 +6,7 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
-#include <monsoondock/relay/availability.hpp>
+#include <monsoondock/hostlimits/pause.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -189,7 +189,8 @@
     record_limit(c.t_, c.target_, {limit.data(), limit.size()});
     if (response.result() != http::status::service_unavailable)
         return;
-    const auto pause = parse_retry_after(response[http::field::retry_after]);
+    const auto pause =
+        hostlimits::parse_retry_after(response[http::field::retry_after]);
     if (!pause)
         return;
     s.paused_until_ =
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -395,12 +395,7 @@
     if (!has_matching_request_id(a, parser))
         co_return fail_attempt(a, "the response has the id of another request");
     const auto& head = parser.get();
-    const auto limit = head[limit_field];
-    record_limit(
-        a.thread_,
-        *a.group_.load_,
-        a.group_.group_.value_,
-        {limit.data(), limit.size()});
+    record_limit(a.thread_, *a.group_.load_, a.group_.group_.value_, head);
     if (is_not_run_status(head.result()))
         co_return reject_attempt(
             a, "the engine refused the request (409 or 503)");
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -186,11 +186,15 @@
     std::atomic<engine_fault> fault_{engine_fault::none};
     std::mutex mutex_;
     std::string limit_;
+    std::string rest_;
 
 
     std::string add_limit(std::string answer)
     {
         const std::lock_guard lock(mutex_);
+        if (!rest_.empty())
+            return "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + rest_ +
+                   "\r\nContent-Length: 2\r\n\r\n{}";
         if (!limit_.empty())
             answer.insert(
                 answer.find("\r\n") + 2, "X-Request-Limit: " + limit_ + "\r\n");
@@ -313,6 +317,13 @@
 }
 
 
+void fake_engine::set_rest(std::string seconds)
+{
+    const std::lock_guard lock(impl_->mutex_);
+    impl_->rest_ = std::move(seconds);
+}
+
+
 void fake_engine::set_limit(std::string limit)
 {
     const std::lock_guard lock(impl_->mutex_);
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -77,6 +77,10 @@
     void set_limit(std::string limit);
 
 
+    /// Rejects all further requests with 503 and this Retry-After.
+    void set_rest(std::string seconds);
+
+
     /// Returns the number of requests received.
     int requests() const;
 
--- a/src/libtraffic/host_limit_test.cpp
+++ b/src/libtraffic/host_limit_test.cpp
@@ -25,6 +25,21 @@
 }
 
 
+// Guards against sending requests to a group that has rejected one and asked
+// for rest.
+Test(host_limit, a_group_that_asks_for_rest_gets_nothing_during_it)
+{
+    server_session s;
+    s.publish(monsoondock::base::time_point::max(), 1);
+    s.first_.set_rest("60");
+    for (int i = 0; i < many_requests; ++i) {
+        cr_expect_eq(s.complete_chat("p" + std::to_string(i)).status_, 503);
+        s.confirm_groups();
+    }
+    cr_expect_eq(s.first_.requests(), 1);
+}
+
+
 // Guards against the same when there is no other group.
 Test(host_limit, callers_are_rejected_when_all_groups_are_at_their_limit)
 {
--- a/src/libtraffic/server_session_test.cpp
+++ b/src/libtraffic/server_session_test.cpp
@@ -93,10 +93,18 @@
     snapshot->groups_.resize(groups);
     for (group_row& row : snapshot->groups_)
         row.fresh_until_ = fresh_until;
+    groups_ = snapshot->groups_;
     snapshots_.publish(std::move(snapshot));
 }
 
 
+void server_session::confirm_groups()
+{
+    for (const group_row& row : groups_)
+        row.load_->suspect_ = false;
+}
+
+
 void server_session::inject_faults(engine_fault fault, int count)
 {
     first_.inject_faults(fault, count);
--- a/src/libtraffic/server_session_test.hpp
+++ b/src/libtraffic/server_session_test.hpp
@@ -40,6 +40,11 @@
         base::time_point fresh_until = base::time_point::max(), int groups = 2);
 
 
+    /// Has probes show that the groups are ready, as the control thread does
+    /// some time after a rejection.
+    void confirm_groups();
+
+
     void inject_faults(engine_fault fault, int count);
 
 
@@ -67,6 +72,8 @@
     boost::asio::ip::tcp::endpoint address_;
     boost::asio::ip::tcp::socket socket_{context_};
     boost::beast::flat_buffer buffer_;
+    /// Groups of the latest snapshot.
+    std::vector<group_row> groups_;
 };
 
 } // namespace monsoondock::traffic::test
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -95,9 +95,7 @@
             run_state::maybe_sent,
             "no complete response received: " + read_failure.message()};
     const auto& answer = parser->get();
-    const auto limit = answer[limit_field];
-    record_limit(
-        thread, *host.load_, host.host_.value_, {limit.data(), limit.size()});
+    record_limit(thread, *host.load_, host.host_.value_, answer);
     buffered_response response(answer.result(), http_version_1_1);
     response.set(http::field::content_type, answer[http::field::content_type]);
     response.body() = answer.body();
--- a/src/libtraffic/shared_host_limit.cpp
+++ b/src/libtraffic/shared_host_limit.cpp
@@ -1,5 +1,7 @@
 #include <monsoondock/traffic/shared_host_limit.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::traffic {
 
 void shared_host_limit::state(const limit_statement& statement)
@@ -23,6 +25,13 @@
 }
 
 
+void shared_host_limit::pause_until(base::time_point time)
+{
+    const std::scoped_lock lock(mutex_);
+    paused_until_ = std::max(paused_until_, time);
+}
+
+
 void shared_host_limit::update_share(
     const base::host_id& upstream,
     const base::daemon_id& self,
@@ -42,7 +51,7 @@
 bool shared_host_limit::may_send(base::time_point now) const
 {
     const std::scoped_lock lock(mutex_);
-    return hostlimits::may_send(limit_, now);
+    return now >= paused_until_ && hostlimits::may_send(limit_, now);
 }
 
 
