--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -60,12 +60,6 @@
 }
 
 
-asio::awaitable<void> probe_and_forget(control_plane& c, base::host_id id)
-{
-    co_await probe(c, std::move(id));
-}
-
-
 // Probes some other hosts at the same time, unless one was reached since.
 void probe_others(
     control_plane& c, const base::host_id& host, base::time_point since)
@@ -80,8 +74,7 @@
     std::shuffle(others.begin(), others.end(), c.random_);
     others.resize(std::min(others.size(), compared_hosts));
     for (base::host_id& id : others)
-        asio::co_spawn(
-            c.context_, probe_and_forget(c, std::move(id)), asio::detached);
+        asio::co_spawn(c.context_, probe(c, std::move(id)), asio::detached);
 }
 
 
