entry, paths: refuse at once when no daemon has links

When the links of all daemons were silent, each request tried up to four upstreams for 0.25 s each before it was refused: nobody could tell whose fault it was, so nothing followed.

--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -166,7 +166,9 @@
     check.ended_.cancel();
     if (conclusion != paths::conclusion::reached)
         log_check(c, host, check);
-    if (conclusion == paths::conclusion::link_cut) {
+    // Where nobody reaches any host, requests are refused without a try.
+    if (conclusion == paths::conclusion::link_cut ||
+        conclusion == paths::conclusion::unresolved) {
         c.links_.table_.record_cut(host, check.ended_at_);
         update_links(c);
     }
--- a/testsuite/entry-upstreams-cut/run.py
+++ b/testsuite/entry-upstreams-cut/run.py
@@ -36,6 +36,14 @@
                    ("c", chat), ("s", status), ("p", payouts)))
 
 
+def refuses(daemon, request_id):
+    """Returns whether the daemon refuses a stream without a try."""
+    answer = chat(daemon, request_id)
+    return answer.status == 503 and any(
+        f"request={request_id} " in line and "outcome=links_cut" in line
+        and "sends=0" in line for line in log_events(daemon, "request"))
+
+
 def pay(daemon, request_id):
     """Sends a request of the kind that may run once."""
     return call(daemon, request_id, "/payout/1")
@@ -116,6 +124,22 @@
             wait_until(
                 lambda: all(serves_all(d, payouts, f"{mode}-end-{next(number)}")
                             for d in daemons.values()), "service after the cut")
+        # No daemon has links: callers are refused at once, without a try.
+        for name in "abc":
+            links[name].cut("silent", workers)
+        number = itertools.count()
+        wait_until(
+            lambda: all(refuses(d, f"none-{next(number)}")
+                        for d in daemons.values()),
+            "refusals by daemons none of which has links")
+        session.say("all daemons cut: refused as links_cut")
+        for name in "abc":
+            links[name].restore()
+        number = itertools.count()
+        wait_until(
+            lambda: all(serves_all(d, payouts, f"none-end-{next(number)}")
+                        for d in daemons.values()), "service after the cut")
+
         # Links to some upstreams only: requests for the others take no detour.
         links[other].cut("silent", ledgers)
         number = itertools.count()
