--- a/src/include/monsoondock/paths/host_check.hpp
+++ b/src/include/monsoondock/paths/host_check.hpp
@@ -31,8 +31,8 @@
     link_cut,
     /// The host accepts no connections.
     host_failed,
-    /// Nobody who was asked can tell. The host is not to be blamed, and the link
-    /// to it not to be used until a test shows that it is open.
+    /// Nobody who was asked can tell. The host is not to be blamed, and the
+    /// link to it not to be used until a test shows that it is open.
     unresolved
 };
 
