--- a/testsuite/run_case.py
+++ b/testsuite/run_case.py
@@ -11,6 +11,7 @@
 import difflib
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -45,6 +46,21 @@
         print("\n".join(lines[-LOG_LINES:]))
 
 
+def kept_logs(scratch):
+    """Returns the folder into which sessions copy their logs at their end."""
+    return pathlib.Path(scratch) / "kept-logs"
+
+
+def keep_logs(arguments, scratch):
+    """Keeps the logs of a case that failed beside the build."""
+    folder = (arguments.bin.resolve().parent / "golden-logs" /
+              arguments.folder.name)
+    shutil.rmtree(folder, ignore_errors=True)
+    if kept_logs(scratch).is_dir():
+        shutil.copytree(kept_logs(scratch), folder)
+        print(f"logs are in golden-logs/{folder.name} of the build")
+
+
 def run(arguments, scratch):
     """Returns the output and the exit status of the case, whose temporary files
     are in the folder scratch."""
@@ -53,6 +69,7 @@
     environment["PYTHONPATH"] = str(pathlib.Path(__file__).resolve().parent)
     environment["PYTHONDONTWRITEBYTECODE"] = "1"
     environment["TMPDIR"] = scratch
+    environment["MONSOONDOCK_KEPT_LOGS"] = str(kept_logs(scratch))
     process = subprocess.Popen(
         [sys.executable, str(arguments.folder / "run.py")],
         stdout=subprocess.PIPE,
@@ -75,7 +92,10 @@
     arguments = parse_arguments()
     with tempfile.TemporaryDirectory(prefix="monsoondock-case-") as scratch:
         output, status = run(arguments, scratch)
-    reference = arguments.folder / "ref" / "out.txt"
+        reference = arguments.folder / "ref" / "out.txt"
+        if not arguments.update and (
+                status != 0 or output != reference.read_text()):
+            keep_logs(arguments, scratch)
     if arguments.update:
         reference.write_text(output)
         return status
--- a/testsuite/session.py
+++ b/testsuite/session.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -177,8 +178,19 @@
                 process.popen.wait()
         if kind is not None:
             self.print_logs()
+        self.keep_logs()
         self.scratch.cleanup()
 
+    def keep_logs(self):
+        """Copies the logs to where run_case.py wants them."""
+        folder = os.environ.get("MONSOONDOCK_KEPT_LOGS")
+        if not folder:
+            return
+        pathlib.Path(folder).mkdir(exist_ok=True)
+        for log in pathlib.Path(self.scratch.name).iterdir():
+            if log.is_file() and log.suffix in (".log", ".stdout", ".stderr"):
+                shutil.copy(log, folder)
+
     def print_logs(self):
         for process in self.processes.values():
             lines = process.log.read_text(errors="replace").splitlines()
