entry, relay: find the cause of a loss before it counts as a crash

Cause: the traffic thread waited 1 s for the cause of a lost response, and the check takes up to 1.2 s when the leader is cut off as well, so that cut links counted as crashes. It waits 2 s now; a static assertion, which fails with 1 s, compares it with the times of a check. A loss whose cause nobody can tell is no crash either.

--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -91,6 +91,12 @@
 };
 
 
+/// Time in which the cause of a lost response is to be found out; see
+/// proxy_callbacks::on_connection_lost_. The loss then counts as a possible
+/// crash.
+inline constexpr std::chrono::milliseconds max_loss_check_time{2000};
+
+
 /// Callbacks of the traffic thread. They run on that thread and must return
 /// quickly, passing the work on to another thread. Empty ones are not called.
 struct proxy_callbacks
--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -27,6 +27,9 @@
 constexpr std::chrono::milliseconds conclusion_validity{100};
 // The leader probes a host twice and asks other daemons meanwhile.
 constexpr std::chrono::milliseconds leader_verdict_time{650};
+static_assert(
+    probe_timeout + leader_verdict_time + answer_timeout <
+    relay::max_loss_check_time);
 constexpr std::chrono::milliseconds comparison_poll_period{5};
 // Number of other hosts that are probed to tell a failed host from cut links.
 constexpr std::size_t compared_hosts = 3;
@@ -375,7 +378,10 @@
 handle_lost_connection(control_plane& c, base::host_id host)
 {
     const paths::conclusion conclusion = co_await check_link(c, host);
-    c.proxy_->resolve_losses(host, conclusion == paths::conclusion::link_cut);
+    c.proxy_->resolve_losses(
+        host,
+        conclusion == paths::conclusion::link_cut ||
+            conclusion == paths::conclusion::unresolved);
 }
 
 
--- a/src/librelay/crash_records.cpp
+++ b/src/librelay/crash_records.cpp
@@ -50,10 +50,6 @@
             .field("part", crashes::to_text({part}));
 }
 
-// Losses are recorded after this time if nothing has shown their cause.
-constexpr milliseconds max_cause_wait{1000};
-
-
 void record(proxy_thread& t, const possible_crash& crash)
 {
     const base::time_point now = base::boot_clock::now();
@@ -130,7 +126,7 @@
 {
     std::vector<base::host_id> hosts;
     for (const possible_crash& c : t.possible_crashes_) {
-        if (now - c.lost_at_ >= max_cause_wait)
+        if (now - c.lost_at_ >= max_loss_check_time)
             hosts.push_back(c.report_.host_);
     }
     for (const base::host_id& host : hosts)
