crashes, relay, quarantine: find crashing parts without other traffic

Cause: part_tracker blamed a part only at a daemon that had itself completed three requests without it within 10 s. In a quiet time that is never so.

Change: what lost requests have in common is suspected as a set of parts. The messages, the leader record and the part record keep their form. The check has_contrast decides only when trials begin.

The tests of part_tracker that blame nothing while nothing is completed are kept; what they ask holds for hosts that end within a second at a daemon that was just started.

--- a/src/include/monsoondock/crashes/part_tracker.hpp
+++ b/src/include/monsoondock/crashes/part_tracker.hpp
@@ -1,43 +1,61 @@
 #pragma once
 
 #include <monsoondock/base/boot_clock.hpp>
+#include <monsoondock/crashes/lost_request.hpp>
 #include <monsoondock/crashes/part_crash.hpp>
+#include <monsoondock/crashes/part_quarantine.hpp>
 #include <monsoondock/crashes/part_report.hpp>
+#include <monsoondock/crashes/trial_policy.hpp>
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 namespace monsoondock::crashes {
 
+namespace pvt {
+struct suspected_set;
+}
+
 /// Finds parts of prompts under which hosts crash, among requests that need not
 /// have anything else in common. When a host ends, the requests that were in
 /// flight on it are suspected, and with them all their shared parts. A part
-/// that crashes hosts never gets a complete response, whereas the parts of the
-/// other requests do, so that a part is quarantined when several hosts ended
-/// under different requests with it and none of its requests was completed,
-/// while others were. Daemons exchange crashes, completions and quarantined
+/// that crashes hosts never gets a complete response, so that a completion
+/// clears all parts of its request. What is left in common to the requests
+/// under which several hosts ended is put in quarantine as a whole: a request
+/// that has only some of these parts is sent, and tests them. Until one more
+/// host ended under the parts, one request in a while is sent as a trial, so
+/// that a quarantine without cause ends soon. Hosts that ended at the same time
+/// blame nothing at a daemon that was just started and has seen no other
+/// request completed. Daemons exchange crashes, completions and quarantined
 /// parts.
 class part_tracker
 {
 public:
-    /// Number of hosts that ended under a part when it is quarantined: under
-    /// requests whose response had just begun, or under any.
+    /// Number of hosts that ended under a set of parts when it is quarantined:
+    /// under requests whose response had just begun, or under any.
     static constexpr std::size_t min_begun_crashes = 3;
     static constexpr std::size_t min_crashes = 5;
     /// Number of different requests among them.
     static constexpr std::size_t min_requests = 3;
-    /// Number of requests without the part that must have been completed within
-    /// contrast_time before, among the latest max_completions. Otherwise a
-    /// fault that ends most hosts would put the parts that all requests have in
-    /// quarantine.
+    /// Number of hosts that ended under some parts of a quarantined set, and
+    /// not under the whole of it, when that is narrowed to these parts.
+    static constexpr std::size_t min_narrowing_crashes = 2;
+    /// Number of requests without the parts that were completed within
+    /// contrast_time before, among the latest max_completions, when the parts
+    /// are taken to be found without a trial. The hosts must have ended at
+    /// different times, too.
     static constexpr std::size_t min_contrast = 3;
     static constexpr std::chrono::seconds contrast_time{10};
     static constexpr std::size_t max_completions = 32;
+    /// Time after the start of a daemon in which hosts that end at the same
+    /// time blame nothing.
+    static constexpr std::chrono::seconds start_time{10};
     /// A part is not suspected for this time after a request with it was
     /// completed.
     static constexpr std::chrono::seconds survival_memory{60};
@@ -49,20 +67,27 @@
     static constexpr std::chrono::milliseconds max_crash_delay{1000};
     /// Peers are told of a completion at most once in this time for each part.
     static constexpr std::chrono::milliseconds survivor_report_period{1000};
-    /// Time for which a part is quarantined. Within probation_time after it,
-    /// one crash is enough to quarantine it again.
+    /// Time for which a set of parts is quarantined at first, and once a host
+    /// has ended under it during that time. Within probation_time after it, one
+    /// crash is enough to quarantine it again.
+    static constexpr std::chrono::minutes trial_time{1};
+    /// Time before the first trial, see min_contrast.
+    static constexpr std::chrono::minutes trial_delay{1};
     static constexpr std::chrono::minutes quarantine_time{10};
     static constexpr std::chrono::minutes probation_time{60};
     /// Time after its last crash until the crashes of a part expire.
     static constexpr std::chrono::minutes crash_memory{5};
-    /// Maximum numbers of parts with crashes, of crashes kept for a part and of
-    /// parts with completions.
-    static constexpr std::size_t max_suspects = 1024;
-    static constexpr std::size_t max_crashes_kept = 16;
+    /// Maximum numbers of lost requests, of quarantined sets and of parts with
+    /// completions.
+    static constexpr std::size_t max_lost_requests = 256;
+    static constexpr std::size_t max_quarantines = 64;
     static constexpr std::size_t max_survivors = 8192;
     static constexpr std::size_t max_reported_crashes = 64;
 
 
+    explicit part_tracker(trial_policy trials = {});
+
+
     /// Records a lost request of this daemon and returns what peers are to be
     /// told at once. Peers are told of quarantined parts by take_report, after
     /// report_delay and unless another daemon does so before.
@@ -103,54 +128,118 @@
     bool has_survived(prompt_part part, base::time_point now) const;
 
 
-    /// Returns the first of the parts that is quarantined.
-    std::optional<prompt_part> find_quarantined(
+    /// Returns the first quarantined set of parts that a request with these
+    /// parts has as a whole.
+    std::optional<part_set> find_quarantined(
         const std::vector<prompt_part>& parts, base::time_point now) const;
 
 
-    /// Returns the parts that were quarantined since the last call, for logs.
-    std::vector<prompt_part> take_quarantined();
+    /// Decides whether a request for which find_quarantined returns a set is
+    /// sent nevertheless, as a trial. daemons is the number of daemons that
+    /// decide likewise, random a number from 0 up to 1.
+    bool admit_trial(
+        const std::vector<prompt_part>& parts,
+        std::size_t daemons,
+        double random,
+        base::time_point now);
 
-private:
-    struct crash_record
-    {
-        std::uint64_t host_run_ = 0;
-        std::uint64_t request_ = 0;
-        bool begun_ = false;
-        base::time_point time_;
-    };
 
-    struct suspect
+    /// Returns the quarantines that began since the last call, for logs.
+    std::vector<part_quarantine> take_quarantined();
+
+private:
+    struct quarantine
     {
-        std::vector<crash_record> crashes_;
-        base::time_point quarantined_until_;
-        base::time_point probation_until_;
+        part_set parts_;
+        base::time_point began_;
+        base::time_point until_;
+        /// When a request was rejected or sent as a trial for it last.
+        base::time_point last_match_;
+        /// True when a host has ended under it after it began, but with a
+        /// request whose response had not begun.
+        bool doubtful_crash_ = false;
     };
 
     struct completion
     {
-        std::vector<prompt_part> parts_;
+        part_set parts_;
         std::uint64_t host_run_ = 0;
         base::time_point time_;
     };
 
-    /// Returns true when requests without the part were completed shortly
+    /// How a suspected set relates to the quarantines in force.
+    struct comparison
+    {
+        /// True when requests with the set are rejected already.
+        bool is_known_ = false;
+        /// Quarantines on trial that the set makes needless: because it has
+        /// more parts and explains as much, because it is a part of theirs, or
+        /// because it explains more.
+        bool is_closer_ = false;
+        bool narrows_ = false;
+        bool explains_more_ = false;
+        std::vector<part_set> replaced_;
+        /// When the first of them began.
+        base::time_point began_;
+    };
+
+    static bool is_on_trial(const quarantine& q, base::time_point now);
+    /// Returns true when requests without the parts were completed shortly
     /// before a time.
-    bool has_contrast(prompt_part part, base::time_point time) const;
-    /// Returns true when the latest crash, at a time, shows that the part
-    /// crashes hosts.
-    bool is_guilty(
-        prompt_part part, const suspect& s, base::time_point crashed_at) const;
-    bool add_record(
-        prompt_part part, const crash_record& record, base::time_point now);
-    void quarantine(prompt_part part, suspect& s, base::time_point until);
+    bool has_contrast(const part_set& parts, base::time_point time) const;
+    /// Returns true when this daemon has seen too little to know what is
+    /// completed.
+    bool was_just_started(base::time_point now) const;
+    void apply_quarantine(
+        const quarantined_part& reported,
+        std::chrono::milliseconds report_delay,
+        base::time_point now);
+    void apply_crashes(
+        const std::vector<suspected_crash>& crashes,
+        std::chrono::milliseconds report_delay,
+        base::time_point now);
+    void add_lost_request(
+        const lost_request& lost,
+        std::chrono::milliseconds report_delay,
+        base::time_point now);
+    /// Prolongs the quarantines that a lost request confirms.
+    void confirm(
+        const lost_request& lost,
+        std::chrono::milliseconds report_delay,
+        base::time_point now);
+    comparison compare(const pvt::suspected_set& s, base::time_point now) const;
+    /// Returns true when a suspected set is to be put in quarantine, unless a
+    /// closer one explains as much.
+    bool is_convincing(
+        const pvt::suspected_set& s,
+        const comparison& compared,
+        base::time_point now) const;
+    /// Puts in quarantine what a lost request has in common with others.
+    void blame(
+        const lost_request& lost,
+        std::chrono::milliseconds report_delay,
+        base::time_point now);
+    /// Returns the hosts whose ends are explained by a quarantine.
+    std::set<std::uint64_t> explained_host_runs(base::time_point now) const;
+    void begin(
+        const part_set& parts,
+        std::chrono::milliseconds time,
+        base::time_point began,
+        base::time_point now);
+    void announce(
+        const quarantine& q,
+        std::chrono::milliseconds report_delay,
+        base::time_point now);
     void apply_due_completions(base::time_point now);
     void schedule_survivor(prompt_part part, base::time_point due);
     void add_survivor(prompt_part part, base::time_point now);
-    void make_room(base::time_point now);
+    bool is_suspected(prompt_part part) const;
 
-    std::unordered_map<prompt_part, suspect> suspects_;
+    trial_policy trials_;
+    std::deque<lost_request> lost_;
+    std::vector<quarantine> quarantines_;
     std::unordered_map<prompt_part, base::time_point> survivors_;
+    base::time_point started_;
     /// Those whose host may still end within survival_delay.
     std::deque<completion> pending_;
     /// The latest ones.
@@ -160,7 +249,7 @@
     std::unordered_map<prompt_part, base::time_point> quarantined_due_;
     /// When peers were last told that a request with a part was completed.
     std::unordered_map<prompt_part, base::time_point> survivors_told_;
-    std::vector<prompt_part> newly_quarantined_;
+    std::vector<part_quarantine> newly_quarantined_;
 };
 
 } // namespace monsoondock::crashes
--- a/src/include/monsoondock/crashes/prompt_part.hpp
+++ b/src/include/monsoondock/crashes/prompt_part.hpp
@@ -12,6 +12,9 @@
 /// system prompt or a document.
 using prompt_part = std::uint64_t;
 
+/// Several parts, each once, in ascending order.
+using part_set = std::vector<prompt_part>;
+
 /// Parts of a prompt beyond this number are ignored.
 inline constexpr std::size_t max_prompt_parts = 64;
 
@@ -27,6 +30,18 @@
 std::vector<prompt_part> parse_shared_parts(std::string_view list);
 
 
+/// Returns the parts as a set.
+part_set to_set(std::vector<prompt_part> parts);
+
+
+/// Returns true when the first set holds all parts of the second.
+bool holds(const part_set& parts, const part_set& others);
+
+
+/// Returns the parts that two sets have in common.
+part_set common_parts(const part_set& a, const part_set& b);
+
+
 /// Returns the ids as hexadecimal text, separated by commas.
 std::string to_text(const std::vector<prompt_part>& parts);
 
--- a/src/include/monsoondock/quarantine/dispatch_query.hpp
+++ b/src/include/monsoondock/quarantine/dispatch_query.hpp
@@ -5,6 +5,7 @@
 #include <monsoondock/quarantine/group_instance.hpp>
 #include <monsoondock/quarantine/suspect_fingerprint.hpp>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
     std::vector<crashes::prompt_part> parts_;
     base::workspace_id workspace_;
     base::deployment_id deployment_;
+    /// Number of daemons that are known to be alive, this one included.
+    std::size_t daemons_ = 1;
     /// Groups that serve the deployment and are not ejected as stragglers.
     std::vector<group_instance> available_groups_;
 };
--- a/src/include/monsoondock/quarantine/suspect_registry.hpp
+++ b/src/include/monsoondock/quarantine/suspect_registry.hpp
@@ -49,6 +49,9 @@
     /// that are spread over this, so that the first one spares the others
     /// theirs. Minimum time between two such writes of a daemon.
     std::chrono::milliseconds part_report_spread_{500};
+    /// Time in which all daemons together send about one request with a part
+    /// that is on trial; see crashes::trial_policy.
+    std::chrono::milliseconds part_trial_interval_{10000};
     /// Maximum number of remembered fingerprints of harmless requests, which
     /// are not confined.
     std::size_t max_harmless_ = 65536;
@@ -159,7 +162,7 @@
 
     /// Returns the parts of prompts that were quarantined since the last call,
     /// for logs.
-    std::vector<crashes::prompt_part> take_quarantined_parts();
+    std::vector<crashes::part_quarantine> take_quarantined_parts();
 
 
     /// Returns this daemon's copy of the suspect records.
@@ -262,6 +265,7 @@
     apply_write(suspect_entry& e, platform::version version, clock_reading now);
     void merge_feed(clock_reading now);
     void add_entries_of_own_trials();
+    bool is_rejected_for_parts(const dispatch_query& query, clock_reading now);
     void apply_recorded_parts(clock_reading now);
     void write_parts(clock_reading now);
     void
--- a/src/libcrashes/part_tracker.cpp
+++ b/src/libcrashes/part_tracker.cpp
@@ -1,7 +1,9 @@
+#include "crash_support.hpp"
+
 #include <monsoondock/crashes/part_tracker.hpp>
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace monsoondock::crashes {
@@ -46,6 +48,9 @@
 
 } // namespace
 
+part_tracker::part_tracker(trial_policy trials) : trials_(trials) {}
+
+
 bool part_tracker::has_survived(prompt_part part, base::time_point now) const
 {
     const auto found = survivors_.find(part);
@@ -53,111 +58,34 @@
 }
 
 
-bool part_tracker::has_contrast(prompt_part part, base::time_point time) const
-{
-    const auto count = std::count_if(
-        completions_.begin(), completions_.end(), [&](const completion& c) {
-            return c.time_ <= time && time - c.time_ <= contrast_time &&
-                   std::find(c.parts_.begin(), c.parts_.end(), part) ==
-                       c.parts_.end();
-        });
-    return static_cast<std::size_t>(count) >= min_contrast;
-}
-
-
-bool part_tracker::is_guilty(
-    prompt_part part, const suspect& s, base::time_point crashed_at) const
-{
-    if (s.crashes_.empty())
-        return false;
-    if (crashed_at < s.probation_until_)
-        return true;
-    const auto crashed_hosts = [&s](bool begun_only) {
-        std::set<std::uint64_t> hosts;
-        std::set<std::uint64_t> requests;
-        for (const crash_record& c : s.crashes_) {
-            if (begun_only && !c.begun_)
-                continue;
-            hosts.insert(c.host_run_);
-            requests.insert(c.request_);
-        }
-        return requests.size() < min_requests ? 0 : hosts.size();
-    };
-    const bool enough = crashed_hosts(true) >= min_begun_crashes ||
-                        crashed_hosts(false) >= min_crashes;
-    return enough && has_contrast(part, crashed_at);
-}
-
-
-void part_tracker::quarantine(
-    prompt_part part, suspect& s, base::time_point until)
-{
-    s.quarantined_until_ = until;
-    s.probation_until_ = until + probation_time;
-    s.crashes_.clear();
-    newly_quarantined_.push_back(part);
-}
-
-
-// Drops expired suspects and, if there are still too many, the one that was
-// suspected longest ago; quarantined parts have the latest times.
-void part_tracker::make_room(base::time_point now)
+bool part_tracker::is_suspected(prompt_part part) const
 {
-    if (suspects_.size() < max_suspects)
-        return;
-    const auto latest = [](const suspect& s) {
-        base::time_point time = s.probation_until_;
-        for (const crash_record& c : s.crashes_)
-            time = std::max(time, c.time_);
-        return time;
+    const auto has_part = [part](const auto& entry) {
+        return std::binary_search(
+            entry.parts_.begin(), entry.parts_.end(), part);
     };
-    std::erase_if(suspects_, [&](const auto& entry) {
-        return latest(entry.second) + crash_memory < now;
-    });
-    if (suspects_.size() < max_suspects)
-        return;
-    suspects_.erase(std::min_element(
-        suspects_.begin(), suspects_.end(), [&](const auto& a, const auto& b) {
-            return latest(a.second) < latest(b.second);
-        }));
-}
-
-
-// Returns false when the crash is known already or needs no record.
-bool part_tracker::add_record(
-    prompt_part part, const crash_record& record, base::time_point now)
-{
-    if (!suspects_.contains(part))
-        make_room(now);
-    suspect& s = suspects_[part];
-    std::erase_if(s.crashes_, [&](const crash_record& c) {
-        return now - c.time_ > crash_memory;
-    });
-    const bool known = std::any_of(
-        s.crashes_.begin(), s.crashes_.end(), [&](const crash_record& c) {
-            return c.host_run_ == record.host_run_ &&
-                   c.request_ == record.request_;
-        });
-    if (known || now < s.quarantined_until_)
-        return false;
-    if (s.crashes_.size() >= max_crashes_kept)
-        s.crashes_.erase(s.crashes_.begin());
-    s.crashes_.push_back(record);
-    return true;
+    return std::any_of(lost_.begin(), lost_.end(), has_part) ||
+           std::any_of(quarantines_.begin(), quarantines_.end(), has_part);
 }
 
 
 part_report part_tracker::add_crash(
     const part_crash& crash, milliseconds report_delay, base::time_point now)
 {
+    const part_set parts = to_set(crash.parts_);
+    // Peers know a quarantine that needs no more crashes.
+    const bool is_needless = std::any_of(
+        quarantines_.begin(), quarantines_.end(), [&](const quarantine& q) {
+            return now < q.until_ && !is_on_trial(q, now) &&
+                   holds(parts, q.parts_);
+        });
     part_report report;
-    for (const prompt_part part : crash.parts_)
+    for (const prompt_part part : parts)
         report.crashes_.push_back(
             {part, crash.host_run_, crash.request_, crash.begun_, crash.age_});
     apply(report, report_delay, now);
     std::erase_if(report.crashes_, [&](const suspected_crash& c) {
-        return has_survived(c.part_, now) ||
-               find_quarantined({c.part_}, now).has_value();
+        return is_needless || has_survived(c.part_, now);
     });
     return report;
 }
@@ -171,8 +99,9 @@
     apply_due_completions(now);
     if (parts.empty())
         return;
-    pending_.push_back({parts, host_run, now});
-    completions_.push_back({parts, host_run, now});
+    const completion c{to_set(parts), host_run, now};
+    pending_.push_back(c);
+    completions_.push_back(c);
     if (completions_.size() > max_completions)
         completions_.pop_front();
 }
@@ -180,10 +109,12 @@
 
 void part_tracker::apply_due_completions(base::time_point now)
 {
+    if (started_ == base::time_point())
+        started_ = now;
     for (; !pending_.empty() && now - pending_.front().time_ >= survival_delay;
          pending_.pop_front()) {
         for (const prompt_part part : pending_.front().parts_) {
-            if (suspects_.contains(part))
+            if (is_suspected(part))
                 schedule_survivor(part, now);
             add_survivor(part, now);
         }
@@ -191,6 +122,15 @@
 }
 
 
+// Peers are told of single parts. They infer a set from the crashes.
+void part_tracker::announce(
+    const quarantine& q, milliseconds report_delay, base::time_point now)
+{
+    if (q.parts_.size() == 1)
+        schedule(quarantined_due_, q.parts_.front(), now + report_delay);
+}
+
+
 void part_tracker::schedule_survivor(prompt_part part, base::time_point due)
 {
     const auto told = survivors_told_.find(part);
@@ -210,8 +150,21 @@
             survivors_.erase(survivors_.begin());
     }
     survivors_[part] = now;
-    suspects_.erase(part);
     quarantined_due_.erase(part);
+    const auto clear = [part](auto& entry) {
+        std::erase(entry.parts_, part);
+        return entry.parts_.empty();
+    };
+    std::erase_if(lost_, clear);
+    std::erase_if(quarantines_, clear);
+    // What is left of two sets may be the same.
+    for (std::size_t i = 0; i < quarantines_.size(); ++i) {
+        const quarantine q = quarantines_[i];
+        const auto is_shorter = [&q](const quarantine& other) {
+            return other.parts_ == q.parts_ && other.until_ < q.until_;
+        };
+        std::erase_if(quarantines_, is_shorter);
+    }
 }
 
 
@@ -229,36 +182,65 @@
         survivors_due_.erase(part);
         survivors_told_[part] = now;
     }
-    for (const quarantined_part& q : report.quarantined_) {
-        if (has_survived(q.part_, now)) {
-            schedule_survivor(q.part_, now + report_delay);
+    for (const quarantined_part& q : report.quarantined_)
+        apply_quarantine(q, report_delay, now);
+    apply_crashes(report.crashes_, report_delay, now);
+}
+
+
+void part_tracker::apply_quarantine(
+    const quarantined_part& reported,
+    milliseconds report_delay,
+    base::time_point now)
+{
+    if (has_survived(reported.part_, now)) {
+        schedule_survivor(reported.part_, now + report_delay);
+        return;
+    }
+    quarantined_due_.erase(reported.part_);
+    const auto remaining =
+        std::min<milliseconds>(reported.remaining_, quarantine_time);
+    if (remaining <= milliseconds(0))
+        return;
+    const part_set parts{reported.part_};
+    for (const quarantine& q : quarantines_) {
+        if (q.parts_ != parts || now >= q.until_)
             continue;
-        }
-        quarantined_due_.erase(q.part_);
-        const base::time_point until =
-            now + std::min<milliseconds>(q.remaining_, quarantine_time);
-        if (!suspects_.contains(q.part_))
-            make_room(now);
-        suspect& s = suspects_[q.part_];
-        if (now >= s.quarantined_until_ && now < until)
-            quarantine(q.part_, s, until);
+        // Daemons do not prolong each other's quarantines, except that they
+        // learn that one was confirmed.
+        if (!is_on_trial(q, now) || remaining <= trial_time)
+            return;
     }
-    for (const suspected_crash& c : report.crashes_) {
+    std::erase_if(quarantines_, [&](const quarantine& q) {
+        return is_on_trial(q, now) && holds(q.parts_, parts);
+    });
+    begin(parts, remaining, now, now);
+}
+
+
+void part_tracker::apply_crashes(
+    const std::vector<suspected_crash>& crashes,
+    milliseconds report_delay,
+    base::time_point now)
+{
+    std::map<std::pair<std::uint64_t, std::uint64_t>, lost_request> lost;
+    for (const suspected_crash& c : crashes) {
         if (has_survived(c.part_, now)) {
             schedule_survivor(c.part_, now + report_delay);
             continue;
         }
         if (c.age_ > crash_memory)
             continue;
-        const bool is_new = add_record(
-            c.part_, {c.host_run_, c.request_, c.begun_, now - c.age_}, now);
-        // Known crashes blame nothing anew: what was lost while nothing was
-        // completed tells no part from another.
-        suspect& s = suspects_[c.part_];
-        if (!is_new || !is_guilty(c.part_, s, now - c.age_))
-            continue;
-        quarantine(c.part_, s, now + quarantine_time);
-        schedule(quarantined_due_, c.part_, now + report_delay);
+        lost_request& l = lost[{c.host_run_, c.request_}];
+        l.parts_.push_back(c.part_);
+        l.host_run_ = c.host_run_;
+        l.request_ = c.request_;
+        l.begun_ = c.begun_;
+        l.time_ = now - c.age_;
+    }
+    for (auto& [id, l] : lost) {
+        l.parts_ = to_set(std::move(l.parts_));
+        add_lost_request(l, report_delay, now);
     }
 }
 
@@ -274,11 +256,11 @@
     for (const prompt_part part : report.survivors_)
         survivors_told_[part] = now;
     for (const prompt_part part : take_due(quarantined_due_, now)) {
-        const auto found = suspects_.find(part);
-        if (found != suspects_.end() && now < found->second.quarantined_until_)
-            report.quarantined_.push_back(
-                {part,
-                 to_milliseconds(found->second.quarantined_until_ - now)});
+        for (const quarantine& q : quarantines_) {
+            if (q.parts_ == part_set{part} && now < q.until_)
+                report.quarantined_.push_back(
+                    {part, to_milliseconds(q.until_ - now)});
+        }
     }
     return report;
 }
@@ -287,47 +269,87 @@
 part_report part_tracker::state(base::time_point now) const
 {
     part_report report;
-    for (const auto& [part, s] : suspects_) {
-        if (now < s.quarantined_until_)
-            report.quarantined_.push_back(
-                {part, to_milliseconds(s.quarantined_until_ - now)});
-        for (const crash_record& c : s.crashes_) {
-            if (now - c.time_ <= crash_memory)
-                report.crashes_.push_back(
-                    {part,
-                     c.host_run_,
-                     c.request_,
-                     c.begun_,
-                     to_milliseconds(now - c.time_)});
-        }
+    std::set<std::uint64_t> explained;
+    for (const quarantine& q : quarantines_) {
+        if (q.parts_.size() > 1 || now >= q.until_)
+            continue;
+        report.quarantined_.push_back(
+            {q.parts_.front(), to_milliseconds(q.until_ - now)});
+        explained.merge(pvt::support_of(lost_, q.parts_).host_runs_);
     }
     std::sort(
         report.quarantined_.begin(),
         report.quarantined_.end(),
         [](const auto& a, const auto& b) { return a.part_ < b.part_; });
-    std::sort(
-        report.crashes_.begin(),
-        report.crashes_.end(),
-        [](const auto& a, const auto& b) { return a.age_ < b.age_; });
-    if (report.crashes_.size() > max_reported_crashes)
-        report.crashes_.resize(max_reported_crashes);
+    std::vector<lost_request> latest;
+    for (const lost_request& l : lost_) {
+        if (now - l.time_ <= crash_memory && !explained.contains(l.host_run_))
+            latest.push_back(l);
+    }
+    std::stable_sort(
+        latest.begin(), latest.end(), [](const auto& a, const auto& b) {
+            return a.time_ > b.time_;
+        });
+    for (const lost_request& l : latest) {
+        // A request without some of its parts would blame the others more.
+        if (report.crashes_.size() + l.parts_.size() > max_reported_crashes)
+            break;
+        for (const prompt_part part : l.parts_)
+            report.crashes_.push_back(
+                {part,
+                 l.host_run_,
+                 l.request_,
+                 l.begun_,
+                 to_milliseconds(now - l.time_)});
+    }
     return report;
 }
 
 
-std::optional<prompt_part> part_tracker::find_quarantined(
+std::optional<part_set> part_tracker::find_quarantined(
     const std::vector<prompt_part>& parts, base::time_point now) const
 {
-    for (const prompt_part part : parts) {
-        const auto found = suspects_.find(part);
-        if (found != suspects_.end() && now < found->second.quarantined_until_)
-            return part;
+    if (quarantines_.empty())
+        return std::nullopt;
+    const part_set all = to_set(parts);
+    for (const quarantine& q : quarantines_) {
+        if (now < q.until_ && holds(all, q.parts_))
+            return q.parts_;
     }
     return std::nullopt;
 }
 
 
-std::vector<prompt_part> part_tracker::take_quarantined()
+// A daemon sends each rejected request with a probability in proportion to the
+// time since the one before, so that all daemons together send one in each
+// interval, at any rate of requests.
+bool part_tracker::admit_trial(
+    const std::vector<prompt_part>& parts,
+    std::size_t daemons,
+    double random,
+    base::time_point now)
+{
+    const part_set all = to_set(parts);
+    std::optional<base::time_point> last_match;
+    for (quarantine& q : quarantines_) {
+        if (now >= q.until_ || !holds(all, q.parts_))
+            continue;
+        if (!is_on_trial(q, now))
+            return false;
+        const base::time_point since =
+            std::max(q.last_match_, q.until_ - trial_time);
+        last_match = std::max(last_match.value_or(since), since);
+        q.last_match_ = now;
+    }
+    if (!last_match)
+        return true;
+    const std::chrono::duration<double> waited = now - *last_match;
+    const std::chrono::duration<double> interval = trials_.interval_;
+    return random * double(daemons) * interval.count() < waited.count();
+}
+
+
+std::vector<part_quarantine> part_tracker::take_quarantined()
 {
     return std::exchange(newly_quarantined_, {});
 }
--- a/src/libcrashes/prompt_part.cpp
+++ b/src/libcrashes/prompt_part.cpp
@@ -1,7 +1,9 @@
 #include <monsoondock/base/stable_hash.hpp>
 #include <monsoondock/crashes/prompt_part.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace monsoondock::crashes {
 
@@ -46,6 +48,30 @@
 }
 
 
+part_set to_set(std::vector<prompt_part> parts)
+{
+    std::sort(parts.begin(), parts.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+    return parts;
+}
+
+
+bool holds(const part_set& parts, const part_set& others)
+{
+    return std::includes(
+        parts.begin(), parts.end(), others.begin(), others.end());
+}
+
+
+part_set common_parts(const part_set& a, const part_set& b)
+{
+    part_set common;
+    std::set_intersection(
+        a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(common));
+    return common;
+}
+
+
 std::string to_text(const std::vector<prompt_part>& parts)
 {
     std::string text;
--- a/src/libquarantine/part_record.cpp
+++ b/src/libquarantine/part_record.cpp
@@ -59,7 +59,10 @@
 {
     crashes::part_report news;
     for (const auto& [part, until] : record.quarantined_) {
-        if (until > now && !earlier.quarantined_.contains(part))
+        const auto known = earlier.quarantined_.find(part);
+        const bool is_new =
+            known == earlier.quarantined_.end() || known->second < until;
+        if (until > now && is_new)
             news.quarantined_.push_back({part, until - now});
     }
     for (const auto& [part, time] : record.survivors_) {
--- a/src/libquarantine/part_record_test.cpp
+++ b/src/libquarantine/part_record_test.cpp
@@ -40,6 +40,18 @@
 }
 
 
+// Guards against ending a quarantine with its trials although a crash has
+// confirmed it meanwhile.
+Test(part_record, a_longer_quarantine_is_news)
+{
+    const part_record earlier = make_record();
+    part_record r = earlier;
+    update(r, {{{1, 600000ms}}, {}, {}}, now);
+    const auto news = news_since(earlier, r, now);
+    cr_assert(news.quarantined_ == (crashes::quarantine_list{{1, 600000ms}}));
+}
+
+
 Test(part_record, a_survivor_ends_the_quarantine)
 {
     part_record r = make_record();
--- a/src/libquarantine/suspect_registry.cpp
+++ b/src/libquarantine/suspect_registry.cpp
@@ -13,7 +13,7 @@
 suspect_registry::suspect_registry(
     base::daemon_id self, std::string token_prefix, quarantine_timing timing)
     : self_(std::move(self)), token_prefix_(std::move(token_prefix)),
-      timing_(timing)
+      timing_(timing), part_tracker_({timing.part_trial_interval_, false})
 {}
 
 
@@ -25,7 +25,7 @@
         refuse(query.request_, quarantine_refusal::on_trial_elsewhere);
         return take_commands();
     }
-    if (part_tracker_.find_quarantined(query.parts_, now.boot_)) {
+    if (is_rejected_for_parts(query, now)) {
         refuse(query.request_, quarantine_refusal::part_quarantined);
         return take_commands();
     }
@@ -44,6 +44,22 @@
 }
 
 
+// The number that a trial needs is drawn from the request's id, since the
+// registry has no other source of random numbers.
+bool suspect_registry::is_rejected_for_parts(
+    const dispatch_query& query, clock_reading now)
+{
+    constexpr double hash_range = 18446744073709551616.0;
+    const auto hash = base::stable_hash(query.request_.value_);
+    return part_tracker_.find_quarantined(query.parts_, now.boot_) &&
+           !part_tracker_.admit_trial(
+               query.parts_,
+               query.daemons_,
+               static_cast<double>(hash) / hash_range,
+               now.boot_);
+}
+
+
 void suspect_registry::dispatched(
     const base::request_id& request, const group_instance& group)
 {
@@ -258,7 +274,7 @@
 }
 
 
-std::vector<crashes::prompt_part> suspect_registry::take_quarantined_parts()
+std::vector<crashes::part_quarantine> suspect_registry::take_quarantined_parts()
 {
     return part_tracker_.take_quarantined();
 }
--- a/src/librelay/crash_records.cpp
+++ b/src/librelay/crash_records.cpp
@@ -45,9 +45,28 @@
 
 void log_quarantined(proxy_thread& t)
 {
-    for (const crashes::prompt_part part : t.part_tracker_.take_quarantined())
-        base::event_line("part_quarantined", base::severity::warning)
-            .field("part", crashes::to_text({part}));
+    for (const crashes::part_quarantine& q : t.part_tracker_.take_quarantined())
+        crashes::log_quarantine(q);
+}
+
+
+void log_crashing_parts(
+    const exchange& e, const crashes::part_set& parts, std::string_view outcome)
+{
+    base::event_line("crashing_part")
+        .field("request", e.id_)
+        .field("parts", crashes::to_text(parts))
+        .field("outcome", outcome);
+}
+
+
+// Returns true when the request by itself crashes upstreams, whatever others
+// have in common with it.
+bool crashes_alone(const proxy_thread& t, const exchange& e)
+{
+    return t.crash_tracker_.crash_count(
+               e.fingerprint_, base::boot_clock::now()) >=
+           crash_tracker::max_crashes;
 }
 
 void record(proxy_thread& t, const possible_crash& crash)
@@ -163,14 +182,26 @@
 
 bool crashes_upstreams(const proxy_thread& t, const exchange& e)
 {
+    const auto parts = t.part_tracker_.find_quarantined(
+        e.prompt_parts_, base::boot_clock::now());
+    if (parts)
+        log_crashing_parts(e, *parts, "not_repeated");
+    return parts || crashes_alone(t, e);
+}
+
+
+bool admit_crashing_request(proxy_thread& t, const exchange& e)
+{
+    if (crashes_alone(t, e))
+        return false;
     const base::time_point now = base::boot_clock::now();
-    const auto part = t.part_tracker_.find_quarantined(e.prompt_parts_, now);
-    if (part)
-        base::event_line("crashing_part")
-            .field("request", e.id_)
-            .field("part", crashes::to_text({*part}));
-    return part || t.crash_tracker_.crash_count(e.fingerprint_, now) >=
-                       crash_tracker::max_crashes;
+    const auto parts = t.part_tracker_.find_quarantined(e.prompt_parts_, now);
+    if (!parts)
+        return true;
+    const bool admitted = t.part_tracker_.admit_trial(
+        e.prompt_parts_, t.view_->daemons_, random_fraction(t), now);
+    log_crashing_parts(e, *parts, admitted ? "trial" : "rejected");
+    return admitted;
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/crash_records.hpp
+++ b/src/librelay/crash_records.hpp
@@ -44,8 +44,13 @@
 void apply_part_report(proxy_thread& t, const crashes::part_report& report);
 
 
-/// Returns true when the request, or requests that share a part of its prompt,
-/// crash the upstreams that run them. It is not to be sent then.
+/// Returns true when the request, or requests that share parts of its prompt,
+/// crash the upstreams that run them. It is not to be sent once more then.
 bool crashes_upstreams(const proxy_thread& t, const exchange& e);
 
+
+/// Returns true when a request that has not been sent yet may be sent: it is
+/// not known to crash upstreams, or it is a trial.
+bool admit_crashing_request(proxy_thread& t, const exchange& e);
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -338,7 +338,7 @@
             {http::status::service_unavailable,
              "stopping",
              jittered_retry_after(c, rejection_pause(*c.t_.drain_, now))});
-    if (crashes_upstreams(c.t_, c.e_))
+    if (!admit_crashing_request(c.t_, c.e_))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
--- a/src/libtraffic/dispatch_permission.cpp
+++ b/src/libtraffic/dispatch_permission.cpp
@@ -33,6 +33,7 @@
     q.fingerprint_ = quarantine::fingerprint_request(
         q.workspace_, q.deployment_, context.request_.body());
     const auto snapshot = thread.options_.snapshots_.get();
+    q.daemons_ = snapshot->live_daemons_.size() + 1;
     const auto now = base::boot_clock::now();
     const auto ejected = thread.router_.ejected(snapshot->groups_.size(), now);
     for (const group_row& row : snapshot->groups_)
--- a/src/libtraffic/shared_suspect_registry.cpp
+++ b/src/libtraffic/shared_suspect_registry.cpp
@@ -1,4 +1,3 @@
-#include <monsoondock/base/event_line.hpp>
 #include <monsoondock/traffic/shared_suspect_registry.hpp>
 
 namespace monsoondock::traffic {
@@ -179,14 +178,13 @@
 void shared_suspect_registry::tick()
 {
     run([&](suspect_registry& r) { return r.tick(now()); });
-    std::vector<crashes::prompt_part> parts;
+    std::vector<crashes::part_quarantine> begun;
     {
         const std::scoped_lock lock(mutex_);
-        parts = registry_.take_quarantined_parts();
+        begun = registry_.take_quarantined_parts();
     }
-    for (const crashes::prompt_part part : parts)
-        base::event_line("part_quarantined", base::severity::warning)
-            .field("part", crashes::to_text({part}));
+    for (const crashes::part_quarantine& q : begun)
+        crashes::log_quarantine(q);
 }
 
 } // namespace monsoondock::traffic
