relay: a stopping daemon promises nothing on the length of other responses

Cause: a daemon that covers for others took a request if 1.5 times the longest of 50 or more responses of its route and model ended in time. That says nothing of a request which may have 50 events where the others had 4.

A line request_in_shutdown tells the times that decided.

--- a/src/include/monsoondock/relay/drain_schedule.hpp
+++ b/src/include/monsoondock/relay/drain_schedule.hpp
@@ -25,8 +25,8 @@
     /// Expected from the size of the request and of its response as the caller
     /// estimates it.
     base::time_point expected_;
-    /// The latest, judged by the longest of many responses; the deadline when
-    /// too few are known.
+    /// The latest, judged by the longest answer that the request may have and
+    /// the pace of the upstreams; the deadline when these are not known.
     base::time_point latest_;
 };
 
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -207,11 +207,13 @@
     const std::string_view text(counts.data(), counts.size());
     const std::size_t comma = text.find(',');
     e.prompt_tokens_ = double(to_number(text.substr(0, comma)).value_or(0));
+    if (comma != std::string_view::npos)
+        e.max_answer_tokens_ =
+            double(to_number(text.substr(comma + 1)).value_or(0));
     const auto estimate = e.request_[names.answer_estimate_];
-    auto answer_tokens = to_number({estimate.data(), estimate.size()});
-    if (!answer_tokens && comma != std::string_view::npos)
-        answer_tokens = to_number(text.substr(comma + 1));
-    e.answer_tokens_ = double(answer_tokens.value_or(0));
+    const auto answer_tokens = to_number({estimate.data(), estimate.size()});
+    e.answer_tokens_ =
+        answer_tokens ? double(*answer_tokens) : e.max_answer_tokens_;
 }
 
 
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -311,14 +311,31 @@
 
 response_end response_end_of(const forward_context& c, base::time_point now)
 {
-    response_end end{c.e_.deadline_, expected_end(c.e_, now), c.e_.deadline_};
-    const auto found =
-        c.t_.longest_responses_.find({c.e_.route_->name_, c.e_.model_});
-    if (found == c.t_.longest_responses_.end())
-        return end;
-    if (const auto bound = found->second.bound(now))
-        end.latest_ = std::min(end.deadline_, now + *bound);
-    return end;
+    return {
+        c.e_.deadline_,
+        expected_end(c.e_, now),
+        latest_end(c.e_, slowest_event_interval(c.t_, c.e_), now)};
+}
+
+
+// Returns false when the daemon is shutting down and might not finish the
+// request.
+bool is_accepted(const forward_context& c, base::time_point now)
+{
+    if (!c.t_.drain_)
+        return true;
+    const drain_schedule& schedule = *c.t_.drain_;
+    const response_end end = response_end_of(c, now);
+    const bool accepted = accepts(schedule, now, end);
+    base::event_line("request_in_shutdown")
+        .field("request", c.e_.id_)
+        .field("accepted", accepted ? "yes" : "no")
+        .field("covering", now < schedule.cover_until_ ? "yes" : "no")
+        .field("exit", schedule.exit_at_ - now)
+        .field("deadline", end.deadline_ - now)
+        .field("expected", end.expected_ - now)
+        .field("latest", end.latest_ - now);
+    return accepted;
 }
 
 
@@ -332,7 +349,7 @@
             {http::status::service_unavailable,
              "too_many_detours",
              jittered_retry_after(c, busy_retry_after)});
-    if (c.t_.drain_ && !accepts(*c.t_.drain_, now, response_end_of(c, now)))
+    if (!is_accepted(c, now))
         co_return co_await send_local_response(
             c,
             {http::status::service_unavailable,
--- a/src/librelay/forward_records.cpp
+++ b/src/librelay/forward_records.cpp
@@ -59,17 +59,6 @@
             c.state_.first_response_at_ - c.e_.received_);
 }
 
-
-void record_response_time(forward_context& c)
-{
-    constexpr unsigned ok = 200;
-    if (c.outcome_.status_ != ok)
-        return;
-    const base::time_point now = base::boot_clock::now();
-    c.t_.longest_responses_[{c.e_.route_->name_, c.e_.model_}].add(
-        now - c.e_.received_, now);
-}
-
 } // namespace
 
 metrics::label label_of(const exchange& e)
@@ -147,7 +136,6 @@
 {
     log_request(c);
     record_metrics(c);
-    record_response_time(c);
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "exchange.hpp"
-#include "longest_response.hpp"
 #include "possible_crash.hpp"
 
 #include <monsoondock/base/byte_budget.hpp>
@@ -75,9 +74,6 @@
     std::set<base::host_id> connected_;
     std::map<std::pair<base::deployment_id, std::string>, arrival_meter>
         arrival_meters_;
-    /// By route and model.
-    std::map<std::pair<std::string, std::string>, longest_response>
-        longest_responses_;
     std::unordered_set<std::shared_ptr<caller_connection>> caller_connections_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     /// Set when the daemon is shutting down.
--- a/src/librelay/shutdown_test.cpp
+++ b/src/librelay/shutdown_test.cpp
@@ -120,6 +120,27 @@
 }
 
 
+// Guards against cutting a long response at the end of a shutdown because those
+// to other requests were short (review/4).
+Test(shutdown, short_responses_to_others_promise_nothing)
+{
+    constexpr int others = 60;
+    scripted_response stream;
+    stream.body_ = make_events(1, 2);
+    proxy_session s(
+        request_kind::resumable_stream,
+        std::vector<scripted_response>(others + 1, stream));
+    for (int i = 0; i < others; ++i)
+        cr_assert_eq(s.call_once({}).status_, 200);
+    const base::time_point now = base::boot_clock::now();
+    s.proxy_.drain({now, now + 5s, now + 5s});
+    const caller_response response = s.call_once({});
+    cr_assert_eq(response.status_, 503);
+    cr_assert_not(response.retry_after_.empty());
+    cr_assert_eq(s.upstream_.requests(), others);
+}
+
+
 // During a shutdown a request that might not be finished is rejected at once,
 // and the caller is told when to come back.
 Test(shutdown, request_that_may_outlast_the_daemon_is_rejected)
--- a/src/librelay/wait_limits.cpp
+++ b/src/librelay/wait_limits.cpp
@@ -1,6 +1,7 @@
 #include "wait_limits.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoondock::relay::pvt {
 
@@ -91,6 +92,17 @@
 // Expected end of a response as a multiple of the time that its prompt and the
 // estimated answer take while all slots are busy.
 constexpr double duration_factor = 2.0;
+// Latest end of a response as a multiple of the time that its prompt and the
+// longest answer take at the measured pace.
+constexpr double longest_duration_factor = 1.5;
+
+
+// Returns the time of a decode step in which all slots are busy.
+double busy_step_ms(const serving_engine& s)
+{
+    const catalog::engine& e = *s.engine_;
+    return (e.step_ms_ + e.step_per_request_ms_ * e.slots_) * s.time_factor_;
+}
 
 } // namespace
 
@@ -135,16 +147,36 @@
             std::chrono::duration<double, std::milli>(e.route_->target_latency_)
                 .count();
     } else {
-        const catalog::engine& engine = *s.engine_;
-        const double step =
-            engine.step_ms_ + engine.step_per_request_ms_ * engine.slots_;
-        const double prefill = e.prompt_tokens_ / engine.prefill_tokens_per_ms_;
+        const double prefill = e.prompt_tokens_ /
+                               s.engine_->prefill_tokens_per_ms_ *
+                               s.time_factor_;
         ms = e.answer_tokens_ == 0
                  ? 0
-                 : (prefill + e.answer_tokens_ * step) * s.time_factor_;
+                 : prefill + e.answer_tokens_ * busy_step_ms(s);
     }
     return ms <= 0 ? e.deadline_
                    : std::min(e.deadline_, now + from_ms(ms * duration_factor));
 }
 
+
+base::time_point
+latest_end(const exchange& e, nanoseconds event_interval, base::time_point now)
+{
+    const serving_engine s = find_engine(e);
+    if (s.engine_ == nullptr || e.max_answer_tokens_ == 0)
+        return e.deadline_;
+    // An engine sends events between passes.
+    const double steps = s.engine_->steps_per_scheduling_pass_;
+    const double events = std::ceil(e.max_answer_tokens_ / steps);
+    const nanoseconds interval =
+        std::max(event_interval, from_ms(steps * busy_step_ms(s)));
+    const nanoseconds taken =
+        first_event_limit(e, s) + nanoseconds(static_cast<std::int64_t>(
+                                      events * double(interval.count())));
+    return std::min(
+        e.deadline_,
+        now + nanoseconds(static_cast<std::int64_t>(
+                  double(taken.count()) * longest_duration_factor)));
+}
+
 } // namespace monsoondock::relay::pvt
