crashes: no trial in the first second, and half as many lost requests kept

Cause: a host that ends within a second after a quarantine began confirms nothing, as it may have ended with the others. A trial in that second cost a host in vain, and made the relay's tests of crashing parts depend on chance.

Change: trials begin when their crash would confirm; 128 lost requests are kept.

--- a/src/include/monsoondock/crashes/part_tracker.hpp
+++ b/src/include/monsoondock/crashes/part_tracker.hpp
@@ -79,7 +79,7 @@
     static constexpr std::chrono::minutes crash_memory{5};
     /// Maximum numbers of lost requests, of quarantined sets and of parts with
     /// completions.
-    static constexpr std::size_t max_lost_requests = 256;
+    static constexpr std::size_t max_lost_requests = 128;
     static constexpr std::size_t max_quarantines = 64;
     static constexpr std::size_t max_survivors = 8192;
     static constexpr std::size_t max_reported_crashes = 64;
--- a/src/libcrashes/part_tracker.cpp
+++ b/src/libcrashes/part_tracker.cpp
@@ -322,7 +322,8 @@
 
 // A daemon sends each rejected request with a probability in proportion to the
 // time since the one before, so that all daemons together send one in each
-// interval, at any rate of requests.
+// interval, at any rate of requests. At first, when a crash would confirm
+// nothing, none is sent.
 bool part_tracker::admit_trial(
     const std::vector<prompt_part>& parts,
     std::size_t daemons,
@@ -336,8 +337,8 @@
             continue;
         if (!is_on_trial(q, now))
             return false;
-        const base::time_point since =
-            std::max(q.last_match_, q.until_ - trial_time);
+        const base::time_point since = std::max(
+            {q.last_match_, q.until_ - trial_time, q.began_ + max_crash_delay});
         last_match = std::max(last_match.value_or(since), since);
         q.last_match_ = now;
     }
--- a/src/libcrashes/part_tracker_test.cpp
+++ b/src/libcrashes/part_tracker_test.cpp
@@ -252,6 +252,17 @@
 }
 
 
+// Guards against ending hosts by trials that can't confirm the quarantine yet.
+Test(part_tracker, no_trial_is_sent_while_its_crash_would_confirm_nothing)
+{
+    part_tracker tracker = make_idle_tracker();
+    crash_until_quarantined(tracker, {bad}, 3);
+    cr_assert_not(tracker.admit_trial({bad}, 1, 0, confirmed_at - 1ms));
+    cr_assert_not(tracker.admit_trial({bad}, 1, 0, confirmed_at));
+    cr_assert(tracker.admit_trial({bad}, 1, 0, confirmed_at + 1ms));
+}
+
+
 // Guards against counting the ends of hosts twice that had one cause, first for
 // the quarantine and then as its confirmation.
 Test(part_tracker, hosts_that_end_with_the_others_confirm_nothing)
