testsuite: entry-upstreams-cut waits for all of its groups

By the kept logs one group of two had opened, which is enough for a daemon to serve, while the hosts of the other were still joining; the session read the groups of all hosts. It waits for both now, and checks as before.

--- a/testsuite/entry-upstreams-cut/run.py
+++ b/testsuite/entry-upstreams-cut/run.py
@@ -99,6 +99,8 @@
                    "all daemons")
         wait_until(lambda: all(serves(d) for d in daemons.values()),
                    "groups that serve")
+        wait_until(lambda: sum(e.is_open_head() for e in engines) == 2,
+                   "all groups")
         groups = {(e.entry["group"]["name"], e.entry["group"]["epoch"])
                   for e in engines}
         leader = next(n for n, d in daemons.items()
