testsuite: a payout that hangs may be answered 504

Everything else that the session checks is as before: no payout runs twice, none that was refused has run.

--- a/testsuite/entry-upstreams-cut/run.py
+++ b/testsuite/entry-upstreams-cut/run.py
@@ -171,8 +171,9 @@
                 >= CALLERS, "payouts that run")
             daemons[killed].popen.kill()
             statuses = {a.result().status for a in answers}
-        session.say("the helper is killed: answers among 200, 502, 503 "
-                    f"{statuses <= {200, 502, 503}}")
+        # A payout that hangs at the other helper may reach its deadline.
+        session.say("the helper is killed: answers among 200, 502, 503, 504 "
+                    f"{statuses <= {200, 502, 503, 504}}")
         wait_until(lambda: served(daemons[other], chat, "c-after") >= SERVED,
                    "detours over the daemon that is left")
         session.say("served by way of the daemon that is left")
