--- a/src/libcrashes/crash_support.cpp
+++ b/src/libcrashes/crash_support.cpp
@@ -34,6 +34,7 @@
     }
     common.erase(part_set());
     std::vector<suspected_set> sets;
+    sets.reserve(common.size());
     for (const part_set& parts : common)
         sets.push_back({parts, support_of(lost, parts)});
     std::stable_sort(
--- a/src/libcrashes/simulation_test.hpp
+++ b/src/libcrashes/simulation_test.hpp
@@ -141,7 +141,7 @@
     {
         d.running_ = false;
         d.restart_at_ = now_ + 300ms + milliseconds(random_below(1500));
-        d.tracker_ = {};
+        d.tracker_ = part_tracker();
     }
 
     void disturb()
