relay: a stream that sends bytes but no event goes on elsewhere or ends

Cause: a comment began the wait for the next event anew, so that a stream with comments only was neither resumed at another host nor ended; and a stream that sent an occasional byte, and that no other host might take, waited for the deadline of its request.

Change: only an event begins the wait anew; the time of a write to the caller is left out of it. A stream whose upstream has sent bytes but no event for ten times the wait limit, at least 5 s, is ended (stop reason stalled) when no other upstream may take it. A wholly silent upstream is treated as before.

--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
@@ -28,6 +29,10 @@
     retry_limit retry_limit_;
     /// Maximum number of concurrent connections of callers.
     std::size_t max_connections_ = 1500;
+    /// Minimum time after which a stream is ended whose upstream sends bytes
+    /// but no event. Callers regard a pause of 0.3 s between events as late; an
+    /// upstream that is stopped for some seconds may go on.
+    std::chrono::milliseconds min_stall_time_{5000};
 };
 
 
--- a/src/librelay/exchange.cpp
+++ b/src/librelay/exchange.cpp
@@ -42,6 +42,8 @@
         return "rerouted";
     case stop_reason::resumed:
         return "resumed";
+    case stop_reason::stalled:
+        return "stalled";
     case stop_reason::shutdown:
         return "shutdown";
     }
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -38,6 +38,9 @@
     rerouted,
     /// The upstream of the suspended try responds after all.
     resumed,
+    /// The upstream has sent bytes, but no event for too long, and no other one
+    /// may replace it.
+    stalled,
     /// The daemon is about to end.
     shutdown
 };
@@ -95,6 +98,9 @@
     wait_phase phase_ = wait_phase::none;
     /// When the phase began or the last event was relayed.
     base::time_point phase_start_;
+    /// True when the upstream has sent bytes of a stream since then, comments
+    /// and parts of events.
+    bool received_bytes_ = false;
     stop_reason stop_reason_ = stop_reason::none;
     /// Earlier try that goes on when its replacement fails.
     std::shared_ptr<suspended_try> suspended_;
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -53,6 +53,7 @@
     config.retry_limit_.slack_ = options.retry_slack_;
     config.headers_ = make_header_names();
     config.data_centre_ = {"here"};
+    config.min_stall_time_ = options.min_stall_time_;
     return config;
 }
 
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -41,6 +41,8 @@
     /// Set when the cause of lost responses is found out: true when the link
     /// was cut, false when the upstream has failed.
     std::optional<bool> losses_by_cut_link_;
+    /// See proxy_config::min_stall_time_.
+    std::chrono::milliseconds min_stall_time_{5000};
 };
 
 
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -65,6 +65,21 @@
 }
 
 
+// Returns true when the upstream of a stream has sent bytes but no event for so
+// long that it is not waited for any longer, even without a replacement. A
+// wholly silent upstream is given up by other checks.
+bool is_stalled(const proxy_thread& t, const exchange& e, base::time_point now)
+{
+    const bool has_bytes =
+        e.received_bytes_ ||
+        (e.upstream_ != nullptr && e.upstream_->buffer_.size() > 0);
+    return has_bytes && abandon_limit(e).count() > 0 &&
+           now - e.phase_start_ >=
+               std::max<std::chrono::nanoseconds>(
+                   abandon_limit(e), t.config_.min_stall_time_);
+}
+
+
 void check_wait(proxy_thread& t, exchange& e, base::time_point now)
 {
     if (e.suspended_ != nullptr && responds(*e.suspended_)) {
@@ -88,6 +103,8 @@
             report_unhealthy(t, {e.host_, unhealthy_reason::silent, {}});
     }
     reroute_if_allowed(t, e, now);
+    if (e.stop_reason_ == stop_reason::none && is_stalled(t, e, now))
+        stop(e, stop_reason::stalled);
 }
 
 
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -284,6 +284,27 @@
 }
 
 
+// Writes a part of a stream to the caller. Comments do not count as progress of
+// the stream, and the time that a slow caller takes is no reason to doubt the
+// upstream.
+asio::awaitable<bool>
+write_part(try_context& c, const std::string& text, bool has_event)
+{
+    exchange& e = c.e_;
+    const wait_phase phase = e.phase_;
+    const auto waited = base::boot_clock::now() - e.phase_start_;
+    const bool received_bytes = e.received_bytes_;
+    enter_phase(e, wait_phase::none);
+    const bool sent = co_await write_to_caller(c, text);
+    enter_phase(e, has_event ? wait_phase::next_event : phase);
+    if (!has_event) {
+        e.phase_start_ -= waited;
+        e.received_bytes_ = received_bytes;
+    }
+    co_return sent;
+}
+
+
 // Relays the received part of a stream. Returns false when writing to the
 // caller fails.
 asio::awaitable<bool>
@@ -299,7 +320,8 @@
         events.append(take_partial_event(s.splitter_));
     if (events.empty() && !ends)
         co_return true;
-    if (ends || contains_event(events))
+    const bool has_event = contains_event(events);
+    if (ends || has_event)
         drop_suspended_try(c.t_, c.e_);
     std::string text;
     if (!s.header_sent_) {
@@ -314,11 +336,7 @@
         text.append(serialize_chunk(events));
     if (ends && s.chunked_)
         text.append(last_chunk);
-    // A slow caller is no reason to doubt the upstream.
-    enter_phase(c.e_, wait_phase::none);
-    const bool sent = co_await write_to_caller(c, text);
-    enter_phase(c.e_, wait_phase::next_event);
-    co_return sent;
+    co_return co_await write_part(c, text, has_event);
 }
 
 
@@ -335,8 +353,10 @@
         // The suspended try has responded sooner.
         if (e.stop_reason_ == stop_reason::resumed)
             co_return try_outcome::lost;
-        if (!parser.get().body().empty())
+        if (!parser.get().body().empty()) {
             record_progress(c);
+            e.received_bytes_ = true;
+        }
         if (!co_await relay_events(c, parser, last))
             co_return try_outcome::caller_gone;
         const event_splitter& events = c.state_.splitter_;
@@ -392,6 +412,7 @@
 {
     e.phase_ = phase;
     e.phase_start_ = base::boot_clock::now();
+    e.received_bytes_ = false;
 }
 
 
--- a/src/librelay/wait_limits.cpp
+++ b/src/librelay/wait_limits.cpp
@@ -89,6 +89,9 @@
 // A stream without an event for this multiple of the wait limit has been
 // dropped by its upstream.
 constexpr int stall_factor = 3;
+// A stream without an event for this multiple, which no other upstream may
+// take, is ended if its upstream still sends bytes.
+constexpr int abandon_factor = 10;
 // Expected end of a response as a multiple of the time that its prompt and the
 // estimated answer take while all slots are busy.
 constexpr double duration_factor = 2.0;
@@ -116,6 +119,12 @@
 }
 
 
+nanoseconds abandon_limit(const exchange& e)
+{
+    return stall_limit(e) / stall_factor * abandon_factor;
+}
+
+
 nanoseconds wait_limit(const exchange& e)
 {
     switch (e.phase_) {
--- a/src/librelay/wait_limits.hpp
+++ b/src/librelay/wait_limits.hpp
@@ -26,6 +26,11 @@
 std::chrono::nanoseconds stall_limit(const exchange& e);
 
 
+/// Returns how long a stream may go on without an event although its upstream
+/// sends bytes and no other one may replace it. Zero as for stall_limit.
+std::chrono::nanoseconds abandon_limit(const exchange& e);
+
+
 /// Returns when the response of a request that starts now is expected to end at
 /// the latest, with a margin: by the estimated tokens, or by the target latency
 /// of a service without an engine. At its deadline when neither is known.
