relay: slow callers and upstreams are not cut after 3 s

Cause: TCP_USER_TIMEOUT of 3 s also runs while the other end has closed its window, until the window takes the whole next segment. In a trial on loopback readers of 1 and of 20 KB/s were cut after 3.3 to 3.6 s like those of nothing.

Change: the option is off for connections of callers and to upstreams. Twice a second the daemon asks the kernel how many bytes the other end has acknowledged. A caller without progress for 15 s is reset and its upstream released (caller_disconnected); an end that answers nothing to repeated bytes for 3 s counts as failed, as before. Keepalive ends an idle connection 3 s after the last byte, as before, now by the number of its probes.

--- a/src/include/monsoondock/base/keepalive_options.hpp
+++ b/src/include/monsoondock/base/keepalive_options.hpp
@@ -15,7 +15,8 @@
     std::chrono::seconds interval_{1};
     /// Unacknowledged probes after which the connection is closed.
     int probes_ = 2;
-    /// How long sent data may stay unacknowledged (TCP_USER_TIMEOUT).
+    /// How long sent data may stay unacknowledged, or unsent because the peer
+    /// does not read (TCP_USER_TIMEOUT); 0 for the limits of the system.
     std::chrono::milliseconds user_timeout_{2000};
 };
 
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -33,6 +33,11 @@
     /// but no event. Callers regard a pause of 0.3 s between events as late; an
     /// upstream that is stopped for some seconds may go on.
     std::chrono::milliseconds min_stall_time_{5000};
+    /// Time after which a caller that reads nothing of its response is
+    /// disconnected. A reader is seen to read only when it has made room for a
+    /// segment, 64 KiB over loopback: a caller of 5 KB/s is never taken for one
+    /// that reads nothing.
+    std::chrono::milliseconds caller_stall_limit_{15000};
 };
 
 
--- a/src/librelay/caller_connection.cpp
+++ b/src/librelay/caller_connection.cpp
@@ -14,6 +14,14 @@
 // Time for the first request on a new connection.
 constexpr std::chrono::milliseconds first_request_time{200};
 
+
+void report_disconnect(caller_connection& connection)
+{
+    connection.disconnected_ = true;
+    if (const auto callback = std::exchange(connection.on_disconnect_, nullptr))
+        callback();
+}
+
 } // namespace
 
 void close_when_idle(caller_connection& connection)
@@ -45,11 +53,17 @@
             if (failure ||
                 peek_socket(connection->socket_) != socket_content::end)
                 return;
-            connection->disconnected_ = true;
-            if (const auto callback =
-                    std::exchange(connection->on_disconnect_, nullptr))
-                callback();
+            report_disconnect(*connection);
         });
 }
 
+
+void disconnect(caller_connection& connection)
+{
+    boost::system::error_code ignored;
+    connection.socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    connection.socket_.close(ignored);
+    report_disconnect(connection);
+}
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/caller_connection.hpp
+++ b/src/librelay/caller_connection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "send_monitor.hpp"
+
 #include <monsoondock/base/boot_clock.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -45,8 +47,10 @@
     bool half_closed_ = false;
     /// True while a wait for the socket to become readable is pending.
     bool read_wait_pending_ = false;
-    /// True when the caller has closed the connection.
+    /// True when the caller has closed the connection, or was disconnected.
     bool disconnected_ = false;
+    /// Progress of what is sent to the caller.
+    send_monitor sending_;
     /// Called once when the caller disconnects during an exchange.
     std::function<void()> on_disconnect_;
 };
@@ -57,6 +61,11 @@
 void watch_for_disconnect(const std::shared_ptr<caller_connection>& connection);
 
 
+/// Resets the connection of a caller that does not read, so that its response
+/// does not look complete, and ends its exchange.
+void disconnect(caller_connection& connection);
+
+
 /// Closes an idle connection: ends this side and gives the caller a short time
 /// to end the other, in which no request is read. A connection with unread
 /// bytes stays open, since they are a request; a new one stays open for a short
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -104,6 +105,8 @@
     std::atomic<std::size_t> requests_{0};
     std::atomic<std::size_t> repeated_bytes_{0};
     std::atomic<int> repetitions_{0};
+    std::atomic<std::chrono::milliseconds> read_pause_{
+        std::chrono::milliseconds(0)};
     mutable std::mutex mutex_;
     std::vector<std::string> targets_;
 
@@ -197,13 +200,16 @@
     asio::awaitable<void> serve(tcp::socket socket)
     {
         boost::beast::flat_buffer buffer;
+        asio::steady_timer pause(context_, read_pause_.load());
+        co_await pause.async_wait(base::await_tuple);
         for (;;) {
-            http::request<http::string_body> request;
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(boost::none);
             const auto [failure, size] = co_await http::async_read(
-                socket, buffer, request, base::await_tuple);
+                socket, buffer, parser, base::await_tuple);
             if (failure)
                 co_return;
-            const bool open = co_await respond(socket, request);
+            const bool open = co_await respond(socket, parser.get());
             if (!open)
                 co_return;
         }
@@ -245,6 +251,12 @@
 }
 
 
+void fake_upstream::set_read_pause(std::chrono::milliseconds pause)
+{
+    impl_->read_pause_ = pause;
+}
+
+
 std::size_t fake_upstream::requests() const
 {
     return impl_->requests_;
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -99,6 +99,10 @@
     boost::asio::ip::tcp::endpoint address() const;
 
 
+    /// Has connections that are accepted from now on read nothing for a time.
+    void set_read_pause(std::chrono::milliseconds pause);
+
+
     /// Returns the number of requests received.
     std::size_t requests() const;
 
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -54,6 +54,7 @@
     config.headers_ = make_header_names();
     config.data_centre_ = {"here"};
     config.min_stall_time_ = options.min_stall_time_;
+    config.caller_stall_limit_ = options.caller_stall_limit_;
     return config;
 }
 
@@ -217,9 +218,13 @@
 }
 
 
-tcp::socket proxy_session::connect()
+tcp::socket proxy_session::connect(int receive_buffer_bytes)
 {
     tcp::socket socket(context_);
+    socket.open(tcp::v4());
+    if (receive_buffer_bytes > 0)
+        socket.set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes));
     socket.connect(address_);
     return socket;
 }
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -43,6 +43,8 @@
     std::optional<bool> losses_by_cut_link_;
     /// See proxy_config::min_stall_time_.
     std::chrono::milliseconds min_stall_time_{5000};
+    /// See proxy_config::caller_stall_limit_.
+    std::chrono::milliseconds caller_stall_limit_{15000};
 };
 
 
@@ -101,8 +103,9 @@
     }
 
 
-    /// Opens another connection and returns it.
-    boost::asio::ip::tcp::socket connect();
+    /// Opens another connection and returns it. Its receive buffer has the
+    /// given size, or the usual one if that is 0.
+    boost::asio::ip::tcp::socket connect(int receive_buffer_bytes = 0);
 
 
     fake_upstream upstream_;
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -125,6 +125,60 @@
 }
 
 
+// Returns what the kernel knows about the other end of a connection, which is
+// read at most once in a period.
+send_finding check_peer(
+    boost::asio::ip::tcp::socket& socket,
+    send_monitor& m,
+    std::chrono::milliseconds limit,
+    base::time_point now)
+{
+    if (now - m.checked_at_ < send_check_period || !socket.is_open())
+        return send_finding::reads;
+    const auto state = read_send_state(socket.native_handle());
+    return state ? check_sending(m, *state, limit, now) : send_finding::reads;
+}
+
+
+// Disconnects a caller that does not read its response.
+void check_reader(
+    const proxy_thread& t, caller_connection& connection, base::time_point now)
+{
+    if (connection.phase_ == caller_phase::idle || connection.disconnected_)
+        return;
+    const send_finding finding = check_peer(
+        connection.socket_,
+        connection.sending_,
+        t.config_.caller_stall_limit_,
+        now);
+    if (finding == send_finding::reads)
+        return;
+    base::event_line("caller_disconnected", base::severity::warning)
+        .field("reason", to_string(finding))
+        .field("acknowledged_bytes", connection.sending_.acknowledged_bytes_)
+        .field("waited", now - connection.sending_.progress_at_);
+    disconnect(connection);
+}
+
+
+// Closes the connection to an upstream whose host has failed while the request
+// was being sent. One that only reads slowly has until the exchange gives up.
+void check_receiver(exchange& e, base::time_point now)
+{
+    if (e.upstream_ == nullptr || e.phase_ == wait_phase::connect)
+        return;
+    const send_finding finding = check_peer(
+        e.upstream_->socket_,
+        e.upstream_->sending_,
+        std::chrono::hours(24),
+        now);
+    if (finding != send_finding::unreachable)
+        return;
+    boost::system::error_code ignored;
+    e.upstream_->socket_.close(ignored);
+}
+
+
 void sweep_caller(caller_connection& connection, base::time_point now)
 {
     if (connection.phase_ == caller_phase::exchange ||
@@ -153,10 +207,14 @@
 {
     count_connections(t);
     expire_losses(t, now);
-    for (const auto& e : t.exchanges_)
+    for (const auto& e : t.exchanges_) {
         sweep_exchange(t, *e, now);
-    for (const auto& connection : t.caller_connections_)
+        check_receiver(*e, now);
+    }
+    for (const auto& connection : t.caller_connections_) {
         sweep_caller(*connection, now);
+        check_reader(t, *connection, now);
+    }
 }
 
 
--- a/src/librelay/upstream_connection.hpp
+++ b/src/librelay/upstream_connection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "send_monitor.hpp"
+
 #include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/base/keepalive_options.hpp>
 
@@ -14,12 +16,15 @@
 namespace monsoondock::relay::pvt {
 
 /// TCP keepalive limits for the connections of callers and to upstreams; a
-/// connection that exceeds them is closed.
+/// connection that exceeds them is closed, 3 s after the last byte from a host
+/// that has failed. There is no user timeout, since it also ends connections
+/// whose other end reads slowly; send_monitor finds ends that fail while bytes
+/// are being sent to them.
 inline constexpr base::keepalive_options connection_bounds{
     std::chrono::seconds(2),
     std::chrono::seconds(1),
-    3,
-    std::chrono::milliseconds(3000)};
+    1,
+    std::chrono::milliseconds(0)};
 
 
 /// Maximum number of bytes received from an upstream that are not parsed yet.
@@ -41,6 +46,8 @@
     /// Size in bytes of the response headers of the current try, those of
     /// informational responses included.
     std::size_t header_bytes_ = 0;
+    /// Progress of what is sent to the upstream.
+    send_monitor sending_;
     /// When the connection expires, because the upstream may close it.
     base::time_point usable_until_;
 };
