relay: request bodies share a bounded memory

Cause: each body had a limit (4 MiB), all of them together none, so that callers of large ones, or upstreams that read slowly, exhausted the memory of a daemon of 160 MB. While a request was being sent its body was held twice.

Change: bodies above 16 KiB share 24 MiB, counted as they arrive and until their response has ended. A body that does not fit is refused at once with 503 request_memory and Retry-After, as not run. A request is sent from the body as it was received, without a copy.

--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -34,6 +34,8 @@
 // by the timeout of its route.
 constexpr milliseconds max_request_timeout{600000};
 constexpr milliseconds retry_after_without_settings{300};
+// About the time of one response, which frees the memory of its request.
+constexpr milliseconds retry_after_without_memory{500};
 // How long to read and discard what the caller still sends after the last
 // response. Closing the connection earlier would reset it before the caller has
 // read the response.
@@ -47,7 +49,15 @@
 struct closed
 {};
 
-using read_result = std::variant<http_request, local_response, closed>;
+/// A request and the memory of its body.
+struct received_request
+{
+    http_request request_;
+    base::byte_lease memory_;
+};
+
+using read_result = std::variant<received_request, local_response, closed>;
+using request_parser = base::bounded_parser<true, http::string_body>;
 
 
 local_response rejection(http::status status, std::string_view reason)
@@ -102,16 +112,39 @@
 }
 
 
+// Reads the body of a request. Returns false when there is no memory for it.
+// What a caller only announces takes none.
+asio::awaitable<bool> read_body(
+    caller_connection& connection,
+    request_parser& parser,
+    base::byte_lease& memory,
+    beast::error_code& failure)
+{
+    for (;;) {
+        const std::string& body = parser.get().body();
+        const bool announced = parser.content_length().has_value();
+        if (!memory.resize(announced ? body.size() : body.capacity()))
+            co_return false;
+        if (parser.is_done())
+            co_return true;
+        const auto [read_failure, size] = co_await http::async_read_some(
+            connection.socket_, connection.buffer_, parser, base::await_tuple);
+        failure = read_failure;
+        if (failure)
+            co_return true;
+    }
+}
+
+
 asio::awaitable<read_result> read_request(
-    const proxy_thread& t,
+    proxy_thread& t,
     caller_connection& connection,
     const catalog::caller_limits& limits)
 {
     if (!co_await wait_for_bytes(t, connection, limits.idle_timeout_))
         co_return closed{};
     connection.used_ = true;
-    base::bounded_parser<true, http::string_body> parser(
-        static_cast<std::uint32_t>(limits.max_header_bytes_));
+    request_parser parser(static_cast<std::uint32_t>(limits.max_header_bytes_));
     // A chunk header and the trailer fields have the limit of the header.
     connection.buffer_.max_size(std::max(
         {limits.max_header_bytes_,
@@ -132,12 +165,18 @@
             base::await_tuple);
     }
     enter_phase(connection, caller_phase::body, body_timeout);
-    const auto [failure, size] = co_await http::async_read(
-        connection.socket_, connection.buffer_, parser, base::await_tuple);
+    base::byte_lease memory(t.request_memory_);
+    beast::error_code failure;
+    const bool fits = co_await read_body(connection, parser, memory, failure);
+    if (!fits)
+        co_return local_response{
+            http::status::service_unavailable,
+            "request_memory",
+            retry_after_without_memory};
     if (failure)
         co_return to_result(connection, failure);
     connection.phase_ = caller_phase::exchange;
-    co_return parser.release();
+    co_return received_request{parser.release(), std::move(memory)};
 }
 
 
@@ -220,13 +259,14 @@
 admission admit(
     proxy_thread& t,
     const std::shared_ptr<caller_connection>& connection,
-    http_request request,
+    received_request request,
     base::time_point received)
 {
     auto e = std::make_shared<exchange>();
     e->caller_ = connection;
     e->view_ = t.view_;
-    e->request_ = std::move(request);
+    e->request_ = std::move(request.request_);
+    e->request_memory_ = std::move(request.memory_);
     e->received_ = received;
     const header_names& names = t.config_.headers_;
     e->id_ = std::string(e->request_[names.request_id_]);
@@ -277,11 +317,12 @@
 asio::awaitable<bool> serve_request(
     proxy_thread& t,
     const std::shared_ptr<caller_connection>& connection,
-    http_request request,
+    received_request request,
     base::time_point received)
 {
-    const bool keep_alive = request.keep_alive() && !t.view_->stopping_;
-    const std::string id(request[t.config_.headers_.request_id_]);
+    const bool keep_alive =
+        request.request_.keep_alive() && !t.view_->stopping_;
+    const std::string id(request.request_[t.config_.headers_.request_id_]);
     auto admitted = admit(t, connection, std::move(request), received);
     if (auto* e = std::get_if<std::shared_ptr<exchange>>(&admitted))
         co_return co_await forward(t, std::move(*e));
@@ -334,7 +375,10 @@
         }
         const base::time_point received = base::boot_clock::now();
         const bool keep_alive = co_await serve_request(
-            t, connection, std::get<http_request>(std::move(read)), received);
+            t,
+            connection,
+            std::get<received_request>(std::move(read)),
+            received);
         if (!keep_alive)
             break;
     }
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -3,6 +3,7 @@
 #include "caller_connection.hpp"
 #include "upstream_connection.hpp"
 
+#include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/crashes/prompt_part.hpp>
 #include <monsoondock/relay/serving_view.hpp>
 
@@ -70,6 +71,8 @@
     const catalog::route* route_ = nullptr;
     base::deployment_id deployment_;
     http_request request_;
+    /// Memory of the body of the request.
+    base::byte_lease request_memory_;
     /// Request id that the caller sent.
     std::string id_;
     std::string workspace_;
--- a/src/librelay/http_serializer.cpp
+++ b/src/librelay/http_serializer.cpp
@@ -151,7 +151,7 @@
         !r.body().empty() || r.has_content_length() || r.chunked();
     if (has_body)
         append_field(head, "Content-Length", std::to_string(r.body().size()));
-    head.append("\r\n").append(r.body());
+    head.append("\r\n");
     return head;
 }
 
--- a/src/librelay/http_serializer.hpp
+++ b/src/librelay/http_serializer.hpp
@@ -42,12 +42,13 @@
     const forwarding_fields& fields);
 
 
-/// Appends the length and the body to the head of a request.
+/// Appends the length of the body and the end of the header to the head of a
+/// request. The body follows as it is.
 std::string finish_request(std::string head, const exchange& e);
 
 
-/// Serializes the request for an upstream: the caller's method, target, body
-/// and end-to-end header fields, and the header fields that the proxy sets.
+/// Serializes the header of the request for an upstream: the caller's method,
+/// target and end-to-end header fields, and those that the proxy sets.
 std::string serialize_upstream_request(
     const exchange& e,
     const header_names& names,
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -32,6 +32,14 @@
 inline constexpr std::size_t small_response_bytes = std::size_t{32} * 1024;
 
 
+/// Memory for the request bodies that are held at the same time, until their
+/// responses have ended, without those that are smaller than the second number.
+/// A request whose body does not fit is refused.
+inline constexpr std::size_t max_request_memory_bytes =
+    std::size_t{24} * 1024 * 1024;
+inline constexpr std::size_t small_request_bytes = std::size_t{16} * 1024;
+
+
 /// State of the traffic thread. Other threads may access only the atomic
 /// members.
 struct proxy_thread
@@ -50,6 +58,8 @@
     metrics::registry& metrics_;
     base::byte_budget response_memory_{
         max_response_memory_bytes, small_response_bytes, 0};
+    base::byte_budget request_memory_{
+        max_request_memory_bytes, small_request_bytes, 0};
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
     /// Accepts requests that other daemons pass on.
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
+
 namespace monsoondock::relay::pvt {
 
 namespace asio = boost::asio;
@@ -51,15 +53,17 @@
     else
         fields.last_event_id_ =
             std::string(e.request_[c.t_.config_.headers_.last_event_id_]);
-    const std::string text =
+    const std::string head =
         c.detour_
             ? serialize_detour_request(
                   e, c.t_.config_.headers_, fields, c.t_.config_.daemon_)
             : serialize_upstream_request(e, c.t_.config_.headers_, fields);
     enter_phase(e, wait_phase::first_response);
     e.upstream_->header_bytes_ = 0;
+    const std::array<asio::const_buffer, 2> text{
+        asio::buffer(head), asio::buffer(e.request_.body())};
     const auto [failure, sent] = co_await asio::async_write(
-        e.upstream_->socket_, asio::buffer(text), base::await_tuple);
+        e.upstream_->socket_, text, base::await_tuple);
     if (failure)
         co_return fail(c, failure_reason(failure));
     co_return true;
