relay: little is held for ends that read slowly

Cause: the system let the socket buffers of slow readers grow to megabytes each, outside every bound, and the part of a stream that waited for its caller was held three times but counted once.

Change: socket buffers of 64 KiB for callers and upstreams; a stream is read in parts of at most 32 KiB; the waiting part is held once, and counted.

--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "caller_session.hpp"
 
+#include "buffer_sizes.hpp"
 #include "detour.hpp"
 #include "forward.hpp"
 #include "http_serializer.hpp"
@@ -392,13 +393,15 @@
 run_session(proxy_thread& t, asio::ip::tcp::socket socket, bool from_daemon)
 {
     base::enable_keepalive(socket, connection_bounds);
+    boost::system::error_code ignored;
+    socket.set_option(
+        asio::socket_base::send_buffer_size(socket_buffer_bytes), ignored);
     const auto connection =
         std::make_shared<caller_connection>(std::move(socket));
     connection->from_daemon_ = from_daemon;
     t.caller_connections_.insert(connection);
     co_await run_requests(t, connection);
     t.caller_connections_.erase(connection);
-    boost::system::error_code ignored;
     connection->socket_.close(ignored);
     --t.open_connections_;
 }
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -29,6 +29,7 @@
 // Announced beyond the bytes that are sent when a length is not reached.
 constexpr std::size_t missing_bytes = 7;
 constexpr std::chrono::milliseconds poll_period{5};
+constexpr int send_buffer_bytes = 64 * 1024;
 
 
 std::string make_body(const scripted_response& r, int first_event)
@@ -223,6 +224,9 @@
                 co_await acceptor_.async_accept(base::await_tuple);
             if (failure)
                 co_return;
+            // The bytes that could be sent are to show what the proxy holds.
+            socket.set_option(
+                asio::socket_base::send_buffer_size(send_buffer_bytes));
             asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
         }
     }
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -1,5 +1,6 @@
 #include "receive_response.hpp"
 
+#include "buffer_sizes.hpp"
 #include "detour.hpp"
 #include "failure_reason.hpp"
 #include "upstream_limits.hpp"
@@ -14,6 +15,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace monsoondock::relay::pvt {
@@ -305,6 +307,18 @@
 }
 
 
+// Counts the part of a stream that waits for its caller in place of the
+// incomplete event from which it comes.
+void hold_unread(response_state& s, const std::string& text)
+{
+    if (s.splitter_.pending_.size() < s.splitter_.pending_.capacity() / 2)
+        s.splitter_.pending_.shrink_to_fit();
+    // It fails only by the framing, or by one read, for a large event that
+    // leaves no room in the memory of all responses.
+    s.memory_.resize(s.splitter_.pending_.capacity() + text.size());
+}
+
+
 // Relays the received part of a stream. Returns false when writing to the
 // caller fails.
 asio::awaitable<bool>
@@ -336,6 +350,8 @@
         text.append(serialize_chunk(events));
     if (ends && s.chunked_)
         text.append(last_chunk);
+    events = {};
+    hold_unread(s, text);
     co_return co_await write_part(c, text, has_event);
 }
 
@@ -348,6 +364,8 @@
         co_return lose(c, "not_sealed");
     // The limit is for buffered responses; a stream may be longer.
     parser.body_limit(boost::none);
+    e.upstream_->buffer_.max_size(
+        std::max(stream_read_bytes, e.upstream_->buffer_.size()));
     for (;;) {
         const bool last = parser.is_done();
         // The suspended try has responded sooner.
--- a/src/librelay/slow_reader_test.cpp
+++ b/src/librelay/slow_reader_test.cpp
@@ -96,6 +96,27 @@
 }
 
 
+// What a caller did not read was held in socket buffers of several megabytes
+// for each stream, which count towards the memory of a daemon.
+Test(slow_reader, little_is_held_for_a_caller_that_reads_nothing)
+{
+    scripted_response r;
+    r.verbatim_ = make_stream_header();
+    r.repeated_ = make_chunk("data: " + std::string(8192, 'x') + "\n\n");
+    proxy_session s(request_kind::at_most_once_stream, {r});
+    s.socket_ = s.connect(small_buffer_bytes);
+    s.send();
+    // Until the host can send no more.
+    std::size_t sent = 0;
+    for (std::size_t before = 1; sent != before || sent == 0;) {
+        before = sent;
+        std::this_thread::sleep_for(300ms);
+        sent = s.upstream_.repeated_bytes();
+    }
+    cr_assert_leq(sent, mebibyte, "%zu bytes", sent);
+}
+
+
 // A host that read nothing of a request for three seconds lost it.
 Test(slow_reader, upstream_that_pauses_gets_its_request)
 {
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,5 +1,6 @@
 #include "try_upstream.hpp"
 
+#include "buffer_sizes.hpp"
 #include "detour.hpp"
 #include "failure_reason.hpp"
 #include "receive_response.hpp"
@@ -34,6 +35,10 @@
     boost::system::error_code ignored;
     socket.open(asio::ip::tcp::v4(), ignored);
     base::enable_keepalive(socket, connection_bounds);
+    socket.set_option(
+        asio::socket_base::send_buffer_size(socket_buffer_bytes), ignored);
+    socket.set_option(
+        asio::socket_base::receive_buffer_size(socket_buffer_bytes), ignored);
     const auto [failure] =
         co_await socket.async_connect(c.target_.address_, base::await_tuple);
     if (!failure && !c.detour_)
@@ -60,6 +65,7 @@
             : serialize_upstream_request(e, c.t_.config_.headers_, fields);
     enter_phase(e, wait_phase::first_response);
     e.upstream_->header_bytes_ = 0;
+    e.upstream_->buffer_.max_size(max_unparsed_bytes);
     const std::array<asio::const_buffer, 2> text{
         asio::buffer(head), asio::buffer(e.request_.body())};
     const auto [failure, sent] = co_await asio::async_write(
