relay: keep TCP_USER_TIMEOUT where the system does not tell the progress of a send

Cause: without TCP_INFO an end that fails while bytes are being sent to it was no longer found; keepalive probes are not sent then.

Change: bound_connection sets the former options on such a system.

Result: builds; not yet run on a system without TCP_INFO.

--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -1,6 +1,7 @@
 #include "caller_session.hpp"
 
 #include "buffer_sizes.hpp"
+#include "connection_bounds.hpp"
 #include "detour.hpp"
 #include "forward.hpp"
 #include "http_serializer.hpp"
@@ -8,7 +9,6 @@
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/bounded_parser.hpp>
 #include <monsoondock/base/event_line.hpp>
-#include <monsoondock/base/keepalive_options.hpp>
 #include <monsoondock/base/stable_hash.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -392,7 +392,7 @@
 asio::awaitable<void>
 run_session(proxy_thread& t, asio::ip::tcp::socket socket, bool from_daemon)
 {
-    base::enable_keepalive(socket, connection_bounds);
+    bound_connection(socket);
     boost::system::error_code ignored;
     socket.set_option(
         asio::socket_base::send_buffer_size(socket_buffer_bytes), ignored);
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,13 +1,13 @@
 #include "try_upstream.hpp"
 
 #include "buffer_sizes.hpp"
+#include "connection_bounds.hpp"
 #include "detour.hpp"
 #include "failure_reason.hpp"
 #include "receive_response.hpp"
 #include "upstream_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
-#include <monsoondock/base/keepalive_options.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -34,7 +34,7 @@
     auto& socket = e.upstream_->socket_;
     boost::system::error_code ignored;
     socket.open(asio::ip::tcp::v4(), ignored);
-    base::enable_keepalive(socket, connection_bounds);
+    bound_connection(socket);
     socket.set_option(
         asio::socket_base::send_buffer_size(socket_buffer_bytes), ignored);
     socket.set_option(
--- a/src/librelay/upstream_connection.hpp
+++ b/src/librelay/upstream_connection.hpp
@@ -3,7 +3,6 @@
 #include "send_monitor.hpp"
 
 #include <monsoondock/base/boot_clock.hpp>
-#include <monsoondock/base/keepalive_options.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -15,18 +14,6 @@
 
 namespace monsoondock::relay::pvt {
 
-/// TCP keepalive limits for the connections of callers and to upstreams; a
-/// connection that exceeds them is closed, 3 s after the last byte from a host
-/// that has failed. There is no user timeout, since it also ends connections
-/// whose other end reads slowly; send_monitor finds ends that fail while bytes
-/// are being sent to them.
-inline constexpr base::keepalive_options connection_bounds{
-    std::chrono::seconds(2),
-    std::chrono::seconds(1),
-    1,
-    std::chrono::milliseconds(0)};
-
-
 /// Maximum number of bytes received from an upstream that are not parsed yet.
 /// A header, the size and extensions of a chunk, and the trailer fields are
 /// parsed when they are complete.
