platform, entry: an unreadable entry affects no other one

Cause: Boost.JSON rejects a whole text for one unpaired surrogate or for more than 32 levels, and the dialects parsed the whole response of a list or watch at once. A follower's fetch from its leader failed for invalid UTF-8.

Change: parse_store_body parses the parts of a body by themselves when the whole is rejected; an entry whose value is unreadable keeps its key and version and has an empty value, which names no host. Used by both dialects. host_sync takes invalid UTF-8. A page of a list without any readable name, while more pages follow, is malformed as a whole, because a list that ends early removes hosts.

--- a/src/libentry/host_sync.cpp
+++ b/src/libentry/host_sync.cpp
@@ -117,7 +117,10 @@
 std::optional<host_sync_response> parse_sync_response(const std::string& text)
 {
     try {
-        const json::value parsed = json::parse(text);
+        // Entries of other writers may contain invalid UTF-8.
+        json::parse_options options;
+        options.allow_invalid_utf8 = true;
+        const json::value parsed = json::parse(text, {}, options);
         const json::object& o = parsed.as_object();
         host_sync_response response;
         response.position_ = {
--- a/src/libentry/host_sync_test.cpp
+++ b/src/libentry/host_sync_test.cpp
@@ -145,3 +145,25 @@
     cr_assert(got->changes_ == sent.changes_);
     cr_assert_not(pvt::parse_sync_response("{}").has_value());
 }
+
+
+// An entry with invalid UTF-8 made the response malformed, so that a follower
+// fetched no change as long as the entry was among them.
+Test(host_sync, responses_carry_entries_of_any_bytes)
+{
+    pvt::host_sync_response sent;
+    sent.position_ = {"a.1", 3};
+    sent.changes_ = {
+        {make_entry(1, 5), false},
+        {{"hosts/\xff", {6, 1}, "{\"note\":\"\xed\xa0\xbd \xfe\"}"}, false},
+        {{"hosts/c", {7, 1}, R"({"note":"lot \ud83d"})"}, false},
+        {{"hosts/d", {8, 1}, ""}, true}};
+    const auto received = pvt::parse_sync_response(pvt::to_text(sent));
+    cr_assert(received.has_value());
+    cr_assert_eq(received->position_.sequence_, 3);
+    cr_assert_eq(received->changes_.size(), sent.changes_.size());
+    for (std::size_t i = 0; i < sent.changes_.size(); ++i) {
+        cr_assert(received->changes_[i].object_ == sent.changes_[i].object_);
+        cr_assert_eq(received->changes_[i].deleted_, sent.changes_[i].deleted_);
+    }
+}
--- a/src/libplatform/store_json.cpp
+++ b/src/libplatform/store_json.cpp
@@ -1,6 +1,7 @@
 #include "store_json.hpp"
 
-#include <boost/json/parse.hpp>
+#include <monsoondock/platform/parse_store_body.hpp>
+
 #include <boost/json/serialize.hpp>
 
 namespace monsoondock::platform::pvt {
@@ -9,6 +10,9 @@
 
 namespace {
 
+constexpr std::string_view value_name = "value";
+
+
 base::problem corrupt(const char* what)
 {
     return {
@@ -29,7 +33,7 @@
     object result;
     result.key_ = std::string(source.at("key").as_string());
     result.version_ = read_version(source.at("version"));
-    if (const json::value* value = source.if_contains("value"))
+    if (const json::value* value = source.if_contains(value_name))
         result.value_ = json::serialize(*value);
     return result;
 }
@@ -49,7 +53,7 @@
 base::result<Value> read(std::string_view body, const char* what, Reader reader)
 {
     try {
-        return reader(json::parse(body).as_object());
+        return reader(parse_store_body(body, value_name).as_object());
     } catch (const std::exception&) {
         return corrupt(what);
     }
@@ -67,8 +71,8 @@
 {
     return read<listing>(body, "list", [](const json::object& source) {
         listing result{read_version(source.at("version")), {}};
-        for (const json::value& item : source.at("objects").as_array())
-            result.objects_.push_back(read_object(item.as_object()));
+        result.objects_ =
+            read_elements<object>(source.at("objects").as_array(), read_object);
         return result;
     });
 }
@@ -78,8 +82,8 @@
 {
     return read<change_batch>(body, "changes", [](const json::object& source) {
         change_batch result{read_version(source.at("next")), {}};
-        for (const json::value& item : source.at("changes").as_array())
-            result.changes_.push_back(read_change(item.as_object()));
+        result.changes_ =
+            read_elements<change>(source.at("changes").as_array(), read_change);
         return result;
     });
 }
