--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -327,7 +327,8 @@
     auto admitted = admit(t, connection, std::move(request), received);
     if (auto* e = std::get_if<std::shared_ptr<exchange>>(&admitted))
         co_return co_await forward(t, std::move(*e));
-    const local_response& response = std::get<local_response>(admitted);
+    local_response& response = std::get<local_response>(admitted);
+    response.refuses_detour_ = connection->from_daemon_;
     log_refusal(response, id);
     t.metrics_.add(
         metrics::counter::bad_requests,
--- a/src/librelay/detour.cpp
+++ b/src/librelay/detour.cpp
@@ -71,14 +71,7 @@
 
 bool is_refused_by_helper(const http_response& response)
 {
-    switch (response.result()) {
-    case http::status::request_timeout:
-    case http::status::too_many_requests:
-        return false;
-    default:
-        return http::to_status_class(response.result()) ==
-               http::status_class::client_error;
-    }
+    return response.count(to_beast(detour_refused_field)) > 0;
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/detour_test.cpp
+++ b/src/librelay/detour_test.cpp
@@ -1,5 +1,8 @@
 #include "proxy_session_test.hpp"
 
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <criterion/criterion.h>
 
 #include <thread>
@@ -20,6 +23,15 @@
 }
 
 
+scripted_response conflict_response(const std::string& fields)
+{
+    scripted_response r;
+    r.verbatim_ = "HTTP/1.1 409 Conflict\r\nX-Request-Id: $ID\r\n" + fields +
+                  "Content-Length: 14\r\n\r\nalready booked";
+    return r;
+}
+
+
 void wait_for_requests(const fake_upstream& upstream, std::size_t count)
 {
     while (upstream.requests() < count)
@@ -58,6 +70,58 @@
 }
 
 
+// A 4xx of an upstream without a seal was taken for the helper's own refusal,
+// so that a call that had run was answered 503, after which callers repeat.
+Test(detour, an_upstream_that_answers_4xx_has_run_the_request)
+{
+    for (const char* fields :
+         {"", "X-Seal: s\r\n", "Monsoondock-Detour-Refused: 1\r\n"}) {
+        proxy_session helper(
+            request_kind::at_most_once, {conflict_response(fields)});
+        proxy_session cut(request_kind::at_most_once, {});
+        cut.cut_links({&helper});
+        const caller_response response = cut.call();
+        cr_assert_eq(response.status_, 409, "%s", fields);
+        cr_assert_eq(response.body_, "already booked");
+        cr_assert_eq(helper.upstream_.requests(), 1);
+    }
+}
+
+
+// Guards against passing on the refusal of a helper whose configuration differs
+// for a moment: this daemon has admitted the request.
+Test(detour, a_refusal_of_the_helper_itself_is_not_passed_on)
+{
+    proxy_session helper(request_kind::at_most_once, {plain_response()});
+    proxy_session cut(request_kind::at_most_once, {});
+    auto view = std::make_shared<relay::serving_view>();
+    view->catalog_ = std::make_shared<catalog::catalog>();
+    helper.proxy_.publish(view);
+    cut.cut_links({&helper});
+    const caller_response refused = cut.call();
+    cr_assert_eq(refused.status_, 503);
+    cr_assert(!refused.retry_after_.empty());
+    cr_assert_eq(helper.upstream_.requests(), 0);
+}
+
+
+// Guards against a field between daemons that reaches callers.
+Test(detour, callers_do_not_see_the_mark_of_a_refusal)
+{
+    proxy_session s(
+        request_kind::at_most_once,
+        {conflict_response("Monsoondock-Detour-Refused: 1\r\n")});
+    boost::asio::ip::tcp::socket socket = s.connect();
+    boost::beast::flat_buffer buffer;
+    boost::asio::write(socket, boost::asio::buffer(make_request()));
+    boost::beast::http::response<boost::beast::http::string_body> response;
+    boost::beast::http::read(socket, buffer, response);
+    cr_assert_eq(response.result_int(), 409);
+    cr_assert_eq(response.count("Monsoondock-Detour-Refused"), 0);
+    cr_assert_eq(response.count("Monsoondock-Detour-Runs"), 0);
+}
+
+
 // Guards against requests that go from daemon to daemon.
 Test(detour, a_request_takes_one_detour_at_most)
 {
--- a/src/librelay/http_serializer.cpp
+++ b/src/librelay/http_serializer.cpp
@@ -86,7 +86,8 @@
     const auto dropped = connection_tokens(fields);
     for (const auto& f : fields) {
         const std::string_view name(f.name_string());
-        if (is_hop_by_hop(f.name()) || contains(dropped, name))
+        if (is_hop_by_hop(f.name()) || contains(dropped, name) ||
+            same_name(name, detour_refused_field))
             continue;
         append_field(text, name, f.value());
     }
@@ -224,6 +225,8 @@
     text.append("\r\n");
     if (!request_id.empty())
         append_field(text, names.request_id_, request_id);
+    if (response.refuses_detour_)
+        append_field(text, detour_refused_field, "1");
     if (response.retry_after_) {
         std::array<char, 24> seconds{};
         std::snprintf(
--- a/src/librelay/http_serializer.hpp
+++ b/src/librelay/http_serializer.hpp
@@ -28,6 +28,12 @@
 };
 
 
+/// Marks a response as the refusal of the daemon to which a request was passed
+/// on. No other response from a daemon has it.
+inline constexpr std::string_view detour_refused_field =
+    "Monsoondock-Detour-Refused";
+
+
 /// Appends a header field.
 void append_field(
     std::string& text, std::string_view name, std::string_view value);
@@ -82,6 +88,9 @@
     std::string_view reason_;
     /// Time after which the caller may retry.
     std::optional<std::chrono::milliseconds> retry_after_;
+    /// Tells the daemon that passed the request on that this one has refused it
+    /// and sent it to no upstream.
+    bool refuses_detour_ = false;
 };
 
 
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -245,7 +245,7 @@
     http_response response = parser.release();
     c.parser_.reset();
     const bool sealed = response.count(c.t_.config_.headers_.seal_) > 0;
-    if (c.detour_ && !sealed && is_refused_by_helper(response)) {
+    if (c.detour_ && is_refused_by_helper(response)) {
         fail(c, "refused_by_helper");
         co_return try_outcome::rejected;
     }
