relay: gaps between event ids are no missing events

Change: gaps are not looked at. A resumed stream has to fit the one before it: an event that begins before the last one received and ends after it ends the try (overlapping_event), as it can be neither passed on nor left out. Streams that end inside an event or its framing are broken off as before.

--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -53,22 +53,23 @@
 
 
 // Tracks the id of an event. Returns true when the receiver does not have the
-// event yet and none before it is missing.
+// event yet, nor a part of it.
 bool accept_event(event_splitter& s, std::optional<std::uint64_t> id)
 {
     ++s.events_;
     if (!id)
         return true;
+    const auto begin = std::exchange(s.position_, id);
     if (s.last_id_ && *id <= *s.last_id_)
         return false;
-    // The ids of two events do not yet show that ids are consecutive.
-    const bool follows = !s.last_id_ || *id == *s.last_id_ + 1;
-    if (!follows && s.events_ > 2 && s.consecutive_)
-        s.gap_ = true;
-    s.consecutive_ = s.consecutive_ && follows;
-    if (!s.gap_)
-        s.last_id_ = id;
-    return !s.gap_;
+    // Other ids than those of the last stream: the upstream has begun anew and
+    // has put the tokens together differently.
+    if (s.last_id_ && begin != s.last_id_) {
+        s.mismatch_ = true;
+        return false;
+    }
+    s.last_id_ = id;
+    return true;
 }
 
 } // namespace
@@ -79,7 +80,7 @@
     std::string complete;
     std::size_t begin = 0;
     const std::string_view all = splitter.pending_;
-    while (!splitter.gap_) {
+    while (!splitter.mismatch_) {
         const std::size_t end = find_event_end(splitter);
         if (end == 0)
             break;
@@ -131,6 +132,8 @@
 void discard_partial_event(event_splitter& splitter)
 {
     take_partial_event(splitter);
+    splitter.position_ = splitter.last_id_;
+    splitter.mismatch_ = false;
 }
 
 
--- a/src/librelay/event_splitter.hpp
+++ b/src/librelay/event_splitter.hpp
@@ -20,10 +20,12 @@
     std::size_t searched_ = 0;
     /// Id of the last event returned; empty before the first one.
     std::optional<std::uint64_t> last_id_;
-    /// True while each id has been one greater than the previous one.
-    bool consecutive_ = true;
-    /// True once an event is missing; no more events are returned then.
-    bool gap_ = false;
+    /// Id after which the next event of the present stream begins: that of its
+    /// last event, skipped or not, or the one after which it was resumed.
+    std::optional<std::uint64_t> position_;
+    /// True once an event of the present stream begins before the last one
+    /// returned and ends after it; no more events are returned then.
+    bool mismatch_ = false;
     /// Number of events received.
     std::uint64_t events_ = 0;
 };
@@ -34,7 +36,8 @@
 
 
 /// Appends bytes and returns all events that are complete. Events whose id is
-/// not greater than the last one are skipped as duplicates.
+/// not greater than the last one are skipped as duplicates. Ids only increase,
+/// by any number, so that a missing event can't be told from them.
 std::string extract_events(event_splitter& splitter, std::string_view bytes);
 
 
@@ -43,8 +46,8 @@
 bool ends_inside_event(const event_splitter& splitter);
 
 
-/// Discards the incomplete event, before the stream is resumed at another
-/// upstream.
+/// Discards the incomplete event, before the stream is resumed after the last
+/// event at another upstream.
 void discard_partial_event(event_splitter& splitter);
 
 
@@ -57,8 +60,8 @@
 std::string take_partial_event(event_splitter& splitter);
 
 
-/// Goes on with the bytes of an incomplete event in place of those that the
-/// splitter has.
+/// Goes on after the last event with the bytes of an incomplete event in place
+/// of those that the splitter has.
 void restore_partial_event(event_splitter& splitter, std::string bytes);
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -329,7 +329,7 @@
     std::string events = extract_events(s.splitter_, body);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
-    const bool ends = last && !s.splitter_.gap_ && !has_broken_off(c);
+    const bool ends = last && !s.splitter_.mismatch_ && !has_broken_off(c);
     if (ends)
         events.append(take_partial_event(s.splitter_));
     if (events.empty() && !ends)
@@ -378,8 +378,8 @@
         if (!co_await relay_events(c, parser, last))
             co_return try_outcome::caller_gone;
         const event_splitter& events = c.state_.splitter_;
-        if (events.gap_)
-            co_return lose(c, "missing_event");
+        if (events.mismatch_)
+            co_return lose(c, "overlapping_event");
         if (last && has_broken_off(c))
             co_return lose(c, "broken_off");
         if (last)
