entry, relay: send nothing to evacuated data centres

Nothing read the store's entries that request the evacuation of a data centre, so its upstreams went on to receive requests.

With the setting evacuations the watchers of the configuration list and watch the entries, the leader checks them every 0.7 s, and a daemon that learns of a change from the store tells its peers, which repeat it once a second. Sets are compared by era and version of the store. The published view omits the upstreams of evacuated data centres, a daemon that does not know the set yet publishes none, and a request that waited for a connection is not sent when its data centre has been evacuated meanwhile.

--- a/src/include/monsoondock/entry/platform_adapter.hpp
+++ b/src/include/monsoondock/entry/platform_adapter.hpp
@@ -43,6 +43,9 @@
     std::string catalog_prefix_;
     /// Prefix of the store keys under which upstream hosts register.
     std::string hosts_prefix_;
+    /// Prefix of the store keys of evacuations; the rest of a key is the name
+    /// of the data centre.
+    std::string evacuations_prefix_;
     /// HTTP paths that the daemon serves for readiness and for the directory.
     std::string ready_path_;
     std::string directory_path_;
--- a/src/include/monsoondock/metrics/metric.hpp
+++ b/src/include/monsoondock/metrics/metric.hpp
@@ -36,7 +36,8 @@
     settings_revision,
     members_alive,
     groups_serving,
-    ready
+    ready,
+    evacuated_data_centres
 };
 
 } // namespace monsoondock::metrics
--- a/src/include/monsoondock/relay/serving_view.hpp
+++ b/src/include/monsoondock/relay/serving_view.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +18,9 @@
 {
     std::shared_ptr<const catalog::catalog> catalog_;
     std::unordered_map<base::deployment_id, std::vector<upstream>> upstreams_;
+    /// Data centres to whose hosts nothing is to be sent. upstreams_ has none
+    /// of them; a request that was waiting for a connection may.
+    std::set<base::data_centre_id> evacuated_;
     /// Number of daemons that serve callers, including this one.
     unsigned daemons_ = 1;
     /// The others of them.
--- a/src/include/monsoondock/settings/entry_config.hpp
+++ b/src/include/monsoondock/settings/entry_config.hpp
@@ -62,6 +62,9 @@
     std::chrono::milliseconds drain_time_{0};
     /// Time for which callers cache a response of the directory.
     std::chrono::milliseconds directory_ttl_{0};
+    /// True when the platform's store has entries that request the evacuation
+    /// of data centres, which are to be followed.
+    bool evacuations_ = false;
     retry_settings retries_;
 };
 
--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -56,17 +56,6 @@
 }
 
 
-bool watches_catalog(const control_plane& c)
-{
-    if (c.leader_.leading_)
-        return true;
-    const auto& members = c.node_.members();
-    return has_settled(c) && (is_small_cluster(members) ||
-                              data_centre_rank(members, c.node_.self()) <
-                                  watchers_per_data_centre);
-}
-
-
 asio::awaitable<void> watch_catalog(control_plane& c, platform::version from)
 {
     while (watches_catalog(c)) {
@@ -175,6 +164,17 @@
 
 } // namespace
 
+bool watches_catalog(const control_plane& c)
+{
+    if (c.leader_.leading_)
+        return true;
+    const auto& members = c.node_.members();
+    return has_settled(c) && (is_small_cluster(members) ||
+                              data_centre_rank(members, c.node_.self()) <
+                                  watchers_per_data_centre);
+}
+
+
 std::uint64_t catalog_rank(const control_plane& c)
 {
     if (c.catalog_.catalog_ == nullptr)
--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -1,5 +1,7 @@
 #include "control_plane.hpp"
 
+#include "evacuation_watch.hpp"
+
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/fleet/replica_group.hpp>
@@ -112,7 +114,8 @@
     std::vector<relay::upstream> result;
     for (const auto& [host_id, host] : c.hosts_.hosts_) {
         const auto address = parse_address(host.address_);
-        if (host.deployment_ == id && !host.draining_ && address)
+        if (host.deployment_ == id && !host.draining_ && address &&
+            !is_evacuated(c, host.data_centre_))
             result.push_back(make_upstream(host, *address));
     }
     return result;
@@ -162,7 +165,7 @@
             continue;
         const auto& head = c.hosts_.hosts_.at(group.members_.front());
         const auto address = parse_address(head.address_);
-        if (!address)
+        if (!address || is_evacuated(c, head.data_centre_))
             continue;
         relay::upstream u = make_upstream(head, *address);
         u.slots_ = d.engine_->slots_;
@@ -228,11 +231,8 @@
 }
 
 
-namespace {
-
-void publish_view_now(control_plane& c)
+relay::view_pointer make_view(const control_plane& c)
 {
-    c.view_published_at_ = base::boot_clock::now();
     auto view = std::make_shared<relay::serving_view>();
     view->catalog_ = c.catalog_.catalog_;
     view->daemons_ = live_daemons(c);
@@ -242,12 +242,24 @@
     }
     view->load_report_age_ = load_report_age(c);
     view->stopping_ = c.stopping_;
-    if (view->catalog_ != nullptr) {
+    view->evacuated_ = c.evacuations_.set_.data_centres_;
+    // A request must not reach an evacuated data centre before this daemon has
+    // learned of the evacuation.
+    if (view->catalog_ != nullptr && knows_evacuations(c)) {
         for (const auto& [id, d] : view->catalog_->deployments_)
             view->upstreams_[id] =
                 d.engine_ ? group_upstreams(c, d) : service_upstreams(c, id);
     }
-    c.proxy_->publish(std::move(view));
+    return view;
+}
+
+
+namespace {
+
+void publish_view_now(control_plane& c)
+{
+    c.view_published_at_ = base::boot_clock::now();
+    c.proxy_->publish(make_view(c));
 }
 
 
@@ -281,7 +293,8 @@
 
 bool is_ready(const control_plane& c)
 {
-    return !c.stopping_ && c.catalog_.catalog_ != nullptr && c.hosts_.loaded_;
+    return !c.stopping_ && c.catalog_.catalog_ != nullptr && c.hosts_.loaded_ &&
+           knows_evacuations(c);
 }
 
 
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evacuations.hpp"
 #include "host_sync.hpp"
 #include "leaving_hosts.hpp"
 #include "link_checks.hpp"
@@ -216,6 +217,7 @@
     demand_rates demand_;
     load_state loads_;
     part_state parts_;
+    evacuation_state evacuations_;
     /// When this daemon last repeated what it knows to its peers.
     base::time_point state_exchanged_at_;
     base::time_point started_at_;
@@ -261,6 +263,11 @@
 unsigned live_daemons(const control_plane& c);
 
 
+/// Returns a snapshot of the configuration and the usable upstreams for the
+/// traffic thread.
+relay::view_pointer make_view(const control_plane& c);
+
+
 /// Publishes a snapshot of the configuration and the usable upstreams to the
 /// traffic thread, at once or, shortly after the previous snapshot, together
 /// with the changes that follow within a short period.
@@ -312,6 +319,11 @@
 boost::asio::awaitable<void> run_catalog_watch(control_plane& c);
 
 
+/// Returns true while this daemon watches the configuration and the evacuations
+/// in the store.
+bool watches_catalog(const control_plane& c);
+
+
 /// Fetches the configuration from a peer whenever membership shows that the
 /// peer has a newer one, as happens while this daemon can't reach the store.
 boost::asio::awaitable<void> run_catalog_peer_sync(control_plane& c);
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -388,6 +388,27 @@
 }
 
 
+void put(wire::body_writer& out, const evacuations_message& m)
+{
+    out(m.set_.version_.value_, m.set_.version_.era_);
+    wire::write_count(out, m.set_.data_centres_.size());
+    for (const base::data_centre_id& id : m.set_.data_centres_)
+        wire::write_text(out, id.value_);
+}
+
+
+void get(wire::body_reader& in, evacuations_message& m)
+{
+    in(m.set_.version_.value_, m.set_.version_.era_);
+    const std::size_t count = wire::read_count(in, max_sent_evacuations);
+    for (std::size_t i = 0; i < count; ++i) {
+        base::data_centre_id id;
+        wire::read_text(in, id.value_, max_data_centre_name_bytes);
+        m.set_.data_centres_.insert(std::move(id));
+    }
+}
+
+
 template <std::size_t Index = 0>
 peer_message get_alternative(wire::body_reader& in, std::size_t index)
 {
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evacuations.hpp"
 #include "host_change_log.hpp"
 #include "load_exchange.hpp"
 
@@ -191,6 +192,13 @@
 };
 
 
+/// Evacuations that the sender knows.
+struct evacuations_message
+{
+    evacuation_set set_;
+};
+
+
 /// Messages that daemons send each other as datagrams. The index of an
 /// alternative is its type code on the wire, so the order must not change.
 using peer_message = std::variant<
@@ -213,7 +221,8 @@
     host_limits_message,
     host_query_message,
     host_finding_message,
-    group_check_message>;
+    group_check_message,
+    evacuations_message>;
 
 
 /// Returns the datagram for a message.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -106,6 +106,48 @@
 }
 
 
+Test(peer_message, evacuations_round_trip)
+{
+    const pvt::evacuations_message sent{{{7, 2}, {{"heredia"}, {"vatva"}}}};
+    const std::string bytes = pvt::encode(sent);
+    const auto got = pvt::decode(bytes);
+    cr_assert(got.has_value());
+    cr_assert(std::get<pvt::evacuations_message>(*got).set_ == sent.set_);
+    // As stated in docs/design/evacuations.md.
+    cr_assert_eq(bytes.size(), 42);
+}
+
+
+// Guards against a change of the codes by which daemons of other builds know
+// the messages.
+Test(peer_message, evacuations_have_the_code_after_the_earlier_messages)
+{
+    // The first byte tells the byte order.
+    cr_assert_eq(pvt::encode(pvt::evacuations_message{})[1], 20);
+    cr_assert_eq(pvt::encode(pvt::group_check_message{})[1], 19);
+}
+
+
+// Guards against dropping all evacuations because there are more entries than
+// data centres.
+Test(peer_message, the_largest_set_of_evacuations_fits_a_datagram)
+{
+    pvt::evacuations_message sent;
+    for (std::size_t i = 0; i < pvt::max_sent_evacuations; ++i) {
+        std::string name(pvt::max_data_centre_name_bytes, 'x');
+        name.replace(0, 4, std::to_string(1000 + i));
+        sent.set_.data_centres_.insert({name});
+    }
+    const std::string bytes =
+        pvt::encode(pvt::forwarded_message{pvt::encode(sent)});
+    cr_assert_lt(bytes.size(), 65000);
+    const auto outer = pvt::decode(bytes);
+    const auto inner =
+        pvt::decode(std::get<pvt::forwarded_message>(*outer).body_);
+    cr_assert(std::get<pvt::evacuations_message>(*inner).set_ == sent.set_);
+}
+
+
 Test(peer_message, truncated_or_unknown_messages_are_rejected)
 {
     const std::string bytes =
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "evacuation_watch.hpp"
 #include "peer_topology.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -210,6 +211,7 @@
             [&](const group_check_message& m) {
                 check_group(c, {m.head_, {}});
             },
+            [&](const evacuations_message& m) { handle_evacuations(c, m); },
             [&](const forwarded_message& m) {
                 handle_forwarded(c, m, sender);
             }},
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "evacuation_watch.hpp"
 #include "link_peers.hpp"
 
 #include <monsoondock/base/event_line.hpp>
@@ -108,6 +109,7 @@
     asio::co_spawn(context, pvt::run_signals(c), asio::detached);
     asio::co_spawn(context, pvt::run_catalog_watch(c), asio::detached);
     asio::co_spawn(context, pvt::run_catalog_peer_sync(c), asio::detached);
+    asio::co_spawn(context, pvt::run_evacuation_watch(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_watch(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_peer_sync(c), asio::detached);
     asio::co_spawn(context, pvt::run_store_checks(c), asio::detached);
--- a/src/libentry/state_exchange.cpp
+++ b/src/libentry/state_exchange.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "evacuation_watch.hpp"
 #include "peer_topology.hpp"
 
 namespace monsoondock::entry::pvt {
@@ -44,6 +45,8 @@
         send_state(c, part_report_message{stats.part_state_});
     if (!stats.host_limits_.empty())
         send_state(c, host_limits_message{stats.host_limits_});
+    if (const auto evacuations = repeated_evacuations(c))
+        send_state(c, *evacuations);
 }
 
 } // namespace monsoondock::entry::pvt
--- a/src/libentry/store_checks.cpp
+++ b/src/libentry/store_checks.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "evacuation_watch.hpp"
 
 #include <monsoondock/base/event_line.hpp>
 
@@ -52,6 +53,7 @@
         if (!c.leader_.leading_ || !c.hosts_.loaded_)
             continue;
         co_await check_catalog(c);
+        co_await check_evacuations(c);
         co_await check_hosts(c);
     }
 }
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -65,6 +65,8 @@
         return "monsoondock_members_alive";
     case gauge::groups_serving:
         return "monsoondock_groups_serving";
+    case gauge::evacuated_data_centres:
+        return "monsoondock_evacuated_data_centres";
     case gauge::ready:
         break;
     }
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -209,7 +209,7 @@
     if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
         record_completion(c.t_, c.e_, c.state_, u);
     const bool unreachable =
-        outcome == try_outcome::not_sent &&
+        outcome == try_outcome::not_sent && !c.state_.evacuated_ &&
         (c.e_.stop_reason_ == stop_reason::none ||
          c.e_.stop_reason_ == stop_reason::connect_timeout);
     if (unreachable)
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -105,6 +105,11 @@
         u.data_centre_ = {"here"};
         u.slots_ = 4;
         u.model_ = model_name;
+        if (options.evacuated_host_ != nullptr &&
+            u.host_.value_ == options.evacuated_host_) {
+            u.data_centre_ = {"evacuated"};
+            view->evacuated_.insert(u.data_centre_);
+        }
         view->upstreams_[{"d"}].push_back(u);
     }
     return view;
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -36,6 +36,9 @@
     /// Retries that are permitted beside a share of the requests.
     double retry_slack_ = 1000;
     std::vector<const char*> hosts_{"a", "b", "c"};
+    /// Host in a data centre that is evacuated after the host was chosen; null
+    /// for none.
+    const char* evacuated_host_ = nullptr;
     /// Time that callers give their requests.
     std::chrono::milliseconds deadline_{60000};
     /// Set when the cause of lost responses is found out: true when the link
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -76,11 +76,21 @@
 }
 
 
+bool is_evacuated(const try_context& c)
+{
+    return c.t_.view_->evacuated_.contains(c.target_.data_centre_);
+}
+
+
 asio::awaitable<try_outcome> run_try(try_context& c)
 {
     exchange& e = c.e_;
     if (!co_await connect(c))
         co_return try_outcome::not_sent;
+    // The data centre may have been evacuated while the connection was opened.
+    c.state_.evacuated_ = !c.detour_ && is_evacuated(c);
+    if (c.state_.evacuated_)
+        co_return try_outcome::not_sent;
     e.detour_sent_ |= c.detour_;
     ++e.possible_runs_;
     ++e.connected_sends_;
@@ -149,6 +159,7 @@
     discard_partial_event(state.splitter_);
     state.memory_ = base::byte_lease(c.t_.response_memory_);
     state.failure_ = {};
+    state.evacuated_ = false;
     state.framing_ = body_framing::none;
     state.response_began_ = {};
     state.partial_event_bytes_ = 0;
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -44,6 +44,9 @@
     /// Why the last try failed, as it appears in logs; empty when it did not,
     /// or when nothing was sent.
     std::string_view failure_;
+    /// True when the last try ended before the request was sent, as the data
+    /// centre of its upstream was being evacuated.
+    bool evacuated_ = false;
     /// True when the header of a streamed response has been sent to the caller.
     bool header_sent_ = false;
     std::optional<http_response> buffered_response_;
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -60,6 +60,7 @@
         pvt::read_optional<milliseconds>(r, "drain_time", 2s, {0s, 1h});
     c.directory_ttl_ =
         pvt::read_optional<milliseconds>(r, "directory_ttl", 2s, {100ms, 1min});
+    c.evacuations_ = pvt::read_optional<bool>(r, "evacuations", false, {});
     c.retries_ = pvt::read_section<retry_settings>(
         r, "retries", file, faults, read_retries);
     r.finish();
