--- a/src/libadmission/decision_test.cpp
+++ b/src/libadmission/decision_test.cpp
@@ -22,7 +22,7 @@
 }
 
 
-conditions make_conditions(std::vector<double> requests, double load)
+conditions make_conditions(const std::vector<double>& requests, double load)
 {
     conditions c;
     for (const double n : requests)
