relay: admission by the predicted time to the first event

The number of waiting requests says little about the time that they wait. With proxy_config::admission_ = latency the proxy asks libadmission before the first send, with the loads of the healthy upstreams that accept requests and the published figures of their engine, or the measured time of a plain service's calls. Without load reports for 2.5 s it uses its own requests, and the previous limit applies too; without figures the previous limit decides. The default is the previous rule.

A refused request has reason, predicted_ms and target_ms in its log line and is counted in monsoondock_admission_refusals_total.

--- a/src/include/monsoondock/metrics/metric.hpp
+++ b/src/include/monsoondock/metrics/metric.hpp
@@ -26,7 +26,10 @@
     peer_bytes_received,
     peer_datagrams_dropped,
     /// Requests passed on to another daemon because links were cut.
-    detours
+    detours,
+    /// Requests refused because of the predicted time to the first event; the
+    /// class is the reason.
+    admission_refusals
 };
 
 
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/result.hpp>
 #include <monsoondock/metrics/registry.hpp>
+#include <monsoondock/relay/admission_rule.hpp>
 #include <monsoondock/relay/drain_schedule.hpp>
 #include <monsoondock/relay/header_names.hpp>
 #include <monsoondock/relay/link_view.hpp>
@@ -38,6 +39,7 @@
     /// segment, 64 KiB over loopback: a caller of 5 KB/s is never taken for one
     /// that reads nothing.
     std::chrono::milliseconds caller_stall_limit_{15000};
+    admission_rule admission_ = admission_rule::queue;
 };
 
 
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -49,6 +49,8 @@
         return "monsoondock_peer_datagrams_dropped_total";
     case counter::detours:
         return "monsoondock_detours_total";
+    case counter::admission_refusals:
+        return "monsoondock_admission_refusals_total";
     case counter::bad_requests:
         break;
     }
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -48,6 +48,12 @@
 }
 
 
+milliseconds longest_retry_after(const exchange& e)
+{
+    return time_left(e) / retry_after_divisor - min_retry_after;
+}
+
+
 // Adds jitter, so that callers refused at the same time do not retry at the
 // same time.
 milliseconds jittered_retry_after(forward_context& c, milliseconds wanted)
@@ -55,9 +61,8 @@
     const double spread = 0.75 + 0.5 * random_fraction(c.t_);
     const auto jittered = milliseconds(
         static_cast<std::int64_t>(double(wanted.count()) * spread));
-    const auto longest =
-        time_left(c.e_) / retry_after_divisor - min_retry_after;
-    return std::max(min_retry_after, std::min(jittered, longest));
+    return std::max(
+        min_retry_after, std::min(jittered, longest_retry_after(c.e_)));
 }
 
 
@@ -110,6 +115,17 @@
 }
 
 
+local_response overload_response(forward_context& c)
+{
+    const auto& wanted = c.refusal_->retry_after_;
+    return {
+        http::status::service_unavailable,
+        "overloaded",
+        wanted ? std::max(min_retry_after, *wanted)
+               : jittered_retry_after(c, busy_retry_after)};
+}
+
+
 asio::awaitable<bool>
 send_local_response(forward_context& c, const local_response& response)
 {
@@ -361,12 +377,9 @@
             {http::status::service_unavailable,
              "request_crashes_upstreams",
              jittered_retry_after(c, crash_retry_after)});
-    if (is_overloaded(c.t_, c.e_))
-        co_return co_await send_local_response(
-            c,
-            {http::status::service_unavailable,
-             "overloaded",
-             jittered_retry_after(c, busy_retry_after)});
+    c.refusal_ = check_admission(c.t_, c.e_, longest_retry_after(c.e_));
+    if (c.refusal_)
+        co_return co_await send_local_response(c, overload_response(c));
     // The daemon that passed a request on has counted it.
     if (!c.e_.is_detour_)
         retry_limiter_of(c.t_, c.e_.deployment_).add_request(now);
@@ -378,7 +391,7 @@
 
 asio::awaitable<bool> forward(proxy_thread& t, std::shared_ptr<exchange> e)
 {
-    forward_context c{t, *e, {}, {}, {}, {}};
+    forward_context c{t, *e, {}, {}, {}, {}, {}};
     c.state_.keep_alive_ = e->request_.keep_alive();
     c.state_.chunked_ = e->request_.version() >= http_version_1_1;
     const auto* chosen =
--- a/src/librelay/forward_context.hpp
+++ b/src/librelay/forward_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission_control.hpp"
 #include "exchange.hpp"
 #include "proxy_thread.hpp"
 #include "try_upstream.hpp"
@@ -29,6 +30,8 @@
     std::optional<http_response> failed_response_;
     base::byte_lease failed_response_memory_;
     request_outcome outcome_;
+    /// Set when the request was refused because of overload.
+    std::optional<admission_refusal> refusal_;
 };
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/forward_records.cpp
+++ b/src/librelay/forward_records.cpp
@@ -37,6 +37,10 @@
         .field("catalog", e.view_->catalog_->version_)
         .field("in_time", is_in_time(c, now) ? "yes" : "no")
         .field("total", now - e.received_);
+    if (c.refusal_ && !c.refusal_->reason_.empty())
+        line.field("reason", c.refusal_->reason_)
+            .field("predicted", c.refusal_->predicted_)
+            .field("target", e.route_->target_latency_);
     if (e.detour_sent_)
         line.field("detour_to", e.host_);
     if (e.is_detour_)
@@ -50,6 +54,10 @@
 {
     const metrics::label labels = label_of(c.e_);
     c.t_.metrics_.add(metrics::counter::requests, labels);
+    if (c.refusal_ && !c.refusal_->reason_.empty())
+        c.t_.metrics_.add(
+            metrics::counter::admission_refusals,
+            {labels.workspace_, std::string(c.refusal_->reason_)});
     if (c.e_.sends_ > 1)
         c.t_.metrics_.add(metrics::counter::retries, labels, c.e_.sends_ - 1);
     if (c.state_.first_response_at_ != base::time_point())
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -3,6 +3,8 @@
 #include "exchange.hpp"
 #include "possible_crash.hpp"
 
+#include <monsoondock/admission/call_time_meter.hpp>
+#include <monsoondock/admission/model_admission.hpp>
 #include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/crashes/part_tracker.hpp>
 #include <monsoondock/relay/arrival_meter.hpp>
@@ -84,6 +86,15 @@
     std::set<base::host_id> connected_;
     std::map<std::pair<base::deployment_id, std::string>, arrival_meter>
         arrival_meters_;
+    /// Admission by deployment and model, of those that have upstreams.
+    std::map<
+        std::pair<base::deployment_id, std::string>,
+        admission::model_admission>
+        admissions_;
+    /// Times that plain services take for a call.
+    std::map<base::deployment_id, admission::call_time_meter> call_times_;
+    /// When a load report of a peer was last received.
+    base::time_point peer_loads_at_;
     std::unordered_set<std::shared_ptr<caller_connection>> caller_connections_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     /// Set when the daemon is shutting down.
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -256,6 +256,7 @@
     asio::post(
         t.context_, [&t, peer = std::move(peer), loads = std::move(loads)] {
             t.upstream_table_.set_peer_loads(peer, loads);
+            t.peer_loads_at_ = base::boot_clock::now();
         });
 }
 
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -1,5 +1,6 @@
 #include "try_upstream.hpp"
 
+#include "admission_control.hpp"
 #include "buffer_sizes.hpp"
 #include "connection_bounds.hpp"
 #include "detour.hpp"
@@ -122,6 +123,7 @@
 try_outcome finish_try(try_context& c, try_outcome outcome)
 {
     exchange& e = c.e_;
+    const auto waited = base::boot_clock::now() - e.phase_start_;
     e.phase_ = wait_phase::none;
     const bool was_rerouted = outcome == try_outcome::lost &&
                               e.stop_reason_ == stop_reason::rerouted &&
@@ -129,6 +131,8 @@
     if (was_rerouted && e.upstream_ != nullptr && !e.caller_->disconnected_)
         return suspend(c);
     --target_state(c).in_flight_;
+    if (outcome == try_outcome::answered && !c.detour_)
+        record_call_time(c.t_, e, c.target_, waited);
     if (outcome == try_outcome::lost) {
         discard_partial_event(c.state_.splitter_);
         c.state_.memory_ = {};
--- a/src/librelay/upstream_choice.cpp
+++ b/src/librelay/upstream_choice.cpp
@@ -81,7 +81,7 @@
 std::optional<paths::helper> choose_detour(proxy_thread& t, const exchange& e)
 {
     const paths::helper_list& list = t.links_->helpers_;
-    if (!may_detour(t, e) || !needs_detour(t, e))
+    if (!is_for_detour(t, e))
         return std::nullopt;
     const auto i = paths::choose_helper(
         list, t.config_.data_centre_, e.tried_helpers_, random_fraction(t));
@@ -110,11 +110,16 @@
 }
 
 
+bool is_for_detour(const proxy_thread& t, const exchange& e)
+{
+    return may_detour(t, e) && needs_detour(t, e);
+}
+
+
 bool is_overloaded(const proxy_thread& t, const exchange& e)
 {
     const auto* upstreams = upstreams_of(t, e);
-    if (upstreams == nullptr || e.model_.empty() ||
-        (may_detour(t, e) && needs_detour(t, e)))
+    if (upstreams == nullptr || e.model_.empty() || is_for_detour(t, e))
         return false;
     const auto most = max_free_slots(
         *upstreams, t.upstream_table_, e.model_, {}, base::boot_clock::now());
@@ -160,7 +165,7 @@
         return false;
     const auto room =
         max_free_slots(*upstreams, t.upstream_table_, e.model_, e.tried_, now);
-    if (room.value_or(0) <= 0 && !(may_detour(t, e) && needs_detour(t, e))) {
+    if (room.value_or(0) <= 0 && !is_for_detour(t, e)) {
         log_refusal(e, "no_upstream");
         return false;
     }
--- a/src/librelay/upstream_choice.hpp
+++ b/src/librelay/upstream_choice.hpp
@@ -18,6 +18,11 @@
 std::optional<paths::helper> choose_detour(proxy_thread& t, const exchange& e);
 
 
+/// Returns true when the upstreams that can serve the request, or those of them
+/// that have room, are behind cut links, and another daemon may help.
+bool is_for_detour(const proxy_thread& t, const exchange& e);
+
+
 /// Returns true when so many requests are queued at every healthy upstream that
 /// this one would not start in time.
 bool is_overloaded(const proxy_thread& t, const exchange& e);
