settings: key admission of an entry daemon

queue, the default, keeps the previous rule; latency selects admission by the predicted time to the first event.

--- a/src/include/monsoondock/settings/entry_config.hpp
+++ b/src/include/monsoondock/settings/entry_config.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/settings/admission_rule.hpp>
 #include <monsoondock/settings/finding.hpp>
 #include <monsoondock/settings/socket_address.hpp>
 
@@ -66,6 +67,7 @@
     /// of data centres, which are to be followed.
     bool evacuations_ = false;
     retry_settings retries_;
+    admission_rule admission_ = admission_rule::queue;
 };
 
 
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -36,6 +36,9 @@
             ? base::time_point()
             : base::boot_clock::now() + config.retries_.window_};
     result.max_connections_ = config.max_connections_;
+    result.admission_ = config.admission_ == settings::admission_rule::latency
+                            ? relay::admission_rule::latency
+                            : relay::admission_rule::queue;
     return result;
 }
 
--- a/src/libsettings/convert.cpp
+++ b/src/libsettings/convert.cpp
@@ -194,6 +194,20 @@
 }
 
 
+conversion<admission_rule>
+convert(const raw_value& raw, const rule<admission_rule>& r)
+{
+    const auto* text = std::get_if<std::string>(&raw);
+    if (text == nullptr)
+        return wrong_type(raw, r);
+    for (const auto value : {admission_rule::queue, admission_rule::latency}) {
+        if (*text == to_string(value))
+            return value;
+    }
+    return refusal{to_toml_text(raw) + " is not a rule", allowed(r)};
+}
+
+
 conversion<std::vector<api_key_hash>>
 convert(const raw_value& raw, const rule<std::vector<api_key_hash>>& r)
 {
@@ -277,6 +291,12 @@
 }
 
 
+std::string allowed(const rule<admission_rule>& /*r*/)
+{
+    return "\"queue\" or \"latency\"";
+}
+
+
 std::string allowed(const rule<std::vector<api_key_hash>>& /*r*/)
 {
     return "a list of different SHA-256 hashes, each a string of 64 lower-case "
--- a/src/libsettings/convert.hpp
+++ b/src/libsettings/convert.hpp
@@ -4,6 +4,7 @@
 #include "rule.hpp"
 
 #include <monsoondock/base/identifier.hpp>
+#include <monsoondock/settings/admission_rule.hpp>
 #include <monsoondock/settings/api_key_hash.hpp>
 #include <monsoondock/settings/deployment_kind.hpp>
 
@@ -49,6 +50,8 @@
 convert(const raw_value& raw, const rule<std::vector<socket_address>>& r);
 conversion<deployment_kind>
 convert(const raw_value& raw, const rule<deployment_kind>& r);
+conversion<admission_rule>
+convert(const raw_value& raw, const rule<admission_rule>& r);
 conversion<std::vector<api_key_hash>>
 convert(const raw_value& raw, const rule<std::vector<api_key_hash>>& r);
 
@@ -78,6 +81,7 @@
 std::string allowed(const rule<socket_address>& r);
 std::string allowed(const rule<std::vector<socket_address>>& r);
 std::string allowed(const rule<deployment_kind>& r);
+std::string allowed(const rule<admission_rule>& r);
 std::string allowed(const rule<std::vector<api_key_hash>>& r);
 
 
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -61,6 +61,8 @@
     c.directory_ttl_ =
         pvt::read_optional<milliseconds>(r, "directory_ttl", 2s, {100ms, 1min});
     c.evacuations_ = pvt::read_optional<bool>(r, "evacuations", false, {});
+    c.admission_ = pvt::read_optional<admission_rule>(
+        r, "admission", admission_rule::queue, {});
     c.retries_ = pvt::read_section<retry_settings>(
         r, "retries", file, faults, read_retries);
     r.finish();
--- a/src/libsettings/entry_config_test.cpp
+++ b/src/libsettings/entry_config_test.cpp
@@ -45,6 +45,28 @@
     cr_assert_float_eq(c.retries_.ratio_, 0.2, 1e-9);
     cr_assert_float_eq(c.retries_.slack_, 107, 1e-9);
     cr_assert(c.retries_.window_ == 10s);
+    // Guards existing installations against another admission.
+    cr_assert(c.admission_ == admission_rule::queue);
+}
+
+
+Test(entry_config, reads_the_admission_rule)
+{
+    const auto read = [](const std::string& value) {
+        return parse_entry_config(
+            GOOD + "admission = " + value + "\n", "e.toml");
+    };
+    const auto latency = read("\"latency\"");
+    cr_assert(std::holds_alternative<entry_config>(latency));
+    cr_expect(
+        std::get<entry_config>(latency).admission_ == admission_rule::latency);
+    const auto queue = read("\"queue\"");
+    cr_assert(std::holds_alternative<entry_config>(queue));
+    cr_expect(
+        std::get<entry_config>(queue).admission_ == admission_rule::queue);
+    const auto unknown = read("\"fast\"");
+    cr_assert(std::holds_alternative<findings>(unknown));
+    cr_expect(std::get<findings>(unknown)[0].key_ == "admission");
 }
 
 
