relay: upstreams chosen by learned pace and capacity

Choices went by the slots of upstreams and by the event intervals that each daemon had seen itself, so that stragglers and hosts that slow down before they are full kept getting requests from daemons without recent streams there.

With proxy_config::learned_capacity_, streams are measured against the figures of the engine and calls of plain services against the median of their hosts. Load is divided by the learned limit and the cost multiplied by the relative pace. A slow upstream without evidence is probed by requests of the routes with the longest target latency. Off by default: choices are as before. Pace states at rest are not updated; evidence too small to be sent is left out.

--- a/src/include/monsoondock/hostpace/pace_state.hpp
+++ b/src/include/monsoondock/hostpace/pace_state.hpp
@@ -35,7 +35,7 @@
     base::time_point updated_at_;
     /// When the process was seen to have been restarted; unset otherwise.
     base::time_point restarted_at_;
-    /// When a probe was last considered.
+    /// When a probe was last considered, or evidence last made it unnecessary.
     base::time_point probe_considered_at_;
     /// True from the time at which relative_ reaches slow_factor until it is
     /// below normal_factor.
--- a/src/include/monsoondock/metrics/metric.hpp
+++ b/src/include/monsoondock/metrics/metric.hpp
@@ -43,4 +43,13 @@
     evacuated_data_centres
 };
 
+
+/// Current values, labelled by upstream host.
+enum class host_gauge
+{
+    /// Pace of a slow upstream in relation to the others of its model; see
+    /// hostpace.
+    upstream_pace
+};
+
 } // namespace monsoondock::metrics
--- a/src/include/monsoondock/metrics/registry.hpp
+++ b/src/include/monsoondock/metrics/registry.hpp
@@ -34,6 +34,14 @@
     void set(gauge kind, double value);
 
 
+    /// Sets a gauge of a host.
+    void set(host_gauge kind, const std::string& host, double value);
+
+
+    /// Removes a gauge of a host, if there is one.
+    void remove(host_gauge kind, const std::string& host);
+
+
     /// Returns all metrics in the Prometheus text format.
     std::string render() const;
 
@@ -42,6 +50,7 @@
     std::map<std::pair<latency, label>, latency_series> latencies_;
     std::map<std::pair<counter, label>, std::uint64_t> counters_;
     std::map<gauge, double> gauges_;
+    std::map<std::pair<host_gauge, std::string>, double> host_gauges_;
 };
 
 } // namespace monsoondock::metrics
--- a/src/include/monsoondock/relay/choose_upstream.hpp
+++ b/src/include/monsoondock/relay/choose_upstream.hpp
@@ -25,6 +25,9 @@
     /// together send between two load reports and that the known loads
     /// therefore do not include.
     double unreported_requests_ = 1;
+    /// True when upstreams are ranked by their learned pace and capacity
+    /// rather than by their slots and event intervals.
+    bool learned_capacity_ = false;
 };
 
 
@@ -37,6 +40,11 @@
     /// of its model: this value for each multiple of the median beyond the
     /// first, expressed as load per slot.
     double slowness_ = 1.0;
+    /// Cost of a request at an upstream that runs nothing else, expressed as
+    /// load per slot; counts with a learned pace only. An upstream that is four
+    /// times slower is then used when the others have one and a half requests
+    /// for each slot, and otherwise only by probes.
+    double service_ = 0.5;
 };
 
 
@@ -52,6 +60,11 @@
 /// asked for a pause or whose limit is reached are never chosen; after a pause
 /// an upstream counts with a growing part of its slots (see usable_share).
 ///
+/// With learned capacity, the load of an upstream is divided by its learned
+/// limit in place of its slots, and its cost is multiplied by its relative
+/// pace; the requests that it takes up while others fill up shrink alike. While
+/// no upstream differs from the others, the choice is the same as without.
+///
 /// Designed for many groups with few requests each, some of them slow, and for
 /// up to hundreds of daemons that choose at the same time from loads of about
 /// the same age. If every daemon chose the least loaded upstream, together they
--- a/src/include/monsoondock/relay/proxy_callbacks.hpp
+++ b/src/include/monsoondock/relay/proxy_callbacks.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/crashes/part_report.hpp>
+#include <monsoondock/hostpace/pace_report.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 
 #include <chrono>
@@ -62,6 +63,9 @@
     std::vector<host_limit_report> host_limits_;
     /// Upstreams that accepted a connection since the previous reading.
     std::set<base::host_id> connected_;
+    /// Evidence of this daemon on upstreams whose pace differs from that of
+    /// others; empty unless capacity is learned.
+    std::vector<hostpace::pace_report> paces_;
 };
 
 
@@ -121,6 +125,10 @@
     /// Called when a response shows that the limit of an upstream has changed;
     /// peers should be told.
     std::function<void(const host_limit_report&)> on_limit_;
+    /// Called with evidence of this daemon on upstreams that it has found to be
+    /// slow; peers should be told at once.
+    std::function<void(const std::vector<hostpace::pace_report>&)>
+        on_slow_upstreams_;
     /// Called when a peer reports an upstream as unhealthy that responds to
     /// this daemon.
     std::function<void(const base::host_id&)> on_responsive_;
--- a/src/include/monsoondock/relay/reverse_proxy.hpp
+++ b/src/include/monsoondock/relay/reverse_proxy.hpp
@@ -40,6 +40,9 @@
     /// that reads nothing.
     std::chrono::milliseconds caller_stall_limit_{15000};
     admission_rule admission_ = admission_rule::queue;
+    /// True when requests are distributed by the learned pace and capacity of
+    /// upstreams, false when by their slots.
+    bool learned_capacity_ = false;
 };
 
 
@@ -123,6 +126,12 @@
     void apply_host_limit(host_limit_report report);
 
 
+    /// Records what peers have measured at upstreams, in place of what was
+    /// recorded under the same name before. Ignored unless capacity is learned.
+    void apply_pace_reports(
+        base::daemon_id source, std::vector<hostpace::pace_report> reports);
+
+
     /// Calls done on the traffic thread with the requests in progress, the
     /// demand since the previous call and what peers are to be told.
     void take_traffic_stats(std::function<void(traffic_stats)> done);
--- a/src/include/monsoondock/relay/upstream_table.hpp
+++ b/src/include/monsoondock/relay/upstream_table.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/hostlimits/host_limit.hpp>
+#include <monsoondock/hostpace/pace_state.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -45,6 +46,8 @@
     /// Moving average of the time between two events of a stream; 0 before the
     /// first measurement.
     double event_interval_ms_ = 0;
+    /// Learned pace and capacity; used with proxy_config::learned_capacity_.
+    hostpace::pace_state pace_;
 };
 
 
@@ -96,8 +99,9 @@
 
 
     /// Forgets that an upstream was leaving, paused or limited when it is
-    /// another process by now.
-    void
+    /// another process by now. Returns true when an earlier process of it was
+    /// known.
+    bool
     detect_restart(const base::host_id& host, std::int64_t process_start_ms);
 
 
--- a/src/libhostpace/compare.cpp
+++ b/src/libhostpace/compare.cpp
@@ -1,17 +1,18 @@
 #include <monsoondock/hostpace/compare.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace monsoondock::hostpace {
 
 namespace {
 
-double median_factor(const std::vector<pace_state*>& all)
+double median_log_factor(const std::vector<pace_state*>& all)
 {
     std::vector<double> factors;
     factors.reserve(all.size());
     for (const pace_state* s : all)
-        factors.push_back(factor(*s));
+        factors.push_back(s->log_factor_);
     // Of two, the faster one is the median.
     const auto middle =
         factors.begin() + static_cast<long>((factors.size() - 1) / 2);
@@ -34,9 +35,10 @@
     std::vector<pace_state*> changed;
     if (all.empty())
         return changed;
-    const double median = median_factor(all);
+    const double median = median_log_factor(all);
     for (pace_state* s : all) {
-        s->relative_ = without_small_differences(factor(*s) / median);
+        s->relative_ =
+            without_small_differences(std::exp2(s->log_factor_ - median));
         const bool slow = s->slow_ ? s->relative_ >= normal_factor
                                    : s->relative_ >= slow_factor;
         if (slow != s->slow_)
--- a/src/libhostpace/pace_state.cpp
+++ b/src/libhostpace/pace_state.cpp
@@ -18,6 +18,10 @@
 // one level of load is compared with that at another.
 constexpr double min_evidence_ms = 5;
 constexpr double min_level_evidence_ms = 30;
+// Level below which a sum is too small to be sent to peers.
+constexpr double min_reported_ms = 0.1;
+// Events that arrive together would otherwise count as infinitely fast.
+constexpr double min_sample_share = 0.01;
 // A sample above this multiple of the expected time is an outlier unless the
 // previous one was above it too; an outlier counts as this multiple.
 constexpr double outlier_factor = 1.5;
@@ -29,6 +33,8 @@
 // Without evidence, an upstream of the largest factor counts as recovered after
 // four times this, within 30 s.
 constexpr std::chrono::milliseconds forgetting_time{6000};
+// Time after which measurements have no weight left.
+constexpr std::chrono::seconds unused_time{10};
 // Change of the limit in parts of the slots per second.
 constexpr double limit_fall_per_s = 0.5;
 constexpr double limit_rise_per_s = 0.1;
@@ -49,12 +55,22 @@
 }
 
 
-void forget_old_reports(pace_state& s, base::time_point now)
+// Most upstreams have the expected pace most of the time.
+bool is_at_rest(const pace_state& s)
+{
+    return s.log_factor_ == 0 && s.limit_share_ == 1 && s.peers_.empty() &&
+           s.own_.sums_ == pace_sums{};
+}
+
+
+void forget_old_sums(pace_state& s, base::time_point now)
 {
     std::erase_if(s.peers_, [now](const auto& entry) {
         const dated_sums& d = entry.second;
         return !has_weight(total(decayed(d.sums_, now - d.at_)));
     });
+    if (now - s.own_.at_ > unused_time)
+        s.own_.sums_ = {};
 }
 
 
@@ -127,7 +143,8 @@
     const double expected = sample.expected_.count();
     if (!(expected > 0))
         return;
-    double observed = std::max(0.0, sample.observed_.count());
+    double observed =
+        std::max(min_sample_share * expected, sample.observed_.count());
     const double threshold = outlier_factor * expected;
     const bool outlier = observed > threshold;
     if (outlier && !s.outlier_)
@@ -155,8 +172,14 @@
 
 pace_sums own_sums(const pace_state& s, base::time_point now)
 {
-    const pace_sums sums = decayed(s.own_.sums_, now - s.own_.at_);
-    return has_weight(total(sums)) ? sums : pace_sums{};
+    pace_sums sums = decayed(s.own_.sums_, now - s.own_.at_);
+    if (!has_weight(total(sums)))
+        return {};
+    for (level_sums& l : sums.levels_) {
+        if (l.expected_ms_ < min_reported_ms)
+            l = {};
+    }
+    return sums;
 }
 
 
@@ -166,8 +189,12 @@
     const fractional_ms passed = now - std::exchange(s.updated_at_, now);
     if (first)
         return;
-    forget_old_reports(s, now);
+    if (is_at_rest(s))
+        return;
+    forget_old_sums(s, now);
     const pace_sums evidence = all_evidence(s, now);
+    if (has_weight(total(evidence)))
+        s.probe_considered_at_ = now;
     move_factor(s, total(evidence), passed);
     move_limit(s, evidence, passed);
 }
@@ -208,10 +235,8 @@
 bool take_probe(
     pace_state& s, unsigned daemons, double random, base::time_point now)
 {
-    if (has_weight(total(all_evidence(s, now)))) {
-        s.probe_considered_at_ = now;
+    if (has_weight(total(all_evidence(s, now))))
         return false;
-    }
     const fractional_ms passed =
         now - std::exchange(s.probe_considered_at_, now);
     return random * std::max(1U, daemons) * fractional_ms(probe_period) <
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -76,6 +76,16 @@
 }
 
 
+const char* metric_name(host_gauge kind)
+{
+    switch (kind) {
+    case host_gauge::upstream_pace:
+        break;
+    }
+    return "monsoondock_upstream_pace";
+}
+
+
 std::vector<prometheus::ClientMetric::Label> to_labels(const label& labels)
 {
     return {{"workspace", labels.workspace_}, {"class", labels.class_}};
@@ -147,6 +157,20 @@
 }
 
 
+void registry::set(host_gauge kind, const std::string& host, double value)
+{
+    const std::lock_guard lock(mutex_);
+    host_gauges_[{kind, host}] = value;
+}
+
+
+void registry::remove(host_gauge kind, const std::string& host)
+{
+    const std::lock_guard lock(mutex_);
+    host_gauges_.erase({kind, host});
+}
+
+
 std::string registry::render() const
 {
     std::vector<prometheus::MetricFamily> families;
@@ -180,6 +204,16 @@
                 prometheus::MetricType::Gauge,
                 std::move(metric));
         }
+        for (const auto& [key, value] : host_gauges_) {
+            prometheus::ClientMetric metric;
+            metric.label = {{"host", key.second}};
+            metric.gauge.value = value;
+            append(
+                families,
+                metric_name(key.first),
+                prometheus::MetricType::Gauge,
+                std::move(metric));
+        }
     }
     return prometheus::TextSerializer().Serialize(families);
 }
--- a/src/libmetrics/registry_test.cpp
+++ b/src/libmetrics/registry_test.cpp
@@ -28,3 +28,14 @@
         text.find("monsoondock_tokens_total" + label_text + "} 7") !=
         std::string::npos);
 }
+
+
+Test(registry, renders_gauges_of_hosts_until_they_are_removed)
+{
+    registry r;
+    r.set(host_gauge::upstream_pace, "h", 4);
+    const std::string line = "monsoondock_upstream_pace{host=\"h\"} 4";
+    cr_assert(r.render().find(line) != std::string::npos);
+    r.remove(host_gauge::upstream_pace, "h");
+    cr_assert(r.render().find("upstream_pace") == std::string::npos);
+}
--- a/src/librelay/choose_upstream.cpp
+++ b/src/librelay/choose_upstream.cpp
@@ -56,9 +56,38 @@
     return result;
 }
 
+
+double learned_cost(
+    const upstream& u,
+    const upstream_state& s,
+    const choice_request& request,
+    const choice_weights& weights)
+{
+    const double limit = hostpace::limit(s.pace_, u.slots_, request.now_);
+    const double load = double(total_load(s)) / limit;
+    // Without the cost of an empty upstream of the expected pace, so that equal
+    // upstreams cost the same as without learned capacity.
+    double result =
+        s.pace_.relative_ * (weights.service_ + load) - weights.service_;
+    if (u.data_centre_ != request.local_data_centre_)
+        result += weights.locality_;
+    return result;
+}
+
+
+// Returns the number of requests that raise the cost of an upstream by one.
+double capacity(
+    const upstream& u, const upstream_state& s, const choice_request& request)
+{
+    if (!request.learned_capacity_)
+        return std::max(1U, u.slots_);
+    return hostpace::limit(s.pace_, u.slots_, request.now_) / s.pace_.relative_;
+}
+
 struct candidate
 {
     std::size_t index_ = 0;
+    /// Requests that raise the cost by one.
     double slots_ = 1;
     double cost_ = 0;
 };
@@ -71,7 +100,9 @@
     const choice_weights& weights)
 {
     constexpr double unhealthy_cost = 1000;
-    const double median_ms = median_interval(all, table, request.model_);
+    const double median_ms = request.learned_capacity_
+                                 ? 0
+                                 : median_interval(all, table, request.model_);
     std::vector<candidate> result;
     for (std::size_t i = 0; i < all.size(); ++i) {
         const upstream& u = all[i];
@@ -81,10 +112,12 @@
         const double share = usable_share(s, request.now_);
         if (share <= 0)
             continue;
-        double c = cost(u, s, median_ms, request, weights);
+        double c = request.learned_capacity_
+                       ? learned_cost(u, s, request, weights)
+                       : cost(u, s, median_ms, request, weights);
         if (is_unhealthy(s, request.now_))
             c += unhealthy_cost;
-        result.push_back({i, share * std::max(1U, u.slots_), c});
+        result.push_back({i, share * capacity(u, s, request), c});
     }
     std::stable_sort(
         result.begin(),
--- a/src/librelay/choose_upstream_test.cpp
+++ b/src/librelay/choose_upstream_test.cpp
@@ -108,3 +108,61 @@
     cr_assert_not(max_free_slots(s.all_, s.upstream_table_, "other", {}, start)
                       .has_value());
 }
+
+
+// Operators may turn learned capacity on at any time; as long as all upstreams
+// keep their pace, the choice must not change.
+Test(choose_upstream, equal_upstreams_are_chosen_as_without_learned_capacity)
+{
+    for (unsigned a = 0; a < 8; ++a) {
+        for (unsigned b = 0; b < 8; ++b) {
+            for (const double unreported : {1.0, 5.0, 40.0}) {
+                sample s;
+                s.upstream_table_.state_of({"a"}).in_flight_ = a;
+                s.upstream_table_.state_of({"b"}).in_flight_ = b;
+                s.request_.unreported_requests_ = unreported;
+                s.request_.random_fraction_ = 0.7;
+                const std::string by_slots = s.choose();
+                s.request_.learned_capacity_ = true;
+                cr_assert(s.choose() == by_slots);
+            }
+        }
+    }
+}
+
+
+Test(choose_upstream, learned_stragglers_get_nothing_while_others_have_room)
+{
+    sample s;
+    s.request_.learned_capacity_ = true;
+    s.upstream_table_.state_of({"a"}).pace_.relative_ = 4;
+    s.upstream_table_.state_of({"b"}).in_flight_ = 9;
+    s.upstream_table_.state_of({"c"}).in_flight_ = 9;
+    cr_assert(s.choose() != "a");
+    s.upstream_table_.state_of({"b"}).in_flight_ = 25;
+    s.upstream_table_.state_of({"c"}).in_flight_ = 25;
+    cr_assert(s.choose() == "a");
+}
+
+
+Test(choose_upstream, load_is_divided_by_the_learned_limit)
+{
+    sample s;
+    s.request_.learned_capacity_ = true;
+    s.upstream_table_.state_of({"a"}).in_flight_ = 4;
+    s.upstream_table_.state_of({"b"}).in_flight_ = 3;
+    s.upstream_table_.state_of({"c"}).in_flight_ = 9;
+    cr_assert(s.choose() == "b");
+    s.upstream_table_.state_of({"b"}).pace_.limit_share_ = 0.5;
+    cr_assert(s.choose() == "a");
+}
+
+
+// The pace must have no effect before operators ask for it.
+Test(choose_upstream, without_learned_capacity_the_pace_is_not_regarded)
+{
+    sample s;
+    s.upstream_table_.state_of({"a"}).pace_.relative_ = 4;
+    s.upstream_table_.state_of({"b"}).in_flight_ = 1;
+    cr_assert(s.choose() == "a");
+}
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -55,6 +55,7 @@
     config.data_centre_ = {"here"};
     config.min_stall_time_ = options.min_stall_time_;
     config.caller_stall_limit_ = options.caller_stall_limit_;
+    config.learned_capacity_ = options.learned_capacity_;
     return config;
 }
 
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -48,6 +48,8 @@
     std::chrono::milliseconds min_stall_time_{5000};
     /// See proxy_config::caller_stall_limit_.
     std::chrono::milliseconds caller_stall_limit_{15000};
+    /// See proxy_config::learned_capacity_.
+    bool learned_capacity_ = false;
 };
 
 
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -3,6 +3,7 @@
 #include "crash_records.hpp"
 #include "suspended_try.hpp"
 #include "upstream_choice.hpp"
+#include "upstream_pace.hpp"
 #include "wait_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -207,6 +208,7 @@
 {
     count_connections(t);
     expire_losses(t, now);
+    update_paces(t, now);
     for (const auto& e : t.exchanges_) {
         sweep_exchange(t, *e, now);
         check_receiver(*e, now);
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -7,6 +7,7 @@
 #include <monsoondock/admission/model_admission.hpp>
 #include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/crashes/part_tracker.hpp>
+#include <monsoondock/hostpace/service_latency.hpp>
 #include <monsoondock/relay/arrival_meter.hpp>
 #include <monsoondock/relay/crash_tracker.hpp>
 #include <monsoondock/relay/link_view.hpp>
@@ -95,6 +96,14 @@
     std::map<base::deployment_id, admission::call_time_meter> call_times_;
     /// When a load report of a peer was last received.
     base::time_point peer_loads_at_;
+    /// Latencies of services without an engine.
+    std::unordered_map<base::deployment_id, hostpace::service_latency>
+        service_latencies_;
+    /// Upstreams that the metrics show as slow.
+    std::set<base::host_id> slow_upstreams_;
+    /// When paces were last updated, and peers last told of a slow upstream.
+    base::time_point paces_updated_at_;
+    base::time_point slow_reported_at_;
     std::unordered_set<std::shared_ptr<caller_connection>> caller_connections_;
     std::unordered_set<std::shared_ptr<exchange>> exchanges_;
     /// Set when the daemon is shutting down.
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -4,6 +4,7 @@
 #include "detour.hpp"
 #include "failure_reason.hpp"
 #include "upstream_limits.hpp"
+#include "upstream_pace.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -241,6 +242,7 @@
             co_return lose(c, failure_reason(failure));
     }
     record_progress(c);
+    record_call(c, parser.get());
     return_to_pool(c, parser);
     http_response response = parser.release();
     c.parser_.reset();
@@ -298,6 +300,7 @@
     const bool received_bytes = e.received_bytes_;
     enter_phase(e, wait_phase::none);
     const bool sent = co_await write_to_caller(c, text);
+    record_write(c);
     enter_phase(e, has_event ? wait_phase::next_event : phase);
     if (!has_event) {
         e.phase_start_ -= waited;
@@ -326,7 +329,9 @@
 {
     response_state& s = c.state_;
     std::string& body = parser.get().body();
+    const std::uint64_t known_events = s.splitter_.events_;
     std::string events = extract_events(s.splitter_, body);
+    record_events(c, s.splitter_.events_ - known_events);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
     const bool ends = last && !s.splitter_.mismatch_ && !has_broken_off(c);
--- a/src/librelay/receive_response.hpp
+++ b/src/librelay/receive_response.hpp
@@ -19,6 +19,9 @@
     std::unique_ptr<http_response_parser> parser_;
     /// True when the target is another daemon.
     bool detour_ = false;
+    /// When the latest events of the stream arrived; unset before the first
+    /// one, and while the pace of the upstream can't be measured.
+    base::time_point events_at_{};
 };
 
 
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -3,6 +3,7 @@
 #include "cut_log.hpp"
 #include "proxy_thread.hpp"
 #include "upstream_limits.hpp"
+#include "upstream_pace.hpp"
 #include "wait_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -79,7 +80,10 @@
     for (const auto& [deployment, hosts] : view->upstreams_) {
         for (const upstream& u : hosts) {
             listed[u.host_] = true;
-            t.upstream_table_.detect_restart(u.host_, u.process_start_ms_);
+            if (t.upstream_table_.detect_restart(u.host_, u.process_start_ms_))
+                hostpace::restart(
+                    t.upstream_table_.state_of(u.host_).pace_,
+                    base::boot_clock::now());
         }
     }
     t.upstream_table_.keep_only(listed, base::boot_clock::now());
@@ -316,6 +320,18 @@
 }
 
 
+void reverse_proxy::apply_pace_reports(
+    base::daemon_id source, std::vector<hostpace::pace_report> reports)
+{
+    proxy_thread& t = impl_->thread_state_;
+    asio::post(
+        t.context_,
+        [&t, source = std::move(source), reports = std::move(reports)] {
+            pvt::apply_pace_reports(t, source, reports);
+        });
+}
+
+
 void reverse_proxy::take_traffic_stats(std::function<void(traffic_stats)> done)
 {
     proxy_thread& t = impl_->thread_state_;
@@ -327,7 +343,8 @@
              t.part_tracker_.take_report(now),
              t.part_tracker_.state(now),
              pvt::host_limits(t),
-             std::exchange(t.connected_, {})});
+             std::exchange(t.connected_, {}),
+             pvt::pace_reports(t, now)});
     });
 }
 
--- a/src/librelay/upstream_choice.cpp
+++ b/src/librelay/upstream_choice.cpp
@@ -1,5 +1,7 @@
 #include "upstream_choice.hpp"
 
+#include "upstream_pace.hpp"
+
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/relay/choose_upstream.hpp>
 
@@ -96,13 +98,16 @@
     const auto* upstreams = upstreams_of(t, e);
     if (upstreams == nullptr)
         return std::nullopt;
+    if (auto probed = choose_probed_upstream(t, e, *upstreams))
+        return probed;
     const choice_request request{
         e.model_,
         t.config_.data_centre_,
         e.tried_,
         base::boot_clock::now(),
         random_fraction(t),
-        unreported_requests(t, e)};
+        unreported_requests(t, e),
+        t.config_.learned_capacity_};
     const auto i = choose_upstream(*upstreams, t.upstream_table_, request);
     if (!i)
         return std::nullopt;
--- a/src/librelay/upstream_table.cpp
+++ b/src/librelay/upstream_table.cpp
@@ -1,5 +1,7 @@
 #include <monsoondock/relay/upstream_table.hpp>
 
+#include <utility>
+
 namespace monsoondock::relay {
 
 namespace {
@@ -46,17 +48,18 @@
 }
 
 
-void upstream_table::detect_restart(
+bool upstream_table::detect_restart(
     const base::host_id& host, std::int64_t process_start_ms)
 {
     const auto found = states_.find(host);
     if (found == states_.end() ||
         found->second.process_start_ms_ == process_start_ms)
-        return;
+        return false;
     found->second.leaving_ = false;
     found->second.paused_until_ = {};
     found->second.limit_ = {};
-    found->second.process_start_ms_ = process_start_ms;
+    return std::exchange(found->second.process_start_ms_, process_start_ms) !=
+           0;
 }
 
 
--- a/src/librelay/wait_limits.cpp
+++ b/src/librelay/wait_limits.cpp
@@ -1,5 +1,7 @@
 #include "wait_limits.hpp"
 
+#include "serving_engine.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -31,30 +33,6 @@
 }
 
 
-/// Engine that serves a request, and the time factor of its model.
-struct serving_engine
-{
-    const catalog::engine* engine_ = nullptr;
-    double time_factor_ = 1.0;
-};
-
-
-serving_engine find_engine(const exchange& e)
-{
-    for (const auto& d : e.route_->deployments_) {
-        const auto* target =
-            catalog::find_deployment(*e.view_->catalog_, d.deployment_);
-        if (target == nullptr || !target->engine_)
-            continue;
-        for (const catalog::model& m : target->engine_->models_) {
-            if (m.name_ == e.model_)
-                return {&*target->engine_, m.time_factor_};
-        }
-    }
-    return {};
-}
-
-
 // Returns the duration of a pass in which all slots are busy and every step
 // also processes a full prefill chunk.
 nanoseconds longest_pass(const serving_engine& s)
