admission: no more unreported requests than are admitted

The prediction spread the unreported requests of a full system over the groups with the fewest requests, also when few arrive. One free group beside 29 full ones was then predicted full, and callers were refused that it could have served: a_free_group_among_full_ones_is_not_predicted_full failed before. They are now limited by the measured demand.

--- a/src/libadmission/decision.cpp
+++ b/src/libadmission/decision.cpp
@@ -68,7 +68,9 @@
         completions += completions_per_second(u.times_);
     const double seconds =
         std::chrono::duration<double>(known.report_age_).count();
-    const double unreported = std::max(1.0, completions * seconds);
+    // No more are admitted than are completed.
+    const double admitted = std::min(1.0, known.load_.total_);
+    const double unreported = std::max(1.0, completions * seconds * admitted);
     const std::vector<double> arrivals =
         distribute(known.upstreams_, unreported);
     expectation result;
--- a/src/libadmission/decision_test.cpp
+++ b/src/libadmission/decision_test.cpp
@@ -161,6 +161,19 @@
 }
 
 
+// Guards against counting more unreported requests at a new group than arrive.
+Test(decision, a_free_group_among_full_ones_is_not_predicted_full)
+{
+    std::vector<double> requests(29, 60);
+    requests.push_back(0);
+    arrival a = make_arrival();
+    a.target_ = milliseconds{200};
+    const decision d = decide(a, make_conditions(requests, 0.1));
+    cr_expect_not(d.refusal_.has_value());
+    cr_expect_leq(d.predicted_.count(), 200);
+}
+
+
 Test(decision, admits_without_upstreams)
 {
     cr_expect_not(decide(make_arrival(), {}).refusal_.has_value());
