traffic: bytes without an event do not end a group's silence

Cause: each read of a stream began the wait for the group anew, so that a group that sent a byte or a comment now and then kept a stream until the caller's deadline although another group could go on with it.

Change: only a response head, an event with content, or a part of a body that is no stream ends the silence; the time of a write to the caller is left out of it.

--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -50,6 +50,9 @@
     run_state run_before_ = run_state::unsent;
     /// Error of the last read of a body.
     boost::system::error_code read_failure_;
+    /// Since when the group has sent no response head, no event with content
+    /// and no part of a body that is not a stream.
+    base::time_point silent_since_;
 };
 
 
@@ -132,15 +135,20 @@
 }
 
 
-// Returns when a silent group is to be given up.
+// Returns when a silent group is to be given up. Bytes that complete no event
+// don't end its silence.
 asio::awaitable<void> watch_silence(attempt& a)
 {
     asio::steady_timer timer(a.thread_.context_);
     for (;;) {
-        timer.expires_after(limits_of(a).upstream_idle_timeout_);
+        const auto silent = base::boot_clock::now() - a.silent_since_;
+        timer.expires_after(std::max<std::chrono::nanoseconds>(
+            limits_of(a).upstream_idle_timeout_ - silent,
+            std::chrono::nanoseconds::zero()));
         const auto [failure] = co_await timer.async_wait(base::await_tuple);
         if (failure || !is_group_alive(a))
             co_return;
+        a.silent_since_ = base::boot_clock::now();
         const bool replaced = co_await a.progress_.obtain_replacement_();
         if (replaced)
             co_return;
@@ -281,7 +289,14 @@
             co_return false;
     }
     observe_tokens(a, splitter.progress_.tokens_ - before);
-    co_return co_await write_chunk(a.caller_, events, limits_of(a));
+    const bool has_content =
+        splitter.progress_.tokens_ > before || splitter.progress_.done_;
+    const base::time_point write_began = base::boot_clock::now();
+    const bool sent = co_await write_chunk(a.caller_, events, limits_of(a));
+    // The time that a slow caller takes is not the group's.
+    const base::time_point now = base::boot_clock::now();
+    a.silent_since_ = has_content ? now : a.silent_since_ + (now - write_began);
+    co_return sent;
 }
 
 
@@ -353,6 +368,7 @@
             co_return fail_attempt(
                 a,
                 "the response was interrupted: " + a.read_failure_.message());
+        a.silent_since_ = base::boot_clock::now();
         body.append(bytes.data(), *size);
         if (body.size() > max_buffered_answer_bytes)
             co_return fail_attempt(a, "the response exceeds the maximum size");
@@ -391,6 +407,7 @@
     if (failure)
         co_return fail_attempt(
             a, "no response head received: " + failure.message());
+    a.silent_since_ = base::boot_clock::now();
     upstream_response_parser& parser = *received;
     if (!has_matching_request_id(a, parser))
         co_return fail_attempt(a, "the response has the id of another request");
@@ -428,7 +445,15 @@
     const group_row& group)
 {
     attempt a{
-        thread, caller, context, progress, group, nullptr, progress.run_, {}};
+        thread,
+        caller,
+        context,
+        progress,
+        group,
+        nullptr,
+        progress.run_,
+        {},
+        {}};
     const in_flight_guard load_guard(group.load_);
     group.load_->limit_.record_send(base::boot_clock::now());
     ++context.report_.attempts_;
@@ -447,6 +472,7 @@
         a.upstream_->stream_, request, base::await_tuple);
     if (failure)
         co_return fail_attempt(a, "writing the request failed");
+    a.silent_since_ = base::boot_clock::now();
     co_return co_await relay_answer(a);
 }
 
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -120,6 +120,7 @@
     case engine_fault::none:
     case engine_fault::slow_head:
     case engine_fault::slow_stream:
+    case engine_fault::trickling_stream:
     case engine_fault::stalled_stream:
     case engine_fault::stalled_head:
         return complete;
@@ -166,6 +167,7 @@
     if (fault == engine_fault::slow_head || fault == engine_fault::stalled_head)
         return 0;
     if (fault == engine_fault::slow_stream ||
+        fault == engine_fault::trickling_stream ||
         fault == engine_fault::stalled_stream)
         return answer.size() - stream_end.size() - 20;
     return answer.size();
@@ -217,6 +219,14 @@
         if (at == text.size())
             co_return;
         asio::steady_timer timer(context_);
+        for (; f == engine_fault::trickling_stream && at < text.size(); ++at) {
+            timer.expires_after(trickle_pause);
+            co_await timer.async_wait(base::await_tuple);
+            co_await asio::async_write(
+                socket, asio::buffer(&text[at], 1), base::await_tuple);
+        }
+        if (at == text.size())
+            co_return;
         if (f == engine_fault::stalled_stream ||
             f == engine_fault::stalled_head)
             timer.expires_at(asio::steady_timer::time_point::max());
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -27,6 +27,8 @@
     slow_head,
     /// Pauses for slow_engine_pause within the stream.
     slow_stream,
+    /// Sends the end of the stream a byte at a time, trickle_pause apart.
+    trickling_stream,
     /// Sends a part of the stream and nothing after it.
     stalled_stream,
     /// Sends nothing.
@@ -56,6 +58,7 @@
 
 /// How long a slow engine sends nothing.
 inline constexpr std::chrono::milliseconds slow_engine_pause{300};
+inline constexpr std::chrono::milliseconds trickle_pause{20};
 
 
 /// Engine on a thread of its own that streams three tokens, each containing the
--- a/src/libtraffic/silent_group_test.cpp
+++ b/src/libtraffic/silent_group_test.cpp
@@ -109,6 +109,25 @@
 }
 
 
+// A stream whose group sent a byte now and then was kept there, although
+// another group could go on with it.
+Test(silent_group, stream_without_events_moves_to_another_group)
+{
+    limits bounds = test::make_limits();
+    bounds.upstream_idle_timeout_ = 5 * test::trickle_pause;
+    server_session r(bounds);
+    r.publish(base::time_point::max(), 1);
+    r.first_.inject_faults(engine_fault::trickling_stream, 1);
+    boost::asio::write(
+        r.socket_, boost::asio::buffer(server_session::make_chat("p")));
+    while (r.first_.requests() == 0)
+        std::this_thread::sleep_for(1ms);
+    r.publish(base::time_point::max(), 2);
+    assert_whole(r.receive());
+    cr_assert_eq(r.second_.requests(), 1);
+}
+
+
 // Guards against waiting for a group of which nobody knows that it is alive.
 Test(silent_group, stalled_stream_ends_when_its_group_is_gone)
 {
