relay: refuse requests whose Transfer-Encoding leaves their length open

Cause: Beast's parser takes a request whose last transfer coding isn't chunked for one without a body.

Change: after the header, a request with several Transfer-Encoding fields, one beside a length, one in HTTP/1.0 or one that doesn't end in chunked once is answered 400, chunks with a further coding 501, and the connection is closed.

The relay of src/libtraffic is not changed yet.

--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -10,6 +10,7 @@
 #include <monsoondock/base/bounded_parser.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/stable_hash.hpp>
+#include <monsoondock/base/transfer_encoding.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -157,6 +158,8 @@
         connection.socket_, connection.buffer_, parser, base::await_tuple);
     if (head_failure)
         co_return to_result(connection, head_failure);
+    if (const auto fault = base::find_transfer_encoding_fault(parser.get()))
+        co_return rejection(*fault, "bad_transfer_encoding");
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view continue_response =
             "HTTP/1.1 100 Continue\r\n\r\n";
