relay: hosts that fall silent under a request count like crashes

Cause: a try that the daemon itself ended, by the deadline or for another host, never counted as a possible crash, and a crash without a reset ends no other way.

Change: the host of a try that was given up is watched. A response or an accepted connection ends the watch, so that neither a second of silence nor slowness counts.

--- a/src/librelay/crash_records.hpp
+++ b/src/librelay/crash_records.hpp
@@ -14,7 +14,8 @@
 
 
 /// Records that a try was lost, which may have been the end of its upstream,
-/// and has peers told of it.
+/// and has peers told of it. Watches the upstream when the try was given up
+/// instead.
 void record_possible_crash(
     proxy_thread& t,
     const exchange& e,
@@ -22,6 +23,18 @@
     const upstream& target);
 
 
+/// Watches the upstream of a try that was given up before its response was
+/// complete, as the upstream may have stopped responding under the request.
+void watch_silent_try(
+    proxy_thread& t, const exchange& e, const upstream& target);
+
+
+/// Connects to upstreams that have been silent for too long since a request was
+/// given up there. The losses at those that accept no connection are handled
+/// like lost responses.
+void check_silent_losses(proxy_thread& t, base::time_point now);
+
+
 /// Ends the wait for the cause of the losses at a host: drops them when the
 /// link to it was cut, and records them as possible crashes otherwise.
 void resolve_losses(proxy_thread& t, const base::host_id& host, bool link_cut);
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -220,6 +220,9 @@
         c.t_.metrics_.add(metrics::counter::upstream_failures, label_of(c.e_));
         record_possible_crash(c.t_, c.e_, c.state_, u);
     }
+    if (outcome == try_outcome::suspended ||
+        outcome == try_outcome::caller_gone)
+        watch_silent_try(c.t_, c.e_, u);
     if (outcome != try_outcome::relayed && outcome != try_outcome::answered)
         log_try(c, u, outcome);
     if (outcome == try_outcome::relayed || outcome == try_outcome::answered)
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -209,6 +209,16 @@
 }
 
 
+void proxy_session::place_hosts(const std::vector<tcp::endpoint>& addresses)
+{
+    auto view = std::make_shared<serving_view>(
+        *make_view(kind_, options_, upstream_.address()));
+    for (std::size_t i = 0; i < addresses.size(); ++i)
+        view->upstreams_[{"d"}].at(i).address_ = addresses[i];
+    proxy_.publish(std::move(view));
+}
+
+
 void proxy_session::cut_links(const std::vector<const proxy_session*>& helpers)
 {
     auto links = std::make_shared<link_view>();
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -101,6 +101,11 @@
     void list_hosts(const std::vector<const char*>& hosts);
 
 
+    /// Publishes a view in which the hosts have these addresses.
+    void
+    place_hosts(const std::vector<boost::asio::ip::tcp::endpoint>& addresses);
+
+
     /// Returns the address for detours.
     boost::asio::ip::tcp::endpoint detour_address() const
     {
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -208,6 +208,7 @@
 {
     count_connections(t);
     expire_losses(t, now);
+    check_silent_losses(t, now);
     update_paces(t, now);
     for (const auto& e : t.exchanges_) {
         sweep_exchange(t, *e, now);
--- a/src/librelay/proxy_thread.hpp
+++ b/src/librelay/proxy_thread.hpp
@@ -2,6 +2,7 @@
 
 #include "exchange.hpp"
 #include "possible_crash.hpp"
+#include "silent_losses.hpp"
 
 #include <monsoondock/admission/call_time_meter.hpp>
 #include <monsoondock/admission/model_admission.hpp>
@@ -18,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -81,6 +83,9 @@
     connection_pool upstream_pool_;
     /// Losses whose cause the control thread is finding out.
     std::vector<possible_crash> possible_crashes_;
+    /// Requests without a response whose upstreams are watched, in the order in
+    /// which they were given up.
+    std::deque<silent_loss> silent_losses_;
     std::unordered_map<base::deployment_id, retry_limiter> retry_limiters_;
     demand_table demand_;
     /// Upstreams that accepted a connection since the latest reading.
