placement: leave groups in evacuated data centres as they are

Groups of an evacuated data centre counted as capacity, were repaired when a member failed, and their hosts formed new groups, although they get no requests.

The planner gets the evacuated data centres. Their groups are no capacity, stay unchanged and get no orders until the end, their hosts count as not usable, and the time limits of forming and closing groups do not run.

--- a/src/include/monsoondock/placement/planner_input.hpp
+++ b/src/include/monsoondock/placement/planner_input.hpp
@@ -20,6 +20,9 @@
     const catalog::engine* engine_ = nullptr;
     /// Hosts that failed to respond, although they may still be listed.
     std::set<base::host_id> unreachable_;
+    /// Data centres that are being evacuated. Their groups are no capacity, and
+    /// their hosts get no orders.
+    std::set<base::data_centre_id> evacuated_;
     /// Measured demand for each model: the number of hosts that its requests
     /// keep busy. The planner uses the model's expected share when it is
     /// absent.
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -139,6 +139,7 @@
         if (reachability.unreachable_until_ > input.now_)
             input.unreachable_.insert(id);
     }
+    input.evacuated_ = c.evacuations_.set_.data_centres_;
     input.needed_hosts_ = needed_hosts(c, d);
     input.before_traffic_ = c.config_.first_start_ &&
                             input.now_ - c.started_at_ < traffic_start_delay;
--- a/src/libplacement/advance_formations.cpp
+++ b/src/libplacement/advance_formations.cpp
@@ -205,6 +205,15 @@
 
 bool advance(planning_step& step, formation& f)
 {
+    if (is_evacuated(step, f)) {
+        // The time of an evacuation does not count for the time limits.
+        f.join_deadline_ = std::max(
+            f.join_deadline_,
+            step.input_.now_ + step.state_.config_.formation_slack_);
+        if (f.phase_ == formation_phase::closing)
+            f.phase_start_ = step.input_.now_;
+        return false;
+    }
     const member_check m = check_members(step, f);
     switch (f.phase_) {
     case formation_phase::joining:
--- a/src/libplacement/planner_state.hpp
+++ b/src/libplacement/planner_state.hpp
@@ -134,7 +134,17 @@
 find_host(const planning_step& step, const base::host_id& id);
 
 
-/// Returns true when the host is listed, reachable and not draining.
+/// Returns true when the host is listed in a data centre that is being
+/// evacuated.
+bool is_evacuated(const planning_step& step, const base::host_id& id);
+
+
+/// Returns true when a member of the formation is.
+bool is_evacuated(const planning_step& step, const formation& f);
+
+
+/// Returns true when the host is listed, reachable, not draining and not in a
+/// data centre that is being evacuated.
 bool is_usable(const planning_step& step, const base::host_id& id);
 
 
--- a/src/libplacement/planning_step.cpp
+++ b/src/libplacement/planning_step.cpp
@@ -1,5 +1,7 @@
 #include "planner_state.hpp"
 
+#include <algorithm>
+
 namespace monsoondock::placement::pvt {
 
 const fleet::host_info*
@@ -10,11 +12,28 @@
 }
 
 
+bool is_evacuated(const planning_step& step, const base::host_id& id)
+{
+    const fleet::host_info* host = find_host(step, id);
+    return host != nullptr &&
+           step.input_.evacuated_.contains(host->data_centre_);
+}
+
+
+bool is_evacuated(const planning_step& step, const formation& f)
+{
+    return std::any_of(
+        f.members_.begin(), f.members_.end(), [&](const auto& id) {
+            return is_evacuated(step, id);
+        });
+}
+
+
 bool is_usable(const planning_step& step, const base::host_id& id)
 {
     const fleet::host_info* host = find_host(step, id);
     return host != nullptr && !host->draining_ &&
-           !step.input_.unreachable_.contains(id);
+           !step.input_.unreachable_.contains(id) && !is_evacuated(step, id);
 }
 
 
--- a/src/libplacement/reassign_hosts.cpp
+++ b/src/libplacement/reassign_hosts.cpp
@@ -56,7 +56,7 @@
     std::vector<std::pair<std::size_t, formation*>> eligible;
     for (auto& [key, f] : step.state_.formations_) {
         if (f.domain_ != domain || f.model_ == m.name_ ||
-            f.phase_ != formation_phase::serving)
+            f.phase_ != formation_phase::serving || is_evacuated(step, f))
             continue;
         const std::size_t usable = count_members_with_weights(step, f, m);
         if (usable > 0)
@@ -151,11 +151,26 @@
 }
 
 
-// A reassignment ends when the receiving group forms or the timeout expires.
+bool is_evacuated(
+    const planning_step& step, const base::fabric_domain_id& domain)
+{
+    const auto& evacuated = step.input_.evacuated_;
+    return !evacuated.empty() &&
+           std::any_of(
+               step.hosts_.begin(), step.hosts_.end(), [&](const auto& entry) {
+                   return entry.second.domain_ == domain &&
+                          evacuated.contains(entry.second.data_centre_);
+               });
+}
+
+
+// A reassignment ends when the receiving group forms, the timeout expires or
+// its data centre is evacuated.
 void remove_finished_reassignments(planning_step& step)
 {
     std::erase_if(step.state_.reassignments_, [&](const auto& r) {
-        if (step.input_.now_ - r.started_at_ > reassignment_timeout)
+        if (step.input_.now_ - r.started_at_ > reassignment_timeout ||
+            is_evacuated(step, r.domain_))
             return true;
         return std::any_of(
             step.state_.formations_.begin(),
--- a/src/libplacement/supply.cpp
+++ b/src/libplacement/supply.cpp
@@ -34,7 +34,8 @@
 {
     double hosts = 0;
     for (const auto& [key, f] : step.state_.formations_) {
-        if (f.model_ == model && counts_as_capacity(f))
+        if (f.model_ == model && counts_as_capacity(f) &&
+            !is_evacuated(step, f))
             hosts += double(f.members_.size());
     }
     const catalog::model* m = find_model(step, model);
