entry: evidence of the pace of upstreams is pooled among daemons

A daemon samples each upstream only every few seconds, so it learns of a straggler late on its own. Setting learned_capacity (default false): evidence goes the way of load reports in a new message at the end of peer_message, once a second and only for upstreams that differ from others; a straggler that a daemon has found itself is reported to all at once. Unusable reports are dropped and logged. Without the setting nothing is sent, and received ones are ignored.

--- a/src/include/monsoondock/settings/entry_config.hpp
+++ b/src/include/monsoondock/settings/entry_config.hpp
@@ -68,6 +68,9 @@
     bool evacuations_ = false;
     retry_settings retries_;
     admission_rule admission_ = admission_rule::queue;
+    /// True when requests are distributed by the pace and the capacity of
+    /// upstreams as learned from their responses.
+    bool learned_capacity_ = false;
 };
 
 
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -4,6 +4,7 @@
 #include "host_sync.hpp"
 #include "leaving_hosts.hpp"
 #include "link_checks.hpp"
+#include "pace_exchange.hpp"
 #include "peer_message.hpp"
 
 #include <monsoondock/entry/platform_adapter.hpp>
@@ -173,6 +174,19 @@
 };
 
 
+/// Evidence of the pace of upstreams, as exchanged between daemons.
+struct pace_exchange_state
+{
+    /// Evidence that this daemon sums up while it is the relay of its data
+    /// centre.
+    pace_exchange exchange_;
+    base::time_point reported_at_;
+    /// When an unusable report was last logged, and those not logged since.
+    base::time_point unusable_logged_at_;
+    std::uint64_t unusable_ = 0;
+};
+
+
 /// Parts of prompts under which upstreams crash, as exchanged between daemons.
 struct part_state
 {
@@ -216,6 +230,7 @@
     link_state links_;
     demand_rates demand_;
     load_state loads_;
+    pace_exchange_state paces_;
     part_state parts_;
     evacuation_state evacuations_;
     /// When this daemon last repeated what it knows to its peers.
@@ -471,6 +486,17 @@
 void handle_loads(control_plane& c, const load_sum_message& m);
 
 
+/// Reports evidence of this daemon on the pace of upstreams once a second and,
+/// as the relay of its data centre, sends on the sums of many daemons. Does
+/// nothing unless capacity is learned.
+void report_paces(
+    control_plane& c, const std::vector<hostpace::pace_report>& reports);
+
+
+/// Records evidence of peers. Unusable reports are dropped and logged.
+void handle_paces(control_plane& c, const host_pace_message& m);
+
+
 /// Periodically reports requests in progress and demand to the daemons that use
 /// them. Never returns.
 boost::asio::awaitable<void> run_load_reports(control_plane& c);
--- a/src/libentry/load_reports.cpp
+++ b/src/libentry/load_reports.cpp
@@ -209,6 +209,7 @@
                 record_connected(c, stats.connected_);
                 report_loads(c, stats.loads_);
                 report_demand(c, *pending, stats.demand_);
+                report_paces(c, stats.paces_);
                 exchange_state(c, stats);
             });
         });
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -2,6 +2,7 @@
 
 #include "evacuations.hpp"
 #include "host_change_log.hpp"
+#include "host_pace_message.hpp"
 #include "load_exchange.hpp"
 
 #include <monsoondock/base/identifier.hpp>
@@ -222,7 +223,8 @@
     host_query_message,
     host_finding_message,
     group_check_message,
-    evacuations_message>;
+    evacuations_message,
+    host_pace_message>;
 
 
 /// Returns the datagram for a message.
--- a/src/libentry/peer_message_test.cpp
+++ b/src/libentry/peer_message_test.cpp
@@ -201,3 +201,37 @@
     cr_assert(got.has_value());
     cr_assert(std::get<pvt::forwarded_message>(*got).body_ == body);
 }
+
+
+Test(peer_message, host_paces_round_trip)
+{
+    pvt::host_pace_message sent{
+        pvt::pace_scope::data_centre, "heredia", {{{"h"}, 7, {}}}};
+    sent.reports_[0].sums_.levels_[1] = {300, 75};
+    sent.reports_[0].sums_.levels_[3] = {0.5, 0.25};
+    const std::string bytes = pvt::encode(sent);
+    const auto got = pvt::decode(bytes);
+    cr_assert(got.has_value());
+    const auto& m = std::get<pvt::host_pace_message>(*got);
+    cr_assert(m.scope_ == sent.scope_);
+    cr_assert(m.source_ == sent.source_);
+    cr_assert(m.reports_ == sent.reports_);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        cr_assert_not(pvt::decode(bytes.substr(0, n)).has_value());
+    // As stated in docs/design/learned-capacity.md, with a name of 13 bytes and
+    // evidence at two levels.
+    cr_assert_leq(bytes.size() + 12, 63);
+}
+
+
+// Daemons of earlier builds know the messages by these numbers.
+Test(peer_message, type_codes_are_stable)
+{
+    const auto code = [](const pvt::peer_message& m) {
+        return m.index();
+    };
+    cr_assert_eq(code(pvt::membership_message{}), 0);
+    cr_assert_eq(code(pvt::load_message{}), 4);
+    cr_assert_eq(code(pvt::host_limits_message{}), 16);
+    cr_assert_eq(code(pvt::group_check_message{}), 19);
+}
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -199,6 +199,7 @@
                 for (const relay::host_limit_report& r : m.limits_)
                     c.proxy_->apply_host_limit(r);
             },
+            [&](const host_pace_message& m) { handle_paces(c, m); },
             [&](const host_query_message& m) {
                 asio::co_spawn(
                     c.context_,
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -39,6 +39,7 @@
     result.admission_ = config.admission_ == settings::admission_rule::latency
                             ? relay::admission_rule::latency
                             : relay::admission_rule::queue;
+    result.learned_capacity_ = config.learned_capacity_;
     return result;
 }
 
@@ -87,6 +88,17 @@
             pvt::broadcast(c, pvt::host_limits_message{{report}});
         });
     };
+    callbacks.on_slow_upstreams_ =
+        [&c](const std::vector<hostpace::pace_report>& reports) {
+            asio::post(c.context_, [&c, reports] {
+                pvt::broadcast(
+                    c,
+                    pvt::host_pace_message{
+                        pvt::pace_scope::alert,
+                        c.config_.daemon_.value_,
+                        reports});
+            });
+        };
     callbacks.on_responsive_ = [&c](const base::host_id& host) {
         asio::post(c.context_, [&c, host] {
             pvt::broadcast(c, pvt::upstream_healthy_message{host});
--- a/src/libsettings/entry_config.cpp
+++ b/src/libsettings/entry_config.cpp
@@ -63,6 +63,8 @@
     c.evacuations_ = pvt::read_optional<bool>(r, "evacuations", false, {});
     c.admission_ = pvt::read_optional<admission_rule>(
         r, "admission", admission_rule::queue, {});
+    c.learned_capacity_ =
+        pvt::read_optional<bool>(r, "learned_capacity", false, {});
     c.retries_ = pvt::read_section<retry_settings>(
         r, "retries", file, faults, read_retries);
     r.finish();
--- a/src/libsettings/entry_config_test.cpp
+++ b/src/libsettings/entry_config_test.cpp
@@ -135,3 +135,15 @@
           "grace = \"5\"\n"})
         cr_assert_eq(faults_of(GOOD + line).size(), 1, "%s", line);
 }
+
+
+// An installation whose file does not name the key is served as before.
+Test(entry_config, learned_capacity_is_off_unless_set)
+{
+    const auto plain = parse_entry_config(GOOD, "e.toml");
+    cr_assert_not(std::get<entry_config>(plain).learned_capacity_);
+    const auto set =
+        parse_entry_config(GOOD + "learned_capacity = true\n", "e.toml");
+    cr_assert(std::get<entry_config>(set).learned_capacity_);
+    cr_assert_eq(faults_of(GOOD + "learned_capacity = 1\n").size(), 1);
+}
