entry: a new leader waits out the last order of the previous one

Cause: an order is begun up to 0.5 s after the leader has confirmed its record, and sent when its host accepts the connection, up to 0.3 s later. A successor sent its first order after 0.7 s, so that a host could receive orders of both within 0.1 s. Epochs kept an old one from undoing a newer one.

Change: the successor waits for 0.9 s, and the three times stand in one header.

--- a/src/libentry/election.hpp
+++ b/src/libentry/election.hpp
@@ -27,6 +27,20 @@
 inline constexpr std::size_t store_outage_candidates = 4;
 
 
+/// Orders are begun only within this time after a write of the leader record.
+inline constexpr std::chrono::milliseconds confirmation_validity{500};
+
+
+/// Time to connect to the host of an order, which is sent after it.
+inline constexpr std::chrono::milliseconds order_connect_timeout{300};
+
+
+/// Time that a new leader waits after its write of the record before its first
+/// order. It outlasts the last order that the previous leader may send, so that
+/// a host does not receive orders of both at the same time.
+inline constexpr std::chrono::milliseconds takeover_delay{900};
+
+
 /// What a daemon that does not lead knows about the leader.
 struct leader_knowledge
 {
--- a/src/libentry/election_test.cpp
+++ b/src/libentry/election_test.cpp
@@ -74,3 +74,15 @@
     cr_assert_not(pvt::is_election_due(k, start + 400ms));
     cr_assert(pvt::is_election_due(k, start + 500ms));
 }
+
+
+// Guards against orders of two leaders at the same time: an order was begun up
+// to 0.5 s after the previous leader had confirmed its record and sent when the
+// host accepted the connection, up to 0.3 s later, while its successor waited
+// for 0.7 s.
+Test(election, last_order_of_a_leader_precedes_the_first_of_its_successor)
+{
+    cr_assert(
+        pvt::confirmation_validity + pvt::order_connect_timeout <
+        pvt::takeover_delay);
+}
--- a/src/libentry/leadership.cpp
+++ b/src/libentry/leadership.cpp
@@ -22,11 +22,6 @@
 // On the first start of the system there is no leader to wait for, so all
 // daemons try within this time.
 constexpr std::chrono::milliseconds max_first_delay{80};
-// Orders are sent only within this time after a write of the leader record. A
-// new leader waits longer than that before its first order, so that orders of
-// two leaders don't overlap.
-constexpr std::chrono::milliseconds confirmation_validity{500};
-constexpr std::chrono::milliseconds takeover_delay{700};
 // A leader that has not reached the store for this time stops its heartbeats,
 // so that another daemon takes over.
 constexpr std::chrono::milliseconds max_store_outage{2500};
--- a/src/libentry/placement_loop.cpp
+++ b/src/libentry/placement_loop.cpp
@@ -1,4 +1,5 @@
 #include "control_plane.hpp"
+#include "election.hpp"
 #include "http_call.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -17,7 +18,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::chrono::milliseconds step_period{100};
-constexpr std::chrono::milliseconds order_connect_timeout{300};
 constexpr std::chrono::milliseconds order_timeout{700};
 // On the first start of the system, callers send no requests for this time
 // after the daemons have started.
