--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -58,7 +58,7 @@
 
 /// How long a slow engine sends nothing.
 inline constexpr std::chrono::milliseconds slow_engine_pause{300};
-inline constexpr std::chrono::milliseconds trickle_pause{20};
+inline constexpr std::chrono::milliseconds trickle_pause{40};
 
 
 /// Engine on a thread of its own that streams three tokens, each containing the
--- a/src/libtraffic/silent_group_test.cpp
+++ b/src/libtraffic/silent_group_test.cpp
@@ -114,7 +114,9 @@
 Test(silent_group, stream_without_events_moves_to_another_group)
 {
     limits bounds = test::make_limits();
-    bounds.upstream_idle_timeout_ = 5 * test::trickle_pause;
+    // Longer than the bytes of a chunk header take, which end no read, and
+    // shorter than those of an event.
+    bounds.upstream_idle_timeout_ = 10 * test::trickle_pause;
     server_session r(bounds);
     r.publish(base::time_point::max(), 1);
     r.first_.inject_faults(engine_fault::trickling_stream, 1);
