--- a/src/libentry/evacuations.cpp
+++ b/src/libentry/evacuations.cpp
@@ -43,7 +43,7 @@
 {
     if (s.read_ && newer.version_ <= s.set_.version_)
         return {};
-    const evacuation_change change{
+    evacuation_change change{
         difference(newer.data_centres_, s.set_.data_centres_),
         difference(s.set_.data_centres_, newer.data_centres_)};
     s.set_ = newer;
