traffic: refuse requests whose Transfer-Encoding leaves their length open

The product's own relay read requests in the same way as librelay, so that the body of one with an unknown length was taken for a second request. It uses the same check; 400 or 501, and the connection is closed.

--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -8,6 +8,7 @@
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/bounded_parser.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/transfer_encoding.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -170,6 +171,12 @@
         bounds.header_timeout_);
     if (head_failure)
         co_return to_read_result(head_failure);
+    if (const auto fault = base::find_transfer_encoding_fault(parser.get()))
+        co_return bad_request(
+            *fault,
+            "bad_transfer_encoding",
+            "the only transfer coding that is accepted is chunked, in HTTP/1.1 "
+            "and without a Content-Length");
     if (thread.shared_.aborting_)
         co_return stopping(run_state::unsent);
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
