relay, entry: limit what cold hosts get from all daemons together

A host that is cold, after its start or an evacuation, got its usual share of requests.

The control plane turns the cold time of an entry into a time point once for each write, and counts every host of a data centre as cold for cold_start_s after an evacuation. While it is cold, cold_per_s is divided among a quarter as many daemons and two, with a share that does not depend on how many others are known, chosen from all daemons known lately. This limit and the one that a host names are separate; the share of requests grows over a second afterwards.

All changed files compile.

--- a/src/include/monsoondock/fleet/host_info.hpp
+++ b/src/include/monsoondock/fleet/host_info.hpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/fleet/group_role.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
     std::vector<std::string> staged_;
     /// Model that the host runs or ran last; empty when there is none.
     std::string model_;
+    /// Time for which the host is cold, as of the write of its entry. Whoever
+    /// applies the entry turns it into a time point, once for each write.
+    std::chrono::milliseconds cold_time_{0};
     /// Absent when the host is in no group.
     std::optional<group_role> role_;
 
--- a/src/include/monsoondock/hostlimits/host_limit.hpp
+++ b/src/include/monsoondock/hostlimits/host_limit.hpp
@@ -57,6 +57,30 @@
     const std::vector<base::daemon_id>& others);
 
 
+/// Same for the limit of a cold host, which has to hold in any one second. So
+/// few daemons share it that what each may send at once stays within a quarter
+/// of it and two requests, and the part of each does not depend on how many
+/// others there are: a daemon that knows too few of them exceeds the limit by
+/// its own part at most. others are all daemons that have been known lately,
+/// whether or not they are alive, so that both sides of a partition choose the
+/// same ones.
+double share_of_cold_limit(
+    double per_second,
+    const base::host_id& host,
+    const base::daemon_id& self,
+    const std::vector<base::daemon_id>& others);
+
+
+/// Puts a limit into force that ends at a time, with no share and nothing to be
+/// sent at once, or changes the end or the rate of one that is in force. Rate
+/// 0: no limit.
+void limit_until(
+    host_limit& limit,
+    double per_second,
+    base::time_point end,
+    base::time_point now);
+
+
 /// Number of daemons among which a limit is divided.
 std::size_t sharing_daemons(double per_second, std::size_t daemons);
 
--- a/src/include/monsoondock/relay/serving_view.hpp
+++ b/src/include/monsoondock/relay/serving_view.hpp
@@ -25,6 +25,12 @@
     unsigned daemons_ = 1;
     /// The others of them.
     std::vector<base::daemon_id> peers_;
+    /// All other daemons that have been known lately, whether or not they are
+    /// alive, among which the limits of cold hosts are divided.
+    std::vector<base::daemon_id> known_daemons_;
+    /// False while this daemon may know too few of the others to have a share
+    /// in the limits of cold hosts.
+    bool shares_cold_limits_ = true;
     /// Age that the known loads of upstreams have at most, as long as no report
     /// of them is lost.
     std::chrono::milliseconds load_report_age_{0};
--- a/src/include/monsoondock/relay/upstream.hpp
+++ b/src/include/monsoondock/relay/upstream.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/base/identifier.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -26,6 +27,11 @@
     double time_factor_ = 1.0;
     /// Start of the host's process in milliseconds since 1970; 0 when unknown.
     std::int64_t process_start_ms_ = 0;
+    /// Until this time the host is cold; unset when it has not been lately.
+    base::time_point cold_until_;
+    /// Requests a second that it accepts from all daemons together while it is
+    /// cold; 0 for no limit.
+    double cold_requests_per_second_ = 0;
     /// Identifies the group and its formation in logs.
     std::string group_;
 };
--- a/src/include/monsoondock/relay/upstream_table.hpp
+++ b/src/include/monsoondock/relay/upstream_table.hpp
@@ -38,6 +38,11 @@
     base::time_point paused_until_;
     /// Limit of the requests that the upstream accepts.
     hostlimits::host_limit limit_;
+    /// Until this time the upstream is cold; unset when it has not been lately.
+    base::time_point cold_until_;
+    /// Limit of the requests that the upstream accepts while it is cold. In
+    /// force beside limit_; either may end before the other.
+    hostlimits::host_limit cold_limit_;
     /// Process of the upstream that leaving_, paused_until_ and limit_ are
     /// about.
     std::int64_t process_start_ms_ = 0;
--- a/src/libentry/control_plane.cpp
+++ b/src/libentry/control_plane.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::entry::pvt {
 
 namespace asio = boost::asio;
@@ -21,6 +23,9 @@
 constexpr std::chrono::milliseconds store_call_timeout{1000};
 // Membership spreads a new daemon to all others within this time.
 constexpr std::chrono::milliseconds settle_time{1000};
+// Partitions are shorter than this in general, and hosts are cold for some
+// seconds, for which a daemon that has been started leaves them to the others.
+constexpr std::chrono::milliseconds acquaintance_time{10000};
 // Building a view takes time in proportion to the number of hosts, whose
 // entries change many times a second in a large cluster.
 constexpr std::chrono::milliseconds min_view_period{60};
@@ -86,8 +91,33 @@
 }
 
 
+// Returns until when a host is cold: by its entry, or as the evacuation of its
+// data centre has ended. Unset when it is not, and was not lately.
+base::time_point cold_until(
+    const control_plane& c,
+    const catalog::deployment& d,
+    const fleet::host_info& host)
+{
+    base::time_point until;
+    const bool limited = d.cold_requests_per_second_ > 0;
+    const auto by_entry = c.hosts_.cold_until_.find(host.id_);
+    if (limited && by_entry != c.hosts_.cold_until_.end())
+        until = by_entry->second;
+    const auto ended = c.evacuations_.ended_at_.find(host.data_centre_);
+    if (ended != c.evacuations_.ended_at_.end())
+        until = std::max(
+            until,
+            ended->second +
+                (limited ? d.cold_time_ : std::chrono::milliseconds(0)));
+    return until;
+}
+
+
 relay::upstream make_upstream(
-    const fleet::host_info& host, const asio::ip::tcp::endpoint& address)
+    const control_plane& c,
+    const catalog::deployment& d,
+    const fleet::host_info& host,
+    const asio::ip::tcp::endpoint& address)
 {
     relay::upstream u;
     u.host_ = host.id_;
@@ -95,6 +125,8 @@
     u.data_centre_ = host.data_centre_;
     u.slots_ = host.slots_;
     u.process_start_ms_ = host.process_start_ms_;
+    u.cold_until_ = cold_until(c, d, host);
+    u.cold_requests_per_second_ = d.cold_requests_per_second_;
     return u;
 }
 
@@ -109,14 +141,14 @@
 
 
 std::vector<relay::upstream>
-service_upstreams(const control_plane& c, const base::deployment_id& id)
+service_upstreams(const control_plane& c, const catalog::deployment& d)
 {
     std::vector<relay::upstream> result;
     for (const auto& [host_id, host] : c.hosts_.hosts_) {
         const auto address = parse_address(host.address_);
-        if (host.deployment_ == id && !host.draining_ && address &&
+        if (host.deployment_ == d.id_ && !host.draining_ && address &&
             !is_evacuated(c, host.data_centre_))
-            result.push_back(make_upstream(host, *address));
+            result.push_back(make_upstream(c, d, host, *address));
     }
     return result;
 }
@@ -167,7 +199,7 @@
         const auto address = parse_address(head.address_);
         if (!address || is_evacuated(c, head.data_centre_))
             continue;
-        relay::upstream u = make_upstream(head, *address);
+        relay::upstream u = make_upstream(c, d, head, *address);
         u.slots_ = d.engine_->slots_;
         u.model_ = group.model_;
         u.time_factor_ = time_factors[group.model_];
@@ -231,15 +263,34 @@
 }
 
 
+namespace {
+
+// A daemon that was started in a partition knows too few others for a share in
+// the limits of cold hosts. On the first start of the system all are started.
+std::chrono::milliseconds time_to_know_daemons(const control_plane& c)
+{
+    return c.config_.first_start_ ? settle_time : acquaintance_time;
+}
+
+
+bool knows_daemons(const control_plane& c)
+{
+    return base::boot_clock::now() - c.started_at_ >= time_to_know_daemons(c);
+}
+
+} // namespace
+
 relay::view_pointer make_view(const control_plane& c)
 {
     auto view = std::make_shared<relay::serving_view>();
     view->catalog_ = c.catalog_.catalog_;
     view->daemons_ = live_daemons(c);
     for (const auto& [id, member] : c.node_.members()) {
+        view->known_daemons_.push_back(id);
         if (member.record_.state_ == membership::member_state::alive)
             view->peers_.push_back(id);
     }
+    view->shares_cold_limits_ = knows_daemons(c);
     view->load_report_age_ = load_report_age(c);
     view->stopping_ = c.stopping_;
     view->evacuated_ = c.evacuations_.set_.data_centres_;
@@ -248,7 +299,7 @@
     if (view->catalog_ != nullptr && knows_evacuations(c)) {
         for (const auto& [id, d] : view->catalog_->deployments_)
             view->upstreams_[id] =
-                d.engine_ ? group_upstreams(c, d) : service_upstreams(c, id);
+                d.engine_ ? group_upstreams(c, d) : service_upstreams(c, d);
     }
     return view;
 }
@@ -291,6 +342,13 @@
 }
 
 
+asio::awaitable<void> publish_first_shares(control_plane& c)
+{
+    co_await sleep_for(c, time_to_know_daemons(c));
+    publish_view(c);
+}
+
+
 bool is_ready(const control_plane& c)
 {
     return !c.stopping_ && c.catalog_.catalog_ != nullptr && c.hosts_.loaded_ &&
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -70,6 +70,8 @@
     /// have written them again.
     host_entries older_entries_;
     leaving_hosts leaving_;
+    /// Until when the entry of a host says that it is cold; may have passed.
+    std::map<base::host_id, base::time_point> cold_until_;
     /// True once a complete list of hosts has been received.
     bool loaded_ = false;
     /// Hosts whose entries disappeared but may reappear, with the time at which
@@ -289,6 +291,11 @@
 void publish_view(control_plane& c);
 
 
+/// Publishes a snapshot when this daemon has run long enough to have shares in
+/// the limits of cold hosts.
+boost::asio::awaitable<void> publish_first_shares(control_plane& c);
+
+
 /// Publishes the configuration version and readiness of this daemon to its
 /// peers through membership.
 void publish_status(control_plane& c);
--- a/src/libentry/evacuations.cpp
+++ b/src/libentry/evacuations.cpp
@@ -46,6 +46,8 @@
     evacuation_change change{
         difference(newer.data_centres_, s.set_.data_centres_),
         difference(s.set_.data_centres_, newer.data_centres_)};
+    for (const base::data_centre_id& id : change.ended_)
+        s.ended_at_[id] = now;
     s.set_ = newer;
     s.read_ = true;
     if (!change.begun_.empty() || !change.ended_.empty())
--- a/src/libentry/evacuations.hpp
+++ b/src/libentry/evacuations.hpp
@@ -5,6 +5,7 @@
 #include <monsoondock/platform/listing.hpp>
 
 #include <cstddef>
+#include <map>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,8 @@
     bool presumed_none_ = false;
     /// When the data centres last changed; unset before that.
     base::time_point changed_at_;
+    /// When the latest evacuation of each data centre ended.
+    std::map<base::data_centre_id, base::time_point> ended_at_;
 };
 
 
--- a/src/libentry/evacuations_test.cpp
+++ b/src/libentry/evacuations_test.cpp
@@ -189,3 +189,96 @@
     cr_assert(sent.data_centres_.contains({"zz"}));
     cr_assert(sent.version_ == set.version_);
 }
+
+
+namespace {
+
+// Reads entries whose value is the cold time of a host in milliseconds.
+base::result<fleet::host_info>
+parse_cold_host(std::string_view id, std::string_view text)
+{
+    fleet::host_info host;
+    host.id_ = {std::string(id)};
+    host.deployment_ = {"ledger"};
+    host.address_ = "127.0.0.1:80";
+    host.data_centre_ = {"heredia"};
+    host.cold_time_ = std::chrono::milliseconds(std::stol(std::string(text)));
+    return host;
+}
+
+
+/// Control plane that lists a host of a service whose cold hosts have a limit.
+struct cold_service : service
+{
+    cold_service() : service(false)
+    {
+        adapter_.hosts_prefix_ = "hosts/";
+        adapter_.parse_host_ = parse_cold_host;
+        auto catalog = std::make_shared<catalog::catalog>();
+        catalog::deployment& d = catalog->deployments_[{"ledger"}];
+        d.id_ = {"ledger"};
+        d.cold_time_ = 3s;
+        d.cold_requests_per_second_ = 23;
+        control_.catalog_.catalog_ = catalog;
+        control_.hosts_.hosts_.clear();
+        control_.proxy_ = std::make_unique<relay::reverse_proxy>(
+            relay::proxy_config{}, relay::proxy_callbacks{}, metrics_);
+    }
+
+    void list(std::uint64_t version, const std::string& value)
+    {
+        pvt::apply_host_listing(
+            control_, {{100}, {{"hosts/h", {version}, value}}});
+    }
+
+    base::time_point cold_until() const
+    {
+        const auto view = pvt::make_view(control_);
+        return view->upstreams_.at({"ledger"}).front().cold_until_;
+    }
+};
+
+} // namespace
+
+// Guards against a cold time that begins again whenever the hosts are listed,
+// and one that is not extended as the host became cold again.
+Test(cold_hosts, only_another_write_of_an_entry_extends_the_cold_time)
+{
+    cold_service s;
+    s.list(1, "60000");
+    const base::time_point first = s.cold_until();
+    cr_assert_gt(first, base::boot_clock::now() + 50s);
+    s.list(1, "60000");
+    cr_assert(s.cold_until() == first);
+    s.list(2, "60000");
+    cr_assert(s.cold_until() > first);
+    s.list(3, "0");
+    cr_assert(s.cold_until() == base::time_point());
+}
+
+
+// Guards against followers that do not learn that a host became cold again,
+// because its entry reads as before.
+Test(cold_hosts, a_host_that_is_cold_again_is_announced)
+{
+    cold_service s;
+    s.list(1, "60000");
+    const auto before = s.control_.hosts_.change_log_.sequence();
+    s.list(1, "60000");
+    cr_assert_eq(s.control_.hosts_.change_log_.sequence(), before);
+    s.list(2, "60000");
+    cr_assert_eq(s.control_.hosts_.change_log_.sequence(), before + 1);
+}
+
+
+// Guards against full load on hosts that have become cold during an evacuation.
+Test(cold_hosts, all_hosts_are_cold_when_an_evacuation_ends)
+{
+    cold_service s;
+    s.list(1, "0");
+    auto& evacuations = s.control_.evacuations_;
+    const base::time_point now = base::boot_clock::now();
+    pvt::apply(evacuations, make_set(5, 0, {{"heredia"}}), now);
+    pvt::apply(evacuations, make_set(6, 0, {}), now);
+    cr_assert(s.cold_until() == now + 3s);
+}
--- a/src/libentry/host_watch.cpp
+++ b/src/libentry/host_watch.cpp
@@ -78,12 +78,26 @@
 }
 
 
+// Records until when a host is cold, from an entry that it has just written.
+// Returns true when it is cold.
+bool record_cold_time(control_plane& c, const fleet::host_info& host)
+{
+    if (host.cold_time_.count() == 0) {
+        c.hosts_.cold_until_.erase(host.id_);
+        return false;
+    }
+    c.hosts_.cold_until_[host.id_] = base::boot_clock::now() + host.cold_time_;
+    return true;
+}
+
+
 void apply_entry(control_plane& c, const platform::object& o)
 {
     const std::string id = host_id_from_key(c, o.key_);
     auto& entry = c.hosts_.entries_[{id}];
     if (o.version_ < entry.version_)
         return;
+    const bool is_written = o.version_ != entry.version_;
     entry = o;
     c.hosts_.older_entries_.erase({id});
     auto parsed = c.adapter_.parse_host_(id, o.value_);
@@ -102,8 +116,10 @@
         host.draining_ = c.hosts_.leaving_.contains(host);
     c.hosts_.pending_removals_.erase(host.id_);
     c.hosts_.suspended_.erase(host.id_);
+    // A host that has become cold again writes the same entry.
+    const bool is_cold_again = is_written && record_cold_time(c, host);
     auto& known = c.hosts_.hosts_[host.id_];
-    if (known == host)
+    if (known == host && !is_cold_again)
         return;
     record_change(c, {o, false});
     if (known.process_start_ms_ != host.process_start_ms_)
@@ -122,6 +138,7 @@
     record_change(c, {{entry->second.key_, entry->second.version_, {}}, true});
     base::event_line("host_gone").field("host", id).field("reason", reason);
     c.hosts_.hosts_.erase(id);
+    c.hosts_.cold_until_.erase(id);
     c.hosts_.entries_.erase(entry);
     c.hosts_.pending_removals_.erase(id);
     c.hosts_.older_entries_.erase(id);
--- a/src/libentry/run_entry.cpp
+++ b/src/libentry/run_entry.cpp
@@ -125,6 +125,7 @@
     asio::co_spawn(context, pvt::run_catalog_watch(c), asio::detached);
     asio::co_spawn(context, pvt::run_catalog_peer_sync(c), asio::detached);
     asio::co_spawn(context, pvt::run_evacuation_watch(c), asio::detached);
+    asio::co_spawn(context, pvt::publish_first_shares(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_watch(c), asio::detached);
     asio::co_spawn(context, pvt::run_host_peer_sync(c), asio::detached);
     asio::co_spawn(context, pvt::run_store_checks(c), asio::detached);
--- a/src/libhostlimits/host_limit.cpp
+++ b/src/libhostlimits/host_limit.cpp
@@ -14,6 +14,12 @@
 constexpr std::size_t further_daemons = 2;
 
 
+// Daemons that share the limit of a cold host, for each request a second of it.
+// A host may get half its limit and five requests more than the limit in a
+// second; half of that is left for daemons that know too few others.
+constexpr double cold_burst_part = 0.25;
+
+
 using seconds = std::chrono::duration<double>;
 
 
@@ -31,6 +37,21 @@
     return {base::stable_hash(daemon.value_, host), daemon.value_};
 }
 
+// Returns how many of the others have a share in the limit of a host before
+// this daemon.
+std::size_t daemons_before(
+    const base::daemon_id& self,
+    const std::vector<base::daemon_id>& others,
+    const base::host_id& host)
+{
+    const std::uint64_t hash = base::stable_hash(host.value_);
+    const auto own = rank_of(self, hash);
+    return static_cast<std::size_t>(std::count_if(
+        others.begin(), others.end(), [&](const base::daemon_id& other) {
+            return rank_of(other, hash) < own;
+        }));
+}
+
 } // namespace
 
 std::optional<double> parse_limit(std::string_view text)
@@ -59,14 +80,41 @@
     const base::daemon_id& self,
     const std::vector<base::daemon_id>& others)
 {
-    const std::uint64_t hash = base::stable_hash(host.value_);
-    const auto own = rank_of(self, hash);
-    const auto before = static_cast<std::size_t>(std::count_if(
-        others.begin(), others.end(), [&](const base::daemon_id& other) {
-            return rank_of(other, hash) < own;
-        }));
     const std::size_t sharing = sharing_daemons(per_second, others.size() + 1);
-    return before < sharing ? per_second / double(sharing) : 0;
+    return daemons_before(self, others, host) < sharing
+               ? per_second / double(sharing)
+               : 0;
+}
+
+
+double share_of_cold_limit(
+    double per_second,
+    const base::host_id& host,
+    const base::daemon_id& self,
+    const std::vector<base::daemon_id>& others)
+{
+    const std::size_t sharing =
+        static_cast<std::size_t>(per_second * cold_burst_part) +
+        further_daemons;
+    return daemons_before(self, others, host) < sharing
+               ? per_second / double(sharing)
+               : 0;
+}
+
+
+void limit_until(
+    host_limit& limit,
+    double per_second,
+    base::time_point end,
+    base::time_point now)
+{
+    if (!is_limited(limit, now)) {
+        limit.share_ = 0;
+        limit.level_ = 0;
+        limit.level_at_ = now;
+    }
+    limit.per_second_ = per_second;
+    limit.stated_at_ = end - limit_memory;
 }
 
 
--- a/src/libhostlimits/host_limit_test.cpp
+++ b/src/libhostlimits/host_limit_test.cpp
@@ -100,3 +100,43 @@
         }
     }
 }
+
+
+// Guards against a burst to a host that has just become cold, and against a
+// limit that outlasts its end.
+Test(host_limit, a_limit_with_an_end_begins_without_a_request_to_spare)
+{
+    host_limit limit;
+    limit_until(limit, 8, start + 2s, start);
+    set_share(limit, 2, start);
+    cr_assert_not(may_send(limit, start));
+    cr_assert(next_send(limit, start) == start + 500ms);
+    cr_assert(is_limited(limit, start + 1999ms));
+    cr_assert_not(is_limited(limit, start + 2s));
+    cr_assert(may_send(limit, start + 2s));
+}
+
+
+// Guards against requests that become possible by repeated writes of an entry.
+Test(host_limit, a_new_end_keeps_what_has_been_sent)
+{
+    host_limit limit;
+    limit_until(limit, 8, start + 2s, start);
+    set_share(limit, 2, start);
+    record_send(limit, start + 500ms);
+    limit_until(limit, 8, start + 5s, start + 500ms);
+    cr_assert_not(may_send(limit, start + 900ms));
+    cr_assert(may_send(limit, start + 1s));
+    cr_assert(is_limited(limit, start + 4s));
+}
+
+
+// Guards against a share that grows as other daemons become unknown.
+Test(host_limit, the_share_in_the_limit_of_a_cold_host_ignores_their_number)
+{
+    const double alone = share_of_cold_limit(23, {"h"}, {"a"}, {});
+    const double of_three =
+        share_of_cold_limit(23, {"h"}, {"a"}, {{"b"}, {"c"}});
+    cr_assert_float_eq(alone, of_three, 1e-9);
+    cr_assert_float_eq(alone, 23.0 / 7, 1e-9);
+}
--- a/src/librelay/availability.cpp
+++ b/src/librelay/availability.cpp
@@ -4,16 +4,40 @@
 
 namespace monsoondock::relay {
 
+namespace {
+
+// Returns the share of an upstream that could be used again at a time.
+double ramped_share(base::time_point since, base::time_point now)
+{
+    if (since == base::time_point())
+        return 1;
+    const std::chrono::duration<double, std::milli> passed = now - since;
+    return std::min(1.0, passed.count() / double(ramp_time.count()));
+}
+
+
+base::time_point next_send(const upstream_state& s, base::time_point now)
+{
+    const auto next = [now](const hostlimits::host_limit& limit) {
+        return hostlimits::next_send(limit, now)
+            .value_or(now + unshared_limit_pause);
+    };
+    return std::max({s.paused_until_, next(s.limit_), next(s.cold_limit_)});
+}
+
+} // namespace
+
 double usable_share(const upstream_state& s, base::time_point now)
 {
     if (s.link_cut_ || s.leaving_ || now < s.paused_until_ ||
-        !hostlimits::may_send(s.limit_, now))
+        !hostlimits::may_send(s.limit_, now) ||
+        !hostlimits::may_send(s.cold_limit_, now))
         return 0;
-    if (s.paused_until_ == base::time_point())
-        return 1;
-    const std::chrono::duration<double, std::milli> passed =
-        now - s.paused_until_;
-    return std::min(1.0, passed.count() / double(ramp_time.count()));
+    const double share = ramped_share(s.paused_until_, now);
+    // A cold upstream gets what its limit allows.
+    return now < s.cold_until_
+               ? share
+               : std::min(share, ramped_share(s.cold_until_, now));
 }
 
 
@@ -32,10 +56,7 @@
             return std::nullopt;
         if (s->leaving_ || s->link_cut_)
             continue;
-        const base::time_point end = std::max(
-            s->paused_until_,
-            hostlimits::next_send(s->limit_, now)
-                .value_or(now + unshared_limit_pause));
+        const base::time_point end = next_send(*s, now);
         if (end <= now)
             return std::nullopt;
         earliest = std::min(earliest.value_or(end), end);
--- a/src/librelay/availability_test.cpp
+++ b/src/librelay/availability_test.cpp
@@ -228,3 +228,32 @@
         }
     }
 }
+
+
+// Guards against taking the limit of a cold host for the one that it names:
+// each goes on when the other one ends.
+Test(availability, the_limits_of_a_cold_host_and_its_own_are_separate)
+{
+    upstream_state s;
+    hostlimits::limit_until(s.cold_limit_, 23, start + 2s, start);
+    s.cold_until_ = start + 2s;
+    cr_assert_eq(usable_share(s, start + 1s), 0);
+    hostlimits::set_share(s.cold_limit_, 10, start);
+    cr_assert_eq(usable_share(s, start + 1s), 1);
+    hostlimits::state_limit(s.limit_, 1, start);
+    cr_assert_eq(usable_share(s, start + 1s), 0);
+    cr_assert_eq(usable_share(s, start + 10s), 0);
+    hostlimits::state_limit(s.limit_, 0, start + 10s);
+    cr_assert_eq(usable_share(s, start + 10s), 1);
+}
+
+
+// Guards against the return of all daemons together to a host that is no longer
+// cold.
+Test(availability, the_share_grows_after_a_cold_time)
+{
+    upstream_state s;
+    s.cold_until_ = start;
+    cr_assert_float_eq(usable_share(s, start + 500ms), 0.5, 1e-9);
+    cr_assert_eq(usable_share(s, start + 1s), 1);
+}
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -88,10 +88,17 @@
     }
     t.upstream_table_.keep_only(listed, base::boot_clock::now());
     t.upstream_table_.set_cut_links(t.links_->cut_hosts_);
-    const bool daemons_changed = t.view_->peers_ != view->peers_;
+    const bool daemons_changed =
+        t.view_->peers_ != view->peers_ ||
+        t.view_->known_daemons_ != view->known_daemons_ ||
+        t.view_->shares_cold_limits_ != view->shares_cold_limits_;
     t.view_ = std::move(view);
     if (daemons_changed)
         update_limit_shares(t);
+    for (const auto& [deployment, hosts] : t.view_->upstreams_) {
+        for (const upstream& u : hosts)
+            pvt::apply_cold_state(t, u);
+    }
 }
 
 
--- a/src/librelay/upstream_limits.cpp
+++ b/src/librelay/upstream_limits.cpp
@@ -1,6 +1,7 @@
 #include "upstream_limits.hpp"
 
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/relay/availability.hpp>
 
 namespace monsoondock::relay::pvt {
 
@@ -18,6 +19,20 @@
 }
 
 
+void update_cold_share(
+    proxy_thread& t, const base::host_id& host, hostlimits::host_limit& limit)
+{
+    const double share = t.view_->shares_cold_limits_
+                             ? hostlimits::share_of_cold_limit(
+                                   limit.per_second_,
+                                   host,
+                                   t.config_.daemon_,
+                                   t.view_->known_daemons_)
+                             : 0;
+    hostlimits::set_share(limit, share, base::boot_clock::now());
+}
+
+
 // Returns true when the limit has changed.
 bool state_limit(
     proxy_thread& t,
@@ -73,12 +88,41 @@
 }
 
 
+void apply_cold_state(proxy_thread& t, const upstream& u)
+{
+    const base::time_point now = base::boot_clock::now();
+    const upstream_state* known = t.upstream_table_.find(u.host_);
+    const base::time_point known_until =
+        known == nullptr ? base::time_point() : known->cold_until_;
+    // What ended longer ago than a ramp has no effect.
+    if (known_until == u.cold_until_ ||
+        (now >= known_until && now >= u.cold_until_ + ramp_time))
+        return;
+    upstream_state& s = t.upstream_table_.state_of(u.host_);
+    // An entry may also end the cold time early.
+    s.cold_until_ = u.cold_until_ == base::time_point() ? now : u.cold_until_;
+    const bool was_cold = hostlimits::is_limited(s.cold_limit_, now);
+    hostlimits::limit_until(
+        s.cold_limit_, u.cold_requests_per_second_, s.cold_until_, now);
+    if (!hostlimits::is_limited(s.cold_limit_, now))
+        return;
+    update_cold_share(t, u.host_, s.cold_limit_);
+    if (!was_cold)
+        base::event_line("upstream_cold")
+            .field("host", u.host_)
+            .field("share", s.cold_limit_.share_)
+            .field("until", s.cold_until_ - now);
+}
+
+
 void update_limit_shares(proxy_thread& t)
 {
     const base::time_point now = base::boot_clock::now();
     for (auto& [host, s] : t.upstream_table_.states()) {
         if (hostlimits::is_limited(s.limit_, now))
             update_share(t, host, s.limit_);
+        if (hostlimits::is_limited(s.cold_limit_, now))
+            update_cold_share(t, host, s.cold_limit_);
     }
 }
 
@@ -86,9 +130,11 @@
 void record_limited_send(proxy_thread& t, const base::host_id& host)
 {
     const base::time_point now = base::boot_clock::now();
-    hostlimits::host_limit& limit = t.upstream_table_.state_of(host).limit_;
-    if (hostlimits::is_limited(limit, now))
-        hostlimits::record_send(limit, now);
+    upstream_state& s = t.upstream_table_.state_of(host);
+    if (hostlimits::is_limited(s.limit_, now))
+        hostlimits::record_send(s.limit_, now);
+    if (hostlimits::is_limited(s.cold_limit_, now))
+        hostlimits::record_send(s.cold_limit_, now);
 }
 
 
--- a/src/librelay/upstream_limits.hpp
+++ b/src/librelay/upstream_limits.hpp
@@ -16,6 +16,10 @@
 void apply_limit_report(proxy_thread& t, const host_limit_report& report);
 
 
+/// Applies the state of a listed upstream that is cold or has lately been.
+void apply_cold_state(proxy_thread& t, const upstream& u);
+
+
 /// Divides the limits anew when the daemons have changed.
 void update_limit_shares(proxy_thread& t);
 
