--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -86,7 +86,11 @@
     route.timeout_ = 60s;
     route.target_latency_ = options.target_latency_;
     c->routes_.push_back(route);
-    c->deployments_[{"d"}] = {{"d"}, 100, make_engine(options.step_ms_)};
+    catalog::deployment deployment;
+    deployment.id_ = {"d"};
+    deployment.max_connections_ = 100;
+    deployment.engine_ = make_engine(options.step_ms_);
+    c->deployments_[deployment.id_] = deployment;
     catalog::index_routes(*c);
     return c;
 }
