--- a/src/include/monsoondock/metrics/metric.hpp
+++ b/src/include/monsoondock/metrics/metric.hpp
@@ -7,7 +7,12 @@
 {
     first_token,
     token_gap,
-    request
+    request,
+    /// How late the control thread runs its periodic work.
+    control_delay,
+    /// Time from the first news of a newer configuration to its being in
+    /// force, at a daemon that received it from a peer.
+    settings_fetch
 };
 
 
@@ -25,6 +30,11 @@
     peer_bytes_sent,
     peer_bytes_received,
     peer_datagrams_dropped,
+    /// Messages of other daemons; the class is their kind.
+    peer_messages,
+    /// Connections opened to find out whether a host accepts any; the class
+    /// is the cause: own, asked (by a peer) or comparison.
+    link_probes,
     /// Requests passed on to another daemon because links were cut.
     detours,
     /// Requests refused because of the predicted time to the first event; the
--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -142,9 +142,9 @@
 // Returns a random peer that has a newer configuration, so that a new one
 // spreads without overloading the first daemon that has it. A peer of another
 // data centre is returned only when no local one has had it since newer_since.
-std::optional<newer_peer> choose_newer_peer(
-    control_plane& c, std::optional<base::time_point>& newer_since)
+std::optional<newer_peer> choose_newer_peer(control_plane& c)
 {
+    auto& newer_since = c.catalog_.newer_known_at_;
     const newer_peers peers = find_newer_peers(c);
     if (peers.local_.empty() && peers.remote_.empty()) {
         newer_since.reset();
@@ -202,13 +202,22 @@
     const std::uint64_t previous = active_version(c);
     if (!is_newer(c.catalog_, *updated, text, era))
         return false;
+    const base::time_point now = base::boot_clock::now();
+    const auto newer_known_at = c.catalog_.newer_known_at_;
     base::event_line("settings_in_force")
         .field("version", updated->version_)
         .field("before", previous)
         .field("era", era)
         .field("source", source)
-        .field("routes", updated->routes_.size());
-    c.catalog_ = {std::move(updated), text, era};
+        .field("newer_known_for", now - newer_known_at.value_or(now))
+        .field("routes", updated->routes_.size())
+        .field("daemon", c.config_.daemon_);
+    if (newer_known_at)
+        c.metrics_.observe(
+            metrics::latency::settings_fetch,
+            {"none", "none"},
+            now - *newer_known_at);
+    c.catalog_ = {std::move(updated), text, era, newer_known_at};
     publish_status(c);
     publish_view(c);
     return true;
@@ -250,10 +259,9 @@
 
 asio::awaitable<void> run_catalog_peer_sync(control_plane& c)
 {
-    std::optional<base::time_point> newer_since;
     for (;;) {
         co_await sleep_for(c, peer_sync_period);
-        const auto peer = choose_newer_peer(c, newer_since);
+        const auto peer = choose_newer_peer(c);
         if (!peer)
             continue;
         const auto text = co_await http_get(
--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -40,6 +40,9 @@
     /// Era of the store in which the text was read; see platform::version.
     /// Tells two texts with the same version number apart.
     std::uint64_t era_ = 0;
+    /// When this daemon learned that a peer has a newer one; unset when none is
+    /// known to have one.
+    std::optional<base::time_point> newer_known_at_;
 };
 
 
@@ -235,6 +238,8 @@
     pace_exchange_state paces_;
     part_state parts_;
     evacuation_state evacuations_;
+    /// Messages of peers that have been handled.
+    std::uint64_t handled_messages_ = 0;
     /// When this daemon last repeated what it knows to its peers.
     base::time_point state_exchanged_at_;
     base::time_point started_at_;
--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -34,6 +34,11 @@
 // Number of other hosts that are probed to tell a failed host from cut links.
 constexpr std::size_t compared_hosts = 3;
 
+// Causes of probes, for metrics.
+constexpr std::string_view own = "own";
+constexpr std::string_view asked = "asked";
+constexpr std::string_view comparison = "comparison";
+
 
 std::set<base::host_id> listed_hosts(const control_plane& c)
 {
@@ -44,8 +49,9 @@
 }
 
 
-// Connects to a host and records the result.
-asio::awaitable<bool> probe(control_plane& c, base::host_id id)
+// Connects to a host and records the result. cause is for metrics.
+asio::awaitable<bool>
+probe(control_plane& c, base::host_id id, std::string_view cause)
 {
     const auto found = c.hosts_.hosts_.find(id);
     if (found == c.hosts_.hosts_.end())
@@ -53,6 +59,8 @@
     const auto address = settings::parse_socket_address(found->second.address_);
     if (!address)
         co_return false;
+    ++c.links_.probes_;
+    c.metrics_.add(metrics::counter::link_probes, {"none", std::string(cause)});
     const bool reached = co_await can_connect(
         c.context_,
         {asio::ip::make_address(address->ip_), address->port_},
@@ -77,7 +85,8 @@
     std::shuffle(others.begin(), others.end(), c.random_);
     others.resize(std::min(others.size(), compared_hosts));
     for (base::host_id& id : others)
-        asio::co_spawn(c.context_, probe(c, std::move(id)), asio::detached);
+        asio::co_spawn(
+            c.context_, probe(c, std::move(id), comparison), asio::detached);
 }
 
 
@@ -195,7 +204,7 @@
 asio::awaitable<void> probe_again(
     control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
 {
-    check->evidence_.reached_ = co_await probe(c, host);
+    check->evidence_.reached_ = co_await probe(c, host, own);
     if (check->evidence_.reached_)
         try_to_conclude(c, host, *check, false);
 }
@@ -248,7 +257,7 @@
 asio::awaitable<void> run_check(
     control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
 {
-    const bool reached = co_await probe(c, host);
+    const bool reached = co_await probe(c, host, own);
     if (reached) {
         end_check(c, host, *check, paths::conclusion::reached);
         co_return;
@@ -320,7 +329,7 @@
 asio::awaitable<void> test_link(control_plane& c, base::host_id host)
 {
     if (c.links_.table_.is_cut(host))
-        co_await probe(c, host);
+        co_await probe(c, host, own);
     else
         co_await check_link(c, host);
 }
@@ -403,7 +412,7 @@
 {
     const base::time_point began = base::boot_clock::now();
     probe_others(c, m.host_, began);
-    const bool reached = co_await probe(c, m.host_);
+    const bool reached = co_await probe(c, m.host_, asked);
     paths::peer_finding finding = paths::peer_finding::reached;
     if (!reached) {
         // A refused connection leaves the probes of other hosts no time.
--- a/src/libentry/link_checks.hpp
+++ b/src/libentry/link_checks.hpp
@@ -50,6 +50,8 @@
     /// Latest check of each host.
     std::map<base::host_id, std::shared_ptr<link_check>> checks_;
     std::uint64_t next_number_ = 1;
+    /// Connections opened to find out whether hosts accept any.
+    std::uint64_t probes_ = 0;
     /// Hosts that the traffic thread does not use because links are cut.
     std::set<base::host_id> unusable_;
     /// True while the links to nearly all hosts are cut.
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -1,5 +1,6 @@
 #include "peer_message.hpp"
 
+#include <array>
 #include <stdexcept>
 
 namespace monsoondock::entry::pvt {
@@ -441,6 +442,22 @@
 }
 
 
+std::string_view kind_of(const peer_message& m)
+{
+    static constexpr std::
+        array<std::string_view, std::variant_size_v<peer_message>>
+            kinds{"membership",       "heartbeat",    "upstream_suspected",
+                  "upstream_healthy", "load",         "crash",
+                  "upstream_query",   "demand",       "host_unreachable",
+                  "host_leaving",     "relist_hosts", "host_changes",
+                  "data_centre_load", "load_sum",     "forwarded",
+                  "part_report",      "host_limits",  "host_query",
+                  "host_finding",     "group_check",  "evacuations",
+                  "host_pace"};
+    return kinds.at(m.index());
+}
+
+
 std::string encode(const peer_message& m)
 {
     std::ostringstream stream;
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -227,6 +228,10 @@
     host_pace_message>;
 
 
+/// Returns the kind of a message as it appears in metrics.
+std::string_view kind_of(const peer_message& m);
+
+
 /// Returns the datagram for a message.
 std::string encode(const peer_message& m);
 
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace monsoondock::entry::pvt {
@@ -26,6 +27,9 @@
 // A relay that lacks changes of the leader for longer than this does not offer
 // itself as a source of them.
 constexpr std::chrono::milliseconds max_relay_lag{1000};
+// A control thread that is this late delays probes of members and the spread of
+// configurations noticeably.
+constexpr std::chrono::milliseconds reported_delay{250};
 
 
 template <class... Functions>
@@ -48,6 +52,11 @@
             c.proxy_->set_peer_loads(changed->record_.id_, {});
         publish_view(c);
     }
+    if (const auto* seen = std::get_if<membership::revision_seen>(&event))
+        base::event_line("settings_news")
+            .field("rank", seen->settings_revision_)
+            .field("from", to_string(seen->from_))
+            .field("daemon", c.config_.daemon_);
     if (const auto* pause = std::get_if<membership::pause_detected>(&event))
         base::event_line("process_paused", base::severity::warning)
             .field("gap", pause->gap_);
@@ -234,16 +243,42 @@
         if (failure)
             continue;
         const auto message = decode(buffer.substr(0, size));
-        if (message)
+        if (message) {
+            ++c.handled_messages_;
+            c.metrics_.add(
+                metrics::counter::peer_messages,
+                {"none", std::string(kind_of(*message))});
             handle_message(
                 c, *message, {from.address().to_v4().to_uint(), from.port()});
-        else
+        } else {
             c.metrics_.add(
                 metrics::counter::peer_datagrams_dropped,
                 {"none", "malformed"});
+        }
     }
 }
 
+
+// Records how late the periodic work ran, and what kept the control thread
+// busy meanwhile.
+void record_delay(
+    control_plane& c,
+    base::duration delay,
+    std::uint64_t messages_before,
+    std::uint64_t probes_before)
+{
+    c.metrics_.observe(
+        metrics::latency::control_delay, {"none", "none"}, delay);
+    if (delay < reported_delay)
+        return;
+    base::event_line("control_thread_delayed", base::severity::warning)
+        .field("delay", delay)
+        .field("messages", c.handled_messages_ - messages_before)
+        .field("link_probes", c.links_.probes_ - probes_before)
+        .field("checks", c.links_.checks_.size())
+        .field("daemon", c.config_.daemon_);
+}
+
 } // namespace
 
 void send_bytes(
@@ -339,7 +374,15 @@
     for (;;) {
         apply_node_output(c, c.node_.tick(base::boot_clock::now()));
         expire_pending_removals(c);
+        const base::time_point due = base::boot_clock::now() + tick_period;
+        const std::uint64_t messages = c.handled_messages_;
+        const std::uint64_t probes = c.links_.probes_;
         co_await sleep_for(c, tick_period);
+        record_delay(
+            c,
+            std::max(base::boot_clock::now() - due, base::duration(0)),
+            messages,
+            probes);
     }
 }
 
--- a/src/libmetrics/registry.cpp
+++ b/src/libmetrics/registry.cpp
@@ -17,6 +17,10 @@
         return "monsoondock_first_token_seconds";
     case latency::token_gap:
         return "monsoondock_token_gap_seconds";
+    case latency::control_delay:
+        return "monsoondock_control_delay_seconds";
+    case latency::settings_fetch:
+        return "monsoondock_settings_fetch_seconds";
     case latency::request:
         break;
     }
@@ -47,6 +51,10 @@
         return "monsoondock_peer_bytes_received_total";
     case counter::peer_datagrams_dropped:
         return "monsoondock_peer_datagrams_dropped_total";
+    case counter::peer_messages:
+        return "monsoondock_peer_messages_total";
+    case counter::link_probes:
+        return "monsoondock_link_probes_total";
     case counter::detours:
         return "monsoondock_detours_total";
     case counter::admission_refusals:
