entry: news of configurations goes before reports about hosts

Cause: all messages of other daemons were handled in the order of their arrival. So daemons also took each other for dead, and each of them took the watch of the store upon itself.

Datagrams are now read as they arrive and handled by priority: control, loads, evidence.

--- a/src/libentry/control_plane.hpp
+++ b/src/libentry/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "leaving_hosts.hpp"
 #include "link_checks.hpp"
 #include "pace_exchange.hpp"
+#include "peer_inbox.hpp"
 #include "peer_message.hpp"
 
 #include <monsoondock/entry/platform_adapter.hpp>
@@ -238,6 +239,8 @@
     pace_exchange_state paces_;
     part_state parts_;
     evacuation_state evacuations_;
+    /// Messages of peers that are to be handled.
+    peer_inbox inbox_;
     /// Messages of peers that have been handled.
     std::uint64_t handled_messages_ = 0;
     /// When this daemon last repeated what it knows to its peers.
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -442,11 +442,16 @@
 }
 
 
-std::string_view kind_of(const peer_message& m)
-{
-    static constexpr std::
-        array<std::string_view, std::variant_size_v<peer_message>>
-            kinds{"membership",       "heartbeat",    "upstream_suspected",
+namespace {
+
+// The byte order that the archive begins with comes before the type code.
+constexpr std::size_t type_code_offset = 1;
+// A forwarded message has the length of the inner one after its type code.
+constexpr std::size_t inner_offset =
+    type_code_offset + 1 + sizeof(std::uint32_t);
+
+constexpr std::array<std::string_view, std::variant_size_v<peer_message>>
+    message_kinds{"membership",       "heartbeat",    "upstream_suspected",
                   "upstream_healthy", "load",         "crash",
                   "upstream_query",   "demand",       "host_unreachable",
                   "host_leaving",     "relist_hosts", "host_changes",
@@ -454,7 +459,29 @@
                   "part_report",      "host_limits",  "host_query",
                   "host_finding",     "group_check",  "evacuations",
                   "host_pace"};
-    return kinds.at(m.index());
+
+} // namespace
+
+std::string_view kind_of(const peer_message& m)
+{
+    return message_kinds.at(m.index());
+}
+
+
+std::string_view kind_of_innermost(std::string_view bytes)
+{
+    if (bytes.size() <= type_code_offset)
+        return {};
+    const auto code = static_cast<unsigned char>(bytes[type_code_offset]);
+    if (code >= message_kinds.size())
+        return {};
+    const std::string_view kind = message_kinds.at(code);
+    // A message is forwarded once.
+    if (kind != "forwarded" || bytes.size() <= inner_offset + type_code_offset)
+        return kind;
+    const auto inner =
+        static_cast<unsigned char>(bytes[inner_offset + type_code_offset]);
+    return inner < message_kinds.size() ? message_kinds.at(inner) : kind;
 }
 
 
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -232,6 +232,11 @@
 std::string_view kind_of(const peer_message& m);
 
 
+/// Returns the kind of an encoded message, that of the inner one if it is a
+/// forwarded message, without decoding it. Empty when it has none.
+std::string_view kind_of_innermost(std::string_view bytes);
+
+
 /// Returns the datagram for a message.
 std::string encode(const peer_message& m);
 
--- a/src/libentry/peer_messaging.cpp
+++ b/src/libentry/peer_messaging.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::chrono::milliseconds tick_period{100};
 constexpr std::size_t max_datagram_bytes = 65507;
+// Datagrams that are read, and of these handled, before other work of the
+// control thread has its turn.
+constexpr std::size_t max_datagrams_read = 256;
+constexpr std::size_t max_datagrams_handled = 8;
 // A relay that has not heard the leader for this time stops relaying; a leader
 // sends several heartbeats within it.
 constexpr std::chrono::milliseconds relay_lease{1000};
@@ -229,32 +233,88 @@
 }
 
 
+// Reads what has arrived, so that it can be handled by priority.
+void read_datagrams(control_plane& c, std::string& buffer)
+{
+    const base::time_point now = base::boot_clock::now();
+    for (std::size_t i = 0; i < max_datagrams_read; ++i) {
+        asio::ip::udp::endpoint from;
+        boost::system::error_code failure;
+        const std::size_t size =
+            c.peer_socket_.receive_from(asio::buffer(buffer), from, 0, failure);
+        if (failure == asio::error::would_block)
+            return;
+        // The kernel reports a refused connection after a datagram was sent to
+        // a peer that is down. The socket remains usable.
+        if (!failure)
+            c.inbox_.push(
+                {buffer.substr(0, size),
+                 {from.address().to_v4().to_uint(), from.port()},
+                 now});
+    }
+}
+
+
+void handle_datagram(control_plane& c, const received_datagram& d)
+{
+    const auto message = decode(d.bytes_);
+    if (!message) {
+        c.metrics_.add(
+            metrics::counter::peer_datagrams_dropped, {"none", "malformed"});
+        return;
+    }
+    ++c.handled_messages_;
+    c.metrics_.add(
+        metrics::counter::peer_messages,
+        {"none", std::string(kind_of(*message))});
+    handle_message(c, *message, d.sender_);
+}
+
+
+void handle_waiting_datagrams(control_plane& c)
+{
+    for (std::size_t i = 0; i < max_datagrams_handled; ++i) {
+        const auto d = c.inbox_.pop(base::boot_clock::now());
+        if (!d)
+            break;
+        handle_datagram(c, *d);
+    }
+}
+
+
+void publish_dropped_datagrams(control_plane& c)
+{
+    c.metrics_.set_total(
+        metrics::counter::peer_datagrams_dropped,
+        {"none", "load"},
+        c.inbox_.dropped(message_priority::load));
+    c.metrics_.set_total(
+        metrics::counter::peer_datagrams_dropped,
+        {"none", "evidence"},
+        c.inbox_.dropped(message_priority::evidence));
+    c.metrics_.set_total(
+        metrics::counter::peer_datagrams_dropped,
+        {"none", "control"},
+        c.inbox_.dropped(message_priority::control));
+}
+
+
 asio::awaitable<void> receive_datagrams(control_plane& c)
 {
     std::string buffer(max_datagram_bytes, '\0');
-    asio::ip::udp::endpoint from;
+    c.peer_socket_.non_blocking(true);
     for (;;) {
-        const auto [failure, size] = co_await c.peer_socket_.async_receive_from(
-            asio::buffer(buffer), from, base::await_tuple);
-        if (failure == asio::error::operation_aborted)
-            co_return;
-        // The kernel reports a refused connection after a datagram was sent to
-        // a peer that is down. The socket remains usable.
-        if (failure)
-            continue;
-        const auto message = decode(buffer.substr(0, size));
-        if (message) {
-            ++c.handled_messages_;
-            c.metrics_.add(
-                metrics::counter::peer_messages,
-                {"none", std::string(kind_of(*message))});
-            handle_message(
-                c, *message, {from.address().to_v4().to_uint(), from.port()});
+        if (c.inbox_.empty()) {
+            const auto [failure] = co_await c.peer_socket_.async_wait(
+                asio::ip::udp::socket::wait_read, base::await_tuple);
+            if (failure == asio::error::operation_aborted)
+                co_return;
         } else {
-            c.metrics_.add(
-                metrics::counter::peer_datagrams_dropped,
-                {"none", "malformed"});
+            // Timers and other sockets have their turn.
+            co_await asio::post(c.context_, base::await_tuple);
         }
+        read_datagrams(c, buffer);
+        handle_waiting_datagrams(c);
     }
 }
 
@@ -269,6 +329,7 @@
 {
     c.metrics_.observe(
         metrics::latency::control_delay, {"none", "none"}, delay);
+    publish_dropped_datagrams(c);
     if (delay < reported_delay)
         return;
     base::event_line("control_thread_delayed", base::severity::warning)
@@ -276,6 +337,7 @@
         .field("messages", c.handled_messages_ - messages_before)
         .field("link_probes", c.links_.probes_ - probes_before)
         .field("checks", c.links_.checks_.size())
+        .field("dropped", c.inbox_.dropped(message_priority::evidence))
         .field("daemon", c.config_.daemon_);
 }
 
