entry: checks of links cost the same however many links are cut

The work grew with daemons x hosts until daemons had no time for anything else.

Six daemons are asked first, the others only if none of them has reached the host. One connection attempt serves all who ask meanwhile; hosts for comparison are probed only when the host itself does not accept at once. Answers, checks with questions and reports without a check have a rate for each daemon (docs/design/cut-links.md); the leader's questions, which decide on groups, are not limited.

--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -17,11 +17,16 @@
 
 namespace asio = boost::asio;
 
+
 namespace {
 
 constexpr std::chrono::milliseconds probe_timeout{200};
 // Peers answer within the time of a probe and a round trip.
 constexpr std::chrono::milliseconds answer_timeout{350};
+// Peers that reach the host answer within this time.
+constexpr std::chrono::milliseconds first_answer_time{60};
+// A host that accepts a connection does so within this time in general.
+constexpr std::chrono::milliseconds usual_connect_time{30};
 constexpr std::chrono::milliseconds test_period{250};
 // The conclusion of a check holds for this time without another one.
 constexpr std::chrono::milliseconds conclusion_validity{100};
@@ -30,7 +35,7 @@
 static_assert(
     probe_timeout + leader_verdict_time + answer_timeout <
     relay::max_loss_check_time);
-constexpr std::chrono::milliseconds comparison_poll_period{5};
+constexpr std::chrono::milliseconds comparison_poll_period{20};
 // Number of other hosts that are probed to tell a failed host from cut links.
 constexpr std::size_t compared_hosts = 3;
 
@@ -49,9 +54,8 @@
 }
 
 
-// Connects to a host and records the result. cause is for metrics.
 asio::awaitable<bool>
-probe(control_plane& c, base::host_id id, std::string_view cause)
+connect_to(control_plane& c, base::host_id id, std::string_view cause)
 {
     const auto found = c.hosts_.hosts_.find(id);
     if (found == c.hosts_.hosts_.end())
@@ -71,12 +75,35 @@
 }
 
 
-// Probes some other hosts at the same time, unless one was reached since.
+// Connects to a host and records the result, or waits for the result of an
+// attempt that is under way. cause is for metrics.
+asio::awaitable<bool>
+probe(control_plane& c, base::host_id id, std::string_view cause)
+{
+    const auto under_way = c.links_.probes_under_way_.find(id);
+    if (under_way != c.links_.probes_under_way_.end()) {
+        const std::shared_ptr<host_probe> shared = under_way->second;
+        co_await shared->ended_.async_wait(base::await_tuple);
+        co_return shared->reached_;
+    }
+    const auto started = std::make_shared<host_probe>(c.context_);
+    c.links_.probes_under_way_[id] = started;
+    started->reached_ = co_await connect_to(c, id, cause);
+    c.links_.probes_under_way_.erase(id);
+    started->ended_.cancel();
+    co_return started->reached_;
+}
+
+
+// Probes some other hosts, unless one was reached or others were probed since a
+// time.
 void probe_others(
     control_plane& c, const base::host_id& host, base::time_point since)
 {
-    if (c.links_.table_.reached_other_since(host, since))
+    if (c.links_.table_.reached_other_since(host, since) ||
+        c.links_.compared_at_ >= since)
         return;
+    c.links_.compared_at_ = base::boot_clock::now();
     std::vector<base::host_id> others;
     for (const auto& [id, info] : c.hosts_.hosts_) {
         if (id != host && !info.draining_)
@@ -210,27 +237,60 @@
 }
 
 
-void send_queries(
-    control_plane& c, const base::host_id& host, const link_check& check)
-{
-    for (const membership::endpoint& peer : check.awaited_)
-        send_to_peer(c, peer, host_query_message{check.number_, host});
-}
-
-
-void ask_peers(control_plane& c, const base::host_id& host, link_check& check)
+std::vector<membership::endpoint>
+find_witnesses(control_plane& c, const base::host_id& host)
 {
     const auto found = c.hosts_.hosts_.find(host);
     if (found == c.hosts_.hosts_.end())
-        return;
-    const auto peers = choose_witnesses(
+        return {};
+    return choose_witnesses(
         c.node_.members(),
         c.node_.self(),
         found->second.data_centre_,
         c.random_);
-    check.evidence_.asked_ = peers.size();
-    check.awaited_ = {peers.begin(), peers.end()};
-    send_queries(c, host, check);
+}
+
+
+void ask(
+    control_plane& c,
+    const base::host_id& host,
+    const link_check& check,
+    const std::vector<membership::endpoint>& peers)
+{
+    for (const membership::endpoint& peer : peers)
+        send_to_peer(c, peer, host_query_message{check.number_, host});
+}
+
+
+// Asks some peers, and the others unless one of the first has reached the host,
+// which settles the check. The leader's verdict concerns all daemons, so it
+// asks all at once.
+asio::awaitable<void> ask_peers(
+    control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
+{
+    auto peers = find_witnesses(c, host);
+    check->evidence_.asked_ = peers.size();
+    check->awaited_ = {peers.begin(), peers.end()};
+    std::vector<membership::endpoint> later;
+    if (!c.leader_.leading_)
+        later = take_later_witnesses(peers);
+    ask(c, host, *check, peers);
+    co_await sleep_for(c, first_answer_time);
+    if (check->conclusion_ != paths::conclusion::pending)
+        co_return;
+    // Where there are few to ask, a datagram may have been the only one lost.
+    if (later.empty() && peers.size() <= first_witnesses)
+        later = std::move(peers);
+    ask(c, host, *check, later);
+}
+
+
+// While links are known to be cut, another one that fails is no news about its
+// host.
+bool may_ask_peers(control_plane& c)
+{
+    return c.leader_.leading_ || !c.links_.table_.has_cut_links() ||
+           c.links_.asking_checks_.take(base::boot_clock::now()).count() == 0;
 }
 
 
@@ -273,14 +333,14 @@
     }
     if (check->conclusion_ != paths::conclusion::pending)
         co_return;
-    ask_peers(c, host, *check);
+    if (!may_ask_peers(c)) {
+        end_check(c, host, *check, paths::conclusion::unresolved);
+        co_return;
+    }
     probe_others(c, host, check->began_);
     asio::co_spawn(c.context_, probe_again(c, host, check), asio::detached);
-    co_await sleep_for(c, answer_timeout / 2);
-    // A datagram may have been lost.
-    if (check->conclusion_ == paths::conclusion::pending)
-        send_queries(c, host, *check);
-    co_await sleep_for(c, answer_timeout / 2);
+    co_await ask_peers(c, host, check);
+    co_await sleep_for(c, answer_timeout - first_answer_time);
     if (check->conclusion_ == paths::conclusion::pending)
         try_to_conclude(c, host, *check, true);
 }
@@ -326,12 +386,50 @@
 }
 
 
+// Tests a link while others are cut. The leader finds out whether the host has
+// failed; to other daemons, a link that fails then is cut as well.
 asio::awaitable<void> test_link(control_plane& c, base::host_id host)
 {
-    if (c.links_.table_.is_cut(host))
-        co_await probe(c, host, own);
-    else
+    if (c.leader_.leading_ && !c.links_.table_.is_cut(host)) {
         co_await check_link(c, host);
+        co_return;
+    }
+    const bool reached = co_await probe(c, host, own);
+    if (!reached && c.links_.table_.has_cut_links())
+        c.links_.table_.record_cut(host, base::boot_clock::now());
+}
+
+
+bool is_leader(const control_plane& c, const membership::endpoint& peer)
+{
+    const auto leader = c.node_.members().find(c.leader_.leader_);
+    return leader != c.node_.members().end() &&
+           leader->second.record_.peer_ == peer;
+}
+
+
+// Returns true when the question of a peer about a host is worth a connection.
+bool may_look_into(
+    control_plane& c,
+    const base::host_id& host,
+    const membership::endpoint& peer)
+{
+    return c.links_.probes_under_way_.contains(host) || is_leader(c, peer) ||
+           c.links_.answers_.take(base::boot_clock::now()).count() == 0;
+}
+
+
+// Probes other hosts for comparison when an attempt takes longer than one that
+// succeeds.
+asio::awaitable<void> compare_unless_reached(
+    control_plane& c,
+    base::host_id host,
+    base::time_point began,
+    std::shared_ptr<const bool> reached)
+{
+    co_await sleep_for(c, usual_connect_time);
+    if (!*reached)
+        probe_others(c, host, began);
 }
 
 
@@ -363,7 +461,12 @@
         report.host_, report.failed_address_};
     const bool group_failed =
         report.reason_ == relay::unhealthy_reason::group_failed;
-    const bool reported = group_failed || report.others_respond_;
+    // While links are cut, most suspicions concern links rather than hosts.
+    const bool reported =
+        group_failed ||
+        (report.others_respond_ && !c.links_.table_.has_cut_links() &&
+         c.links_.unchecked_reports_.take(base::boot_clock::now()).count() ==
+             0);
     if (reported)
         report_suspicion(c, suspicion);
     if (group_failed)
@@ -411,8 +514,20 @@
     control_plane& c, host_query_message m, membership::endpoint sender)
 {
     const base::time_point began = base::boot_clock::now();
-    probe_others(c, m.host_, began);
+    if (!may_look_into(c, m.host_, sender)) {
+        send_to_peer(
+            c,
+            sender,
+            host_finding_message{m.number_, paths::peer_finding::unknown});
+        co_return;
+    }
+    const auto shared_result = std::make_shared<bool>(false);
+    asio::co_spawn(
+        c.context_,
+        compare_unless_reached(c, m.host_, began, shared_result),
+        asio::detached);
     const bool reached = co_await probe(c, m.host_, asked);
+    *shared_result = reached;
     paths::peer_finding finding = paths::peer_finding::reached;
     if (!reached) {
         // A refused connection leaves the probes of other hosts no time.
--- a/src/libentry/link_checks.hpp
+++ b/src/libentry/link_checks.hpp
@@ -6,6 +6,7 @@
 #include <monsoondock/paths/host_check.hpp>
 #include <monsoondock/paths/link_table.hpp>
 #include <monsoondock/relay/proxy_callbacks.hpp>
+#include <monsoondock/routing/gcra.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,6 +21,41 @@
 struct control_plane;
 
 
+/// Connections a second that a daemon opens to answer questions of others, and
+/// how many of them at once. Beyond that it answers that it does not know; the
+/// leader's questions are always looked into.
+inline constexpr double answer_probes_per_second = 40;
+inline constexpr std::chrono::milliseconds answer_probe_burst{1200};
+
+
+/// Checks a second for which a daemon asks others while links are known to be
+/// cut, and how many of them at once. Beyond that it takes a link that fails
+/// for cut without asking.
+inline constexpr double asking_checks_per_second = 10;
+inline constexpr std::chrono::milliseconds asking_check_burst{2000};
+
+
+/// Suspicions a second that a daemon reports to all before it has checked them,
+/// and how many of them at once.
+inline constexpr double unchecked_reports_per_second = 2;
+inline constexpr std::chrono::milliseconds unchecked_report_burst{1500};
+
+
+/// Connection attempt to a host. Several parts of the daemon may wait for its
+/// end.
+struct host_probe
+{
+    explicit host_probe(boost::asio::io_context& context) : ended_(context)
+    {
+        ended_.expires_at(boost::asio::steady_timer::time_point::max());
+    }
+
+    bool reached_ = false;
+    /// Cancelled at the end of the attempt.
+    boost::asio::steady_timer ended_;
+};
+
+
 /// Check of a host and of the link to it. Several parts of the daemon may wait
 /// for its end.
 struct link_check
@@ -52,6 +88,14 @@
     std::uint64_t next_number_ = 1;
     /// Connections opened to find out whether hosts accept any.
     std::uint64_t probes_ = 0;
+    /// Attempts that have not ended.
+    std::map<base::host_id, std::shared_ptr<host_probe>> probes_under_way_;
+    /// When other hosts were last probed for comparison.
+    base::time_point compared_at_;
+    routing::gcra answers_{answer_probes_per_second, answer_probe_burst};
+    routing::gcra asking_checks_{asking_checks_per_second, asking_check_burst};
+    routing::gcra unchecked_reports_{
+        unchecked_reports_per_second, unchecked_report_burst};
     /// Hosts that the traffic thread does not use because links are cut.
     std::set<base::host_id> unusable_;
     /// True while the links to nearly all hosts are cut.
--- a/src/libentry/link_peers.cpp
+++ b/src/libentry/link_peers.cpp
@@ -92,6 +92,22 @@
 }
 
 
+std::vector<membership::endpoint>
+take_later_witnesses(std::vector<membership::endpoint>& witnesses)
+{
+    const std::size_t stride =
+        std::max<std::size_t>(witnesses.size() / first_witnesses, 1);
+    std::vector<membership::endpoint> first;
+    std::vector<membership::endpoint> later;
+    for (std::size_t i = 0; i < witnesses.size(); ++i) {
+        const bool is_first = i % stride == 0 && first.size() < first_witnesses;
+        (is_first ? first : later).push_back(witnesses[i]);
+    }
+    witnesses = std::move(first);
+    return later;
+}
+
+
 paths::helper_list find_helpers(
     const member_table& members,
     const member_record& self,
--- a/src/libentry/link_peers.hpp
+++ b/src/libentry/link_peers.hpp
@@ -14,6 +14,9 @@
 /// small installation all are asked.
 inline constexpr std::size_t max_witnesses = 24;
 
+/// Number of daemons that are asked first in a large cluster.
+inline constexpr std::size_t first_witnesses = 6;
+
 
 /// Returns the address at which a daemon accepts requests that others pass on:
 /// the port after that of its peer address.
@@ -35,6 +38,12 @@
     std::mt19937_64& random);
 
 
+/// Leaves the witnesses that are asked first, spread over all that were chosen,
+/// and returns the others.
+std::vector<membership::endpoint>
+take_later_witnesses(std::vector<membership::endpoint>& witnesses);
+
+
 /// Returns the daemons that can serve requests for self. If some have a
 /// configuration of at least the given rank, only those.
 paths::helper_list find_helpers(
--- a/src/libentry/link_peers_test.cpp
+++ b/src/libentry/link_peers_test.cpp
@@ -129,3 +129,20 @@
     cr_assert_not(pvt::has_open_peer(i.peers_));
     cr_assert_eq(pvt::leadership_rank(i.peers_, i.self_), 0);
 }
+
+
+// Guards against two dozen daemons being asked about each host that one daemon
+// cannot reach.
+Test(link_peers, few_witnesses_are_asked_first)
+{
+    auto first = witnesses(installation(466, 15), "dc4");
+    const auto later = pvt::take_later_witnesses(first);
+    cr_assert_eq(first.size(), pvt::first_witnesses);
+    cr_assert_eq(later.size(), pvt::max_witnesses - pvt::first_witnesses);
+    cr_assert_geq(count_in(first, 4), 1);
+    cr_assert_geq(count_in(first, 0), 1);
+    cr_assert_leq(count_in(first, 4), 3);
+    auto all = witnesses(installation(5, 3), "dc1");
+    cr_assert(pvt::take_later_witnesses(all).empty());
+    cr_assert_eq(all.size(), 4);
+}
