entry: silence of busy peers blames no host

With a rate of answers, a daemon that was asked about a host may have been too busy to look into it. It said that it knew nothing, as one without links does; if all did, the asking daemon went by its own view, and blamed the host because it reached another one, although its own links were known to be cut in part. Found by reading the change, not by a run.

A busy daemon does not answer. A daemon that knows of cut links does not blame a host on its own word; where there is nobody to ask it does, as before.

--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -17,7 +17,6 @@
 
 namespace asio = boost::asio;
 
-
 namespace {
 
 constexpr std::chrono::milliseconds probe_timeout{200};
@@ -220,7 +219,10 @@
     link_check& check,
     bool time_is_over)
 {
+    // While links are known to be cut, a host that this daemon reaches says
+    // nothing about the link to this one. Busy peers may not have answered.
     check.evidence_.reached_other_host_ =
+        (check.evidence_.asked_ == 0 || !c.links_.table_.has_cut_links()) &&
         c.links_.table_.reached_other_since(host, check.began_);
     const auto conclusion = paths::conclude(check.evidence_, time_is_over);
     if (conclusion != paths::conclusion::pending)
@@ -514,20 +516,15 @@
     control_plane& c, host_query_message m, membership::endpoint sender)
 {
     const base::time_point began = base::boot_clock::now();
-    if (!may_look_into(c, m.host_, sender)) {
-        send_to_peer(
-            c,
-            sender,
-            host_finding_message{m.number_, paths::peer_finding::unknown});
+    if (!may_look_into(c, m.host_, sender))
         co_return;
-    }
-    const auto shared_result = std::make_shared<bool>(false);
+    const auto reached_host = std::make_shared<bool>(false);
     asio::co_spawn(
         c.context_,
-        compare_unless_reached(c, m.host_, began, shared_result),
+        compare_unless_reached(c, m.host_, began, reached_host),
         asio::detached);
     const bool reached = co_await probe(c, m.host_, asked);
-    *shared_result = reached;
+    *reached_host = reached;
     paths::peer_finding finding = paths::peer_finding::reached;
     if (!reached) {
         // A refused connection leaves the probes of other hosts no time.
--- a/src/libentry/link_checks.hpp
+++ b/src/libentry/link_checks.hpp
@@ -22,8 +22,8 @@
 
 
 /// Connections a second that a daemon opens to answer questions of others, and
-/// how many of them at once. Beyond that it answers that it does not know; the
-/// leader's questions are always looked into.
+/// how many of them at once. Beyond that it does not answer; the leader's
+/// questions are always answered.
 inline constexpr double answer_probes_per_second = 40;
 inline constexpr std::chrono::milliseconds answer_probe_burst{1200};
 
