entry: daemons that watch the store tell those of their data centre

The messages are those of before.

node/notified_peers_know_the_settings_revision_after_one_datagram guards it.

--- a/src/include/monsoondock/membership/node.hpp
+++ b/src/include/monsoondock/membership/node.hpp
@@ -54,6 +54,12 @@
     node_output set_status(member_status status, base::time_point now);
 
 
+    /// Sends the status of this daemon to the given peers, beside the spread of
+    /// what set_status has published.
+    node_output
+    notify(const std::vector<endpoint>& peers, base::time_point now);
+
+
     /// Announces a graceful shutdown. The node continues to answer probes.
     node_output leave(base::time_point now);
 
--- a/src/libentry/catalog_watch.cpp
+++ b/src/libentry/catalog_watch.cpp
@@ -36,10 +36,19 @@
 constexpr std::uint64_t max_ranked_era = (1U << era_bits) - 1;
 
 
+// Applies what was read from the store. Few daemons of a data centre watch it;
+// they tell the others themselves, as gossip takes several steps to each of
+// them and their status has to reach it before they are asked for the
+// configuration.
 void apply_object(control_plane& c, const platform::object& o)
 {
-    if (o.key_ == c.adapter_.catalog_key_)
-        apply_catalog(c, o.value_, o.version_.era_, "store");
+    if (o.key_ == c.adapter_.catalog_key_ &&
+        apply_catalog(c, o.value_, o.version_.era_, "store"))
+        apply_node_output(
+            c,
+            c.node_.notify(
+                nearby_peers(c.node_.members(), c.node_.self()),
+                base::boot_clock::now()));
 }
 
 
--- a/src/libmembership/node.cpp
+++ b/src/libmembership/node.cpp
@@ -192,6 +192,18 @@
 }
 
 
+node_output
+node::notify(const std::vector<endpoint>& peers, base::time_point now)
+{
+    node_output out;
+    step s{*state_, now, out};
+    begin_step(s);
+    for (const endpoint& peer : peers)
+        pvt::send_to(s, peer, pvt::gossip{}, {});
+    return out;
+}
+
+
 node_output node::leave(base::time_point now)
 {
     node_output out;
--- a/src/libmembership/node_test.cpp
+++ b/src/libmembership/node_test.cpp
@@ -76,6 +76,25 @@
 }
 
 
+// Guards against configurations that are in force late, as the status of those
+// that have them takes several steps of gossip to each daemon.
+Test(node, notified_peers_know_the_settings_revision_after_one_datagram)
+{
+    simulated_network net = make_joined_network(40, 6);
+    net.perform(4, [](node& n, auto now) {
+        // The datagrams that spread the revision are lost.
+        n.set_status({.settings_revision_ = 7}, now);
+        std::vector<endpoint> peers;
+        for (std::size_t i = 10; i < 20; ++i)
+            peers.push_back(simulated_network::address(i));
+        return n.notify(peers, now);
+    });
+    net.run(10ms);
+    for (std::size_t i = 10; i < 20; ++i)
+        cr_expect_eq(view(net, i, 4).status_.settings_revision_, 7);
+}
+
+
 Test(node, settings_revision_and_drain_reach_all_nodes)
 {
     simulated_network net = make_joined_network(32, 4);
