--- a/src/libentry/peer_inbox.cpp
+++ b/src/libentry/peer_inbox.cpp
@@ -22,31 +22,6 @@
 
 } // namespace
 
-message_priority priority_of(const std::string& bytes)
-{
-    const std::string_view kind = kind_of_innermost(bytes);
-    const auto is_any_of = [&](std::initializer_list<std::string_view> kinds) {
-        return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
-    };
-    if (is_any_of(
-            {"upstream_suspected",
-             "upstream_healthy",
-             "upstream_query",
-             "host_query",
-             "host_finding"}))
-        return message_priority::evidence;
-    if (is_any_of(
-            {"load",
-             "data_centre_load",
-             "load_sum",
-             "demand",
-             "host_pace",
-             "group_check"}))
-        return message_priority::load;
-    return message_priority::control;
-}
-
-
 void peer_inbox::push(received_datagram d)
 {
     queue& q = queue_of(priority_of(d.bytes_));
--- a/src/libentry/peer_inbox.hpp
+++ b/src/libentry/peer_inbox.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "message_priority.hpp"
+
 #include <monsoondock/base/boot_clock.hpp>
 #include <monsoondock/membership/endpoint.hpp>
 
@@ -13,23 +15,6 @@
 
 namespace monsoondock::entry::pvt {
 
-/// Order in which messages of other daemons are handled.
-enum class message_priority
-{
-    /// Membership, which carries the news of configurations, leadership, host
-    /// changes, and what protects hosts and callers.
-    control,
-    /// Loads, demand, paces, and requests to the leader.
-    load,
-    /// Evidence about single hosts and links, which each daemon can also gather
-    /// by itself.
-    evidence
-};
-
-
-inline constexpr std::size_t message_priorities = 3;
-
-
 /// Number of messages of each priority that are kept.
 inline constexpr std::size_t max_kept_messages = 512;
 
@@ -39,11 +24,6 @@
 inline constexpr std::chrono::milliseconds max_evidence_age{400};
 
 
-/// Returns the priority of an encoded message; that of the inner one if it is a
-/// forwarded message.
-message_priority priority_of(const std::string& bytes);
-
-
 /// Datagram of another daemon.
 struct received_datagram
 {
--- a/src/libentry/peer_message.cpp
+++ b/src/libentry/peer_message.cpp
@@ -450,38 +450,76 @@
 constexpr std::size_t inner_offset =
     type_code_offset + 1 + sizeof(std::uint32_t);
 
-constexpr std::array<std::string_view, std::variant_size_v<peer_message>>
-    message_kinds{"membership",       "heartbeat",    "upstream_suspected",
-                  "upstream_healthy", "load",         "crash",
-                  "upstream_query",   "demand",       "host_unreachable",
-                  "host_leaving",     "relist_hosts", "host_changes",
-                  "data_centre_load", "load_sum",     "forwarded",
-                  "part_report",      "host_limits",  "host_query",
-                  "host_finding",     "group_check",  "evacuations",
-                  "host_pace"};
+
+struct message_kind
+{
+    std::string_view name_;
+    message_priority priority_;
+};
+
+
+// By type code.
+constexpr std::array<message_kind, std::variant_size_v<peer_message>>
+    message_kinds{{
+        {"membership", message_priority::control},
+        {"heartbeat", message_priority::control},
+        {"upstream_suspected", message_priority::evidence},
+        {"upstream_healthy", message_priority::evidence},
+        {"load", message_priority::load},
+        {"crash", message_priority::control},
+        {"upstream_query", message_priority::evidence},
+        {"demand", message_priority::load},
+        {"host_unreachable", message_priority::control},
+        {"host_leaving", message_priority::control},
+        {"relist_hosts", message_priority::control},
+        {"host_changes", message_priority::control},
+        {"data_centre_load", message_priority::load},
+        {"load_sum", message_priority::load},
+        {"forwarded", message_priority::control},
+        {"part_report", message_priority::control},
+        {"host_limits", message_priority::control},
+        {"host_query", message_priority::evidence},
+        {"host_finding", message_priority::evidence},
+        {"group_check", message_priority::load},
+        {"evacuations", message_priority::control},
+        {"host_pace", message_priority::load},
+    }};
+constexpr std::size_t forwarded_code = 14;
+static_assert(std::is_same_v<
+              std::variant_alternative_t<forwarded_code, peer_message>,
+              forwarded_message>);
+
+
+// Returns the type code of the message that begins at an offset, without
+// decoding it.
+std::optional<std::size_t>
+type_code_at(std::string_view bytes, std::size_t offset)
+{
+    const std::size_t position = offset + type_code_offset;
+    if (position >= bytes.size())
+        return std::nullopt;
+    const auto code = static_cast<unsigned char>(bytes[position]);
+    if (code >= message_kinds.size())
+        return std::nullopt;
+    return code;
+}
 
 } // namespace
 
 std::string_view kind_of(const peer_message& m)
 {
-    return message_kinds.at(m.index());
+    return message_kinds.at(m.index()).name_;
 }
 
 
-std::string_view kind_of_innermost(std::string_view bytes)
+message_priority priority_of(std::string_view bytes)
 {
-    if (bytes.size() <= type_code_offset)
-        return {};
-    const auto code = static_cast<unsigned char>(bytes[type_code_offset]);
-    if (code >= message_kinds.size())
-        return {};
-    const std::string_view kind = message_kinds.at(code);
+    std::optional<std::size_t> code = type_code_at(bytes, 0);
     // A message is forwarded once.
-    if (kind != "forwarded" || bytes.size() <= inner_offset + type_code_offset)
-        return kind;
-    const auto inner =
-        static_cast<unsigned char>(bytes[inner_offset + type_code_offset]);
-    return inner < message_kinds.size() ? message_kinds.at(inner) : kind;
+    if (code == forwarded_code)
+        code = type_code_at(bytes, inner_offset);
+    return code ? message_kinds.at(*code).priority_
+                : message_priority::evidence;
 }
 
 
--- a/src/libentry/peer_message.hpp
+++ b/src/libentry/peer_message.hpp
@@ -4,6 +4,7 @@
 #include "host_change_log.hpp"
 #include "host_pace_message.hpp"
 #include "load_exchange.hpp"
+#include "message_priority.hpp"
 
 #include <monsoondock/base/identifier.hpp>
 #include <monsoondock/paths/host_check.hpp>
@@ -232,9 +233,9 @@
 std::string_view kind_of(const peer_message& m);
 
 
-/// Returns the kind of an encoded message, that of the inner one if it is a
-/// forwarded message, without decoding it. Empty when it has none.
-std::string_view kind_of_innermost(std::string_view bytes);
+/// Returns the priority of an encoded message, without decoding it; that of the
+/// inner one if it is a forwarded message, the lowest if it is malformed.
+message_priority priority_of(std::string_view bytes);
 
 
 /// Returns the datagram for a message.
