entry: probes, answers to questions and message kinds in files of their own

The probes of hosts, the answers to questions of other daemons and the table of message kinds are separate jobs; the cause of a probe is an enumeration.

--- a/src/libentry/link_checks.cpp
+++ b/src/libentry/link_checks.cpp
@@ -2,7 +2,7 @@
 
 #include "control_plane.hpp"
 #include "election.hpp"
-#include "http_call.hpp"
+#include "host_probes.hpp"
 #include "link_peers.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
@@ -19,13 +19,10 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds probe_timeout{200};
 // Peers answer within the time of a probe and a round trip.
 constexpr std::chrono::milliseconds answer_timeout{350};
 // Peers that reach the host answer within this time.
 constexpr std::chrono::milliseconds first_answer_time{60};
-// A host that accepts a connection does so within this time in general.
-constexpr std::chrono::milliseconds usual_connect_time{30};
 constexpr std::chrono::milliseconds test_period{250};
 // The conclusion of a check holds for this time without another one.
 constexpr std::chrono::milliseconds conclusion_validity{100};
@@ -34,14 +31,6 @@
 static_assert(
     probe_timeout + leader_verdict_time + answer_timeout <
     relay::max_loss_check_time);
-constexpr std::chrono::milliseconds comparison_poll_period{20};
-// Number of other hosts that are probed to tell a failed host from cut links.
-constexpr std::size_t compared_hosts = 3;
-
-// Causes of probes, for metrics.
-constexpr std::string_view own = "own";
-constexpr std::string_view asked = "asked";
-constexpr std::string_view comparison = "comparison";
 
 
 std::set<base::host_id> listed_hosts(const control_plane& c)
@@ -53,69 +42,6 @@
 }
 
 
-asio::awaitable<bool>
-connect_to(control_plane& c, base::host_id id, std::string_view cause)
-{
-    const auto found = c.hosts_.hosts_.find(id);
-    if (found == c.hosts_.hosts_.end())
-        co_return false;
-    const auto address = settings::parse_socket_address(found->second.address_);
-    if (!address)
-        co_return false;
-    ++c.links_.probes_;
-    c.metrics_.add(metrics::counter::link_probes, {"none", std::string(cause)});
-    const bool reached = co_await can_connect(
-        c.context_,
-        {asio::ip::make_address(address->ip_), address->port_},
-        probe_timeout);
-    if (reached)
-        c.links_.table_.record_reached(id, base::boot_clock::now());
-    co_return reached;
-}
-
-
-// Connects to a host and records the result, or waits for the result of an
-// attempt that is under way. cause is for metrics.
-asio::awaitable<bool>
-probe(control_plane& c, base::host_id id, std::string_view cause)
-{
-    const auto under_way = c.links_.probes_under_way_.find(id);
-    if (under_way != c.links_.probes_under_way_.end()) {
-        const std::shared_ptr<host_probe> shared = under_way->second;
-        co_await shared->ended_.async_wait(base::await_tuple);
-        co_return shared->reached_;
-    }
-    const auto started = std::make_shared<host_probe>(c.context_);
-    c.links_.probes_under_way_[id] = started;
-    started->reached_ = co_await connect_to(c, id, cause);
-    c.links_.probes_under_way_.erase(id);
-    started->ended_.cancel();
-    co_return started->reached_;
-}
-
-
-// Probes some other hosts, unless one was reached or others were probed since a
-// time.
-void probe_others(
-    control_plane& c, const base::host_id& host, base::time_point since)
-{
-    if (c.links_.table_.reached_other_since(host, since) ||
-        c.links_.compared_at_ >= since)
-        return;
-    c.links_.compared_at_ = base::boot_clock::now();
-    std::vector<base::host_id> others;
-    for (const auto& [id, info] : c.hosts_.hosts_) {
-        if (id != host && !info.draining_)
-            others.push_back(id);
-    }
-    std::shuffle(others.begin(), others.end(), c.random_);
-    others.resize(std::min(others.size(), compared_hosts));
-    for (base::host_id& id : others)
-        asio::co_spawn(
-            c.context_, probe(c, std::move(id), comparison), asio::detached);
-}
-
-
 void log_check(
     const control_plane& c, const base::host_id& host, const link_check& check)
 {
@@ -233,7 +159,7 @@
 asio::awaitable<void> probe_again(
     control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
 {
-    check->evidence_.reached_ = co_await probe(c, host, own);
+    check->evidence_.reached_ = co_await probe(c, host, probe_cause::own);
     if (check->evidence_.reached_)
         try_to_conclude(c, host, *check, false);
 }
@@ -319,7 +245,7 @@
 asio::awaitable<void> run_check(
     control_plane& c, base::host_id host, std::shared_ptr<link_check> check)
 {
-    const bool reached = co_await probe(c, host, own);
+    const bool reached = co_await probe(c, host, probe_cause::own);
     if (reached) {
         end_check(c, host, *check, paths::conclusion::reached);
         co_return;
@@ -396,45 +322,12 @@
         co_await check_link(c, host);
         co_return;
     }
-    const bool reached = co_await probe(c, host, own);
+    const bool reached = co_await probe(c, host, probe_cause::own);
     if (!reached && c.links_.table_.has_cut_links())
         c.links_.table_.record_cut(host, base::boot_clock::now());
 }
 
 
-bool is_leader(const control_plane& c, const membership::endpoint& peer)
-{
-    const auto leader = c.node_.members().find(c.leader_.leader_);
-    return leader != c.node_.members().end() &&
-           leader->second.record_.peer_ == peer;
-}
-
-
-// Returns true when the question of a peer about a host is worth a connection.
-bool may_look_into(
-    control_plane& c,
-    const base::host_id& host,
-    const membership::endpoint& peer)
-{
-    return c.links_.probes_under_way_.contains(host) || is_leader(c, peer) ||
-           c.links_.answers_.take(base::boot_clock::now()).count() == 0;
-}
-
-
-// Probes other hosts for comparison when an attempt takes longer than one that
-// succeeds.
-asio::awaitable<void> compare_unless_reached(
-    control_plane& c,
-    base::host_id host,
-    base::time_point began,
-    std::shared_ptr<const bool> reached)
-{
-    co_await sleep_for(c, usual_connect_time);
-    if (!*reached)
-        probe_others(c, host, began);
-}
-
-
 void report_suspicion(
     control_plane& c, const upstream_suspected_message& suspicion)
 {
@@ -512,33 +405,6 @@
 }
 
 
-asio::awaitable<void> answer_host_query(
-    control_plane& c, host_query_message m, membership::endpoint sender)
-{
-    const base::time_point began = base::boot_clock::now();
-    if (!may_look_into(c, m.host_, sender))
-        co_return;
-    const auto reached_host = std::make_shared<bool>(false);
-    asio::co_spawn(
-        c.context_,
-        compare_unless_reached(c, m.host_, began, reached_host),
-        asio::detached);
-    const bool reached = co_await probe(c, m.host_, asked);
-    *reached_host = reached;
-    paths::peer_finding finding = paths::peer_finding::reached;
-    if (!reached) {
-        // A refused connection leaves the probes of other hosts no time.
-        while (!c.links_.table_.reached_other_since(m.host_, began) &&
-               base::boot_clock::now() - began < probe_timeout)
-            co_await sleep_for(c, comparison_poll_period);
-        finding = c.links_.table_.reached_other_since(m.host_, began)
-                      ? paths::peer_finding::not_reached
-                      : paths::peer_finding::unknown;
-    }
-    send_to_peer(c, sender, host_finding_message{m.number_, finding});
-}
-
-
 void handle_finding(
     control_plane& c,
     const host_finding_message& m,
