--- a/src/libentry/host_questions_test.cpp
+++ b/src/libentry/host_questions_test.cpp
@@ -95,3 +95,33 @@
     c.context_.run_for(50ms);
     cr_expect_leq(listening.accepted(), max_connections);
 }
+
+
+// Guards against a busy daemon that says that it reaches no host, which the
+// asking daemon would take for evidence.
+Test(host_questions, a_busy_daemon_does_not_answer)
+{
+    pvt::test_control_plane daemon;
+    pvt::control_plane& c = daemon.control_;
+    listening_hosts listening(c.context_);
+    listening.add_to(c.hosts_.hosts_);
+    const asio::ip::udp::endpoint any(asio::ip::address_v4::loopback(), 0);
+    c.peer_socket_.open(any.protocol());
+    asio::ip::udp::socket asking(c.context_, any);
+    const auto address = asking.local_endpoint();
+    // One answer is allowed, and the next one long after the end of the test.
+    c.links_.answers_.set_rate(0.001, base::boot_clock::now());
+    c.links_.answers_.take(base::boot_clock::now());
+    bool ended = false;
+    asio::co_spawn(
+        c.context_,
+        pvt::answer_host_query(
+            c,
+            {1, {"h0"}},
+            {address.address().to_v4().to_uint(), address.port()}),
+        [&](const std::exception_ptr&) { ended = true; });
+    while (!ended)
+        c.context_.run_one();
+    cr_expect_eq(c.links_.probes_, 0);
+    cr_expect_eq(asking.available(), 0);
+}
