--- a/review/8/run.py
+++ b/review/8/run.py
@@ -10,8 +10,9 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from common_2 import (  # noqa: E402
-    HEARTBEAT_S, STABLE_WINDOW_S, TROUBLE, Daemon, main, platform, send,
-    sessions)
+    HEARTBEAT_S, STABLE_WINDOW_S, TROUBLE, main, platform, send,
+    sessions,
+    start_daemons)
 
 # Tokens of a prompt: a shared first part, the second part, the request's own.
 FIRST, SECOND, OWN = 40, 20000, 20000
@@ -126,11 +127,7 @@
     config["services"][0]["engine"]["pairs_per_m"] = PAIRS_MS_PER_M
     store.put("config", "main", config)
     fleet = Fleet(store, record, 20, 2)
-    ports = platform.daemon_ports()
-    first = Daemon(session, store, "a", "z1", "127.0.0.1", ports, [])
-    second = Daemon(session, store, "b", "z1", "127.0.0.2", ports,
-                    [first.address("peer")])
-    daemons = [first, second]
+    daemons = start_daemons(session, store, ["a", "b"])
     answers = {}
 
     def chat(daemon, request_id, part):
--- a/review/common_2.py
+++ b/review/common_2.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import struct
 import subprocess
@@ -48,6 +49,8 @@
 def main(folder, run):
     """Runs a case: exit status 1 if run returns true (the rule was broken), 0
     if it returns false, 2 if the case could not run."""
+    # The session ends its processes also when the time is over.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record.say(f"trouble: {'yes' if TROUBLE else 'no'}")
     try:
@@ -119,6 +122,26 @@
         return [line for line in text.splitlines() if re.search(pattern, line)]
 
 
+def start_daemons(session, store, names):
+    """Starts daemons on 127.0.0.1 and the addresses after it. Chooses other
+    ports if one was taken meanwhile."""
+    for _ in range(5):
+        ports = platform.daemon_ports()
+        daemons = []
+        for number, name in enumerate(names):
+            seeds = [daemons[0].address("peer")] if daemons else []
+            daemons.append(Daemon(session, store, name, "z1",
+                                  f"127.0.0.{number + 1}", ports, seeds))
+        time.sleep(0.5)
+        if all(d.popen.poll() is None for d in daemons):
+            return daemons
+        for d in daemons:
+            if d.popen.poll() is None:
+                d.popen.kill()
+                d.popen.wait()
+    raise RuntimeError("no free ports")
+
+
 def send(daemon, request_id, path, method="GET", body="", deadline_ms=1500,
          key="k1", timeout=12, headers=()):
     """Sends one request on a new channel. Returns status (CLOSED for a channel
