--- a/review/8/run.py
+++ b/review/8/run.py
@@ -117,7 +117,8 @@
         record.say(f"a ended with {first.popen.wait(20)}")
         first.start(first_start=False)
 
-    threading.Thread(target=start_again, daemon=True).start()
+    restart = threading.Thread(target=start_again, daemon=True)
+    restart.start()
     time.sleep(start + 1.0 - time.monotonic())
     stopped = time.monotonic()
     record.say("SIGTERM to b")
@@ -148,7 +149,7 @@
         time.sleep(PERIOD_S)
     record.say(f"b ended {time.monotonic() - stopped:.3f} s after its SIGTERM "
                f"with {second.popen.wait(20)}")
-    for thread in threads:
+    for thread in [*threads, restart]:
         thread.join(15)
     lost = 0
     for request_id, a in answers.items():
--- a/review/common_2.py
+++ b/review/common_2.py
@@ -2,6 +2,7 @@
 as the deploy file starts them, a plain worker that can crash and start again,
 and the record of a run. Store and session are those of the project's tests."""
 
+import contextlib
 import http.client
 import os
 import pathlib
@@ -20,6 +21,30 @@
 import session as sessions  # noqa: E402
 import users_platform as platform  # noqa: E402
 
+LOOPBACK = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
+
+
+def free_port(count=1):
+    """Returns a port that is free, with the ports after it, for TCP and UDP on
+    the loopback addresses that the daemons use."""
+    while True:
+        with contextlib.ExitStack() as sockets:
+            port = 0
+            try:
+                for number in range(count):
+                    for ip in LOOPBACK:
+                        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                            s = sockets.enter_context(socket.socket(type=kind))
+                            s.bind((ip, port + number if port else 0))
+                            port = port or s.getsockname()[1]
+            except OSError:
+                continue
+            return port
+
+
+# That of the tests binds all addresses for a moment.
+platform.free_port = free_port
+
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Bounds of the small deployments.
 STABLE_WINDOW_S = 3.0
@@ -131,7 +156,7 @@
         for number, name in enumerate(names):
             seeds = [daemons[0].address("peer")] if daemons else []
             daemons.append(Daemon(session, store, name, "z1",
-                                  f"127.0.0.{number + 1}", ports, seeds))
+                                  LOOPBACK[number], ports, seeds))
         time.sleep(0.5)
         if all(d.popen.poll() is None for d in daemons):
             return daemons
