relay: log why a stopping daemon accepts a request, and what it aborts

The line request_in_shutdown names the ground on which a request was accepted (due_in_time, expected_in_time or latest_in_time), and request_aborted names, for each request that is aborted at the end of the shutdown, that ground, the time since its host's last event and the time to its deadline.

No decision changes.

--- a/src/include/monsoondock/relay/drain_schedule.hpp
+++ b/src/include/monsoondock/relay/drain_schedule.hpp
@@ -31,13 +31,30 @@
 };
 
 
-/// Returns true when a request that arrives during the shutdown is accepted:
-/// because its response is due before the end, or because it is expected to end
-/// by then and its caller could not know of the shutdown, or because it will
-/// end by then and the caller has no other daemon.
-bool accepts(
+/// Why a request that arrives during the shutdown is accepted.
+enum class acceptance
+{
+    /// It is not.
+    rejected,
+    /// Its response is due before the end.
+    due_in_time,
+    /// It is expected to end in time, and its caller could not know of the
+    /// shutdown.
+    expected_in_time,
+    /// It will end in time at the latest, and the caller has no other daemon.
+    latest_in_time
+};
+
+
+/// Returns whether a request that arrives during the shutdown is accepted, and
+/// why.
+acceptance assess(
     const drain_schedule& schedule,
     base::time_point now,
     const response_end& end) noexcept;
 
+
+/// Returns the name of an acceptance as it appears in logs.
+const char* to_string(acceptance a) noexcept;
+
 } // namespace monsoondock::relay
--- a/src/librelay/cut_log.cpp
+++ b/src/librelay/cut_log.cpp
@@ -50,6 +50,25 @@
 
 } // namespace
 
+void log_aborted_requests(const proxy_thread& t)
+{
+    const base::time_point now = base::boot_clock::now();
+    for (const auto& e : t.exchanges_)
+        base::event_line("request_aborted", base::severity::warning)
+            .field("request", e->id_)
+            .field("route", e->route_->name_)
+            .field("host", e->host_)
+            .field(
+                "acceptance",
+                e->acceptance_ ? to_string(*e->acceptance_) : "before_shutdown")
+            .field("sends", e->sends_)
+            .field("phase", to_string(e->phase_))
+            .field("silent", now - e->phase_start_)
+            .field("deadline", e->deadline_ - now)
+            .field("total", now - e->received_);
+}
+
+
 void log_cut_work(proxy_thread& t)
 {
     const base::time_point now = base::boot_clock::now();
--- a/src/librelay/drain_schedule.cpp
+++ b/src/librelay/drain_schedule.cpp
@@ -2,16 +2,34 @@
 
 namespace monsoondock::relay {
 
-bool accepts(
+acceptance assess(
     const drain_schedule& schedule,
     base::time_point now,
     const response_end& end) noexcept
 {
     if (end.deadline_ <= schedule.exit_at_)
-        return true;
+        return acceptance::due_in_time;
     if (now < schedule.accept_until_ && end.expected_ <= schedule.exit_at_)
-        return true;
-    return now < schedule.cover_until_ && end.latest_ <= schedule.exit_at_;
+        return acceptance::expected_in_time;
+    if (now < schedule.cover_until_ && end.latest_ <= schedule.exit_at_)
+        return acceptance::latest_in_time;
+    return acceptance::rejected;
+}
+
+
+const char* to_string(acceptance a) noexcept
+{
+    switch (a) {
+    case acceptance::rejected:
+        return "rejected";
+    case acceptance::due_in_time:
+        return "due_in_time";
+    case acceptance::expected_in_time:
+        return "expected_in_time";
+    case acceptance::latest_in_time:
+        return "latest_in_time";
+    }
+    return "unknown";
 }
 
 } // namespace monsoondock::relay
--- a/src/librelay/drain_schedule_test.cpp
+++ b/src/librelay/drain_schedule_test.cpp
@@ -5,7 +5,8 @@
 using namespace monsoondock;
 using namespace std::chrono_literals;
 
-using relay::accepts;
+using relay::acceptance;
+using relay::assess;
 
 namespace {
 
@@ -13,6 +14,15 @@
 const relay::drain_schedule schedule{start + 2s, start + 7s};
 const relay::drain_schedule covering{start + 2s, start + 7s, start + 5s};
 
+
+bool accepts(
+    const relay::drain_schedule& s,
+    base::time_point now,
+    const relay::response_end& end)
+{
+    return assess(s, now, end) != acceptance::rejected;
+}
+
 } // namespace
 
 
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -5,6 +5,7 @@
 
 #include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/crashes/prompt_part.hpp>
+#include <monsoondock/relay/drain_schedule.hpp>
 #include <monsoondock/relay/serving_view.hpp>
 
 #include <boost/beast/http/message.hpp>
@@ -13,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -77,6 +79,8 @@
     std::string id_;
     std::string workspace_;
     std::string model_;
+    /// Why the request was accepted, if the daemon was shutting down then.
+    std::optional<acceptance> acceptance_;
     unsigned priority_ = 0;
     double prompt_tokens_ = 0;
     /// As estimated by the caller.
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -339,22 +339,23 @@
 
 // Returns false when the daemon is shutting down and might not finish the
 // request.
-bool is_accepted(const forward_context& c, base::time_point now)
+bool is_accepted(forward_context& c, base::time_point now)
 {
     if (!c.t_.drain_)
         return true;
     const drain_schedule& schedule = *c.t_.drain_;
     const response_end end = response_end_of(c, now);
-    const bool accepted = accepts(schedule, now, end);
+    const acceptance found = assess(schedule, now, end);
+    c.e_.acceptance_ = found;
     base::event_line("request_in_shutdown")
         .field("request", c.e_.id_)
-        .field("accepted", accepted ? "yes" : "no")
+        .field("acceptance", to_string(found))
         .field("covering", now < schedule.cover_until_ ? "yes" : "no")
         .field("exit", schedule.exit_at_ - now)
         .field("deadline", end.deadline_ - now)
         .field("expected", end.expected_ - now)
         .field("latest", end.latest_ - now);
-    return accepted;
+    return found != acceptance::rejected;
 }
 
 
--- a/src/librelay/reverse_proxy.cpp
+++ b/src/librelay/reverse_proxy.cpp
@@ -413,6 +413,7 @@
     proxy_thread& t = impl_->thread_state_;
     asio::post(t.context_, [&t] {
         t.aborting_ = true;
+        pvt::log_aborted_requests(t);
         for (const auto& e : t.exchanges_)
             pvt::stop(*e, pvt::stop_reason::shutdown);
     });
