relay: a stopping daemon accepts late requests by their deadline alone

Cause: what was taken while no daemon was ready was taken on an estimate, 1.5 times what its longest answer takes at the pace of the hosts. The time that a host takes has no bound but the deadline.

Change: late requests are accepted only if their deadline, or their route's timeout, comes before the daemon's end. latest_end, slowest_event_interval and exchange::max_answer_tokens_ go, with their tests: they checked the estimate. In drain_schedule_test the check that a covering daemon accepts what it is estimated to finish is replaced by late_request_is_rejected_however_early_its_expected_end, which asks the opposite.

--- a/src/include/monsoondock/relay/drain_schedule.hpp
+++ b/src/include/monsoondock/relay/drain_schedule.hpp
@@ -12,8 +12,8 @@
     base::time_point accept_until_;
     /// When requests in progress are aborted.
     base::time_point exit_at_;
-    /// Until then requests are accepted whose responses are sure to end in
-    /// time, because no other daemon is ready.
+    /// Until then no other daemon is known to be ready, and callers may use the
+    /// address of this one.
     base::time_point cover_until_{};
 };
 
@@ -25,9 +25,6 @@
     /// Expected from the size of the request and of its response as the caller
     /// estimates it.
     base::time_point expected_;
-    /// The latest, judged by the longest answer that the request may have and
-    /// the pace of the upstreams; the deadline when these are not known.
-    base::time_point latest_;
 };
 
 
@@ -40,9 +37,7 @@
     due_in_time,
     /// It is expected to end in time, and its caller could not know of the
     /// shutdown.
-    expected_in_time,
-    /// It will end in time at the latest, and the caller has no other daemon.
-    latest_in_time
+    expected_in_time
 };
 
 
--- a/src/librelay/caller_session.cpp
+++ b/src/librelay/caller_session.cpp
@@ -250,13 +250,14 @@
     const std::string_view text(counts.data(), counts.size());
     const std::size_t comma = text.find(',');
     e.prompt_tokens_ = double(to_number(text.substr(0, comma)).value_or(0));
+    double max_answer_tokens = 0;
     if (comma != std::string_view::npos)
-        e.max_answer_tokens_ =
+        max_answer_tokens =
             double(to_number(text.substr(comma + 1)).value_or(0));
     const auto estimate = e.request_[names.answer_estimate_];
     const auto answer_tokens = to_number({estimate.data(), estimate.size()});
     e.answer_tokens_ =
-        answer_tokens ? double(*answer_tokens) : e.max_answer_tokens_;
+        answer_tokens ? double(*answer_tokens) : max_answer_tokens;
 }
 
 
--- a/src/librelay/drain_schedule.cpp
+++ b/src/librelay/drain_schedule.cpp
@@ -11,8 +11,6 @@
         return acceptance::due_in_time;
     if (now < schedule.accept_until_ && end.expected_ <= schedule.exit_at_)
         return acceptance::expected_in_time;
-    if (now < schedule.cover_until_ && end.latest_ <= schedule.exit_at_)
-        return acceptance::latest_in_time;
     return acceptance::rejected;
 }
 
@@ -26,8 +24,6 @@
         return "due_in_time";
     case acceptance::expected_in_time:
         return "expected_in_time";
-    case acceptance::latest_in_time:
-        return "latest_in_time";
     }
     return "unknown";
 }
--- a/src/librelay/drain_schedule_test.cpp
+++ b/src/librelay/drain_schedule_test.cpp
@@ -12,16 +12,6 @@
 
 const base::time_point start{1000s};
 const relay::drain_schedule schedule{start + 2s, start + 7s};
-const relay::drain_schedule covering{start + 2s, start + 7s, start + 5s};
-
-
-bool accepts(
-    const relay::drain_schedule& s,
-    base::time_point now,
-    const relay::response_end& end)
-{
-    return assess(s, now, end) != acceptance::rejected;
-}
 
 } // namespace
 
@@ -30,8 +20,19 @@
 // grace period.
 Test(drain_schedule, late_request_that_may_outlast_the_daemon_is_rejected)
 {
-    cr_assert_not(
-        accepts(schedule, start + 3s, {start + 11s, start + 4s, start + 11s}));
+    cr_assert(
+        assess(schedule, start + 3s, {start + 11s, start + 4s}) ==
+        acceptance::rejected);
+}
+
+
+// A stream of half a second was accepted for its estimated end, and was cut as
+// its host paused (review/8).
+Test(drain_schedule, late_request_is_rejected_however_early_its_expected_end)
+{
+    cr_assert(
+        assess(schedule, start + 3s, {start + 7001ms, start + 3001ms}) ==
+        acceptance::rejected);
 }
 
 
@@ -39,42 +40,23 @@
 // it was sure to be cut.
 Test(drain_schedule, request_that_is_expected_to_outlast_the_daemon_is_rejected)
 {
-    cr_assert_not(
-        accepts(schedule, start, {start + 8s, start + 8s, start + 8s}));
+    cr_assert(
+        assess(schedule, start, {start + 8s, start + 8s}) ==
+        acceptance::rejected);
 }
 
 
 Test(drain_schedule, request_that_is_expected_to_end_in_time_is_accepted)
 {
     cr_assert(
-        accepts(schedule, start + 1s, {start + 9s, start + 6s, start + 9s}));
+        assess(schedule, start + 1s, {start + 9s, start + 6s}) ==
+        acceptance::expected_in_time);
 }
 
 
 Test(drain_schedule, late_request_that_is_due_in_time_is_accepted)
 {
-    cr_assert(accepts(
-        schedule,
-        start + 5s,
-        {start + 6500ms, start + 6500ms, start + 6500ms}));
-}
-
-
-// While no daemon was ready, requests that take a second were rejected from
-// 2.3 s after SIGTERM on.
-Test(drain_schedule, daemon_that_covers_for_others_accepts_what_it_can_finish)
-{
-    const relay::response_end end{start + 11s, start + 4s, start + 6s};
-    cr_assert_not(accepts(schedule, start + 3s, end));
-    cr_assert(accepts(covering, start + 3s, end));
-    cr_assert_not(accepts(covering, start + 5s, end));
-}
-
-
-// A stream that was expected to end 3.8 s after it was accepted took longer,
-// and was cut at the end of the grace period.
-Test(drain_schedule, daemon_that_covers_for_others_does_not_trust_estimates)
-{
-    cr_assert_not(
-        accepts(covering, start + 3s, {start + 11s, start + 4s, start + 8s}));
+    cr_assert(
+        assess(schedule, start + 5s, {start + 6500ms, start + 6500ms}) ==
+        acceptance::due_in_time);
 }
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -85,8 +85,6 @@
     double prompt_tokens_ = 0;
     /// As estimated by the caller.
     double answer_tokens_ = 0;
-    /// Maximum number of tokens of the answer; 0 if it is not known.
-    double max_answer_tokens_ = 0;
     /// Equal for a request and its resubmissions; see crash_report.
     std::uint64_t fingerprint_ = 0;
     /// Hash of all parts of the prompt, also of the last one.
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -330,10 +330,7 @@
 
 response_end response_end_of(const forward_context& c, base::time_point now)
 {
-    return {
-        c.e_.deadline_,
-        expected_end(c.e_, now),
-        latest_end(c.e_, slowest_event_interval(c.t_, c.e_), now)};
+    return {c.e_.deadline_, expected_end(c.e_, now)};
 }
 
 
@@ -353,8 +350,7 @@
         .field("covering", now < schedule.cover_until_ ? "yes" : "no")
         .field("exit", schedule.exit_at_ - now)
         .field("deadline", end.deadline_ - now)
-        .field("expected", end.expected_ - now)
-        .field("latest", end.latest_ - now);
+        .field("expected", end.expected_ - now);
     return found != acceptance::rejected;
 }
 
--- a/src/librelay/proxy_session_test.cpp
+++ b/src/librelay/proxy_session_test.cpp
@@ -260,6 +260,8 @@
     request.set("X-Model", model_name);
     if (!options.prompt_parts_.empty())
         request.set("X-Parts", options.prompt_parts_);
+    if (!options.token_counts_.empty())
+        request.set("X-Tokens", options.token_counts_);
     request.body() = options.body_;
     request.prepare_payload();
     std::ostringstream text;
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -61,6 +61,8 @@
     std::string body_;
     /// Parts of the prompt; see crashes::parse_shared_parts.
     std::string prompt_parts_;
+    /// Tokens of the prompt and most tokens of the answer; empty for none.
+    std::string token_counts_;
 };
 
 
--- a/src/librelay/shutdown_test.cpp
+++ b/src/librelay/shutdown_test.cpp
@@ -141,6 +141,26 @@
 }
 
 
+// Guards against cutting a short stream at the end of a shutdown because its
+// host, which was to be done in time, paused for a second (review/8).
+Test(shutdown, short_stream_that_a_pause_may_delay_is_rejected)
+{
+    session_options options;
+    options.step_ms_ = 1;
+    proxy_session s(
+        request_kind::at_most_once_stream, {scripted_response{}}, options);
+    const base::time_point now = base::boot_clock::now();
+    s.proxy_.drain({now, now + 5s, now + 5s});
+    request_options request;
+    request.deadline_ = 8s;
+    request.token_counts_ = "100,20";
+    const caller_response response = s.call_once(request);
+    cr_assert_eq(response.status_, 503);
+    cr_assert_not(response.retry_after_.empty());
+    cr_assert_eq(s.upstream_.requests(), 0);
+}
+
+
 // During a shutdown a request that might not be finished is rejected at once,
 // and the caller is told when to come back.
 Test(shutdown, request_that_may_outlast_the_daemon_is_rejected)
--- a/src/librelay/upstream_choice.cpp
+++ b/src/librelay/upstream_choice.cpp
@@ -132,23 +132,6 @@
 }
 
 
-std::chrono::nanoseconds
-slowest_event_interval(const proxy_thread& t, const exchange& e)
-{
-    double slowest_ms = 0;
-    const auto found = t.view_->upstreams_.find(e.deployment_);
-    if (found == t.view_->upstreams_.end())
-        return {};
-    for (const upstream& u : found->second) {
-        const upstream_state* s = t.upstream_table_.find(u.host_);
-        if (u.model_ == e.model_ && s != nullptr)
-            slowest_ms = std::max(slowest_ms, s->event_interval_ms_);
-    }
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(
-        std::chrono::duration<double, std::milli>(slowest_ms));
-}
-
-
 bool take_retry(proxy_thread& t, exchange& e, base::time_point now)
 {
     if (std::exchange(e.retry_granted_, false))
--- a/src/librelay/upstream_choice.hpp
+++ b/src/librelay/upstream_choice.hpp
@@ -28,12 +28,6 @@
 bool is_overloaded(const proxy_thread& t, const exchange& e);
 
 
-/// Returns the longest of the mean times between events of the upstreams that
-/// may get the request; 0 when none is known.
-std::chrono::nanoseconds
-slowest_event_interval(const proxy_thread& t, const exchange& e);
-
-
 /// Reserves one more try of a request that has been sent already. Returns false
 /// when the retry limit does not permit it.
 bool take_retry(proxy_thread& t, exchange& e, base::time_point now);
--- a/src/librelay/wait_limits.cpp
+++ b/src/librelay/wait_limits.cpp
@@ -3,7 +3,6 @@
 #include "serving_engine.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace monsoondock::relay::pvt {
 
@@ -73,9 +72,6 @@
 // Expected end of a response as a multiple of the time that its prompt and the
 // estimated answer take while all slots are busy.
 constexpr double duration_factor = 2.0;
-// Latest end of a response as a multiple of the time that its prompt and the
-// longest answer take at the measured pace.
-constexpr double longest_duration_factor = 1.5;
 
 
 // Returns the time of a decode step in which all slots are busy.
@@ -145,25 +141,4 @@
                    : std::min(e.deadline_, now + from_ms(ms * duration_factor));
 }
 
-
-base::time_point
-latest_end(const exchange& e, nanoseconds event_interval, base::time_point now)
-{
-    const serving_engine s = find_engine(e);
-    if (s.engine_ == nullptr || e.max_answer_tokens_ == 0)
-        return e.deadline_;
-    // An engine sends events between passes.
-    const double steps = s.engine_->steps_per_scheduling_pass_;
-    const double events = std::ceil(e.max_answer_tokens_ / steps);
-    const nanoseconds interval =
-        std::max(event_interval, from_ms(steps * busy_step_ms(s)));
-    const nanoseconds taken =
-        first_event_limit(e, s) + nanoseconds(static_cast<std::int64_t>(
-                                      events * double(interval.count())));
-    return std::min(
-        e.deadline_,
-        now + nanoseconds(static_cast<std::int64_t>(
-                  double(taken.count()) * longest_duration_factor)));
-}
-
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/wait_limits.hpp
+++ b/src/librelay/wait_limits.hpp
@@ -36,14 +36,4 @@
 /// of a service without an engine. At its deadline when neither is known.
 base::time_point expected_end(const exchange& e, base::time_point now);
 
-
-/// Returns when the response of a request that starts now ends at the latest:
-/// after all tokens that it may have, in events as far apart as the given
-/// interval, or as those of a busy engine if that is longer. At its deadline
-/// when the number of tokens, or the engine, is not known.
-base::time_point latest_end(
-    const exchange& e,
-    std::chrono::nanoseconds event_interval,
-    base::time_point now);
-
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/wait_limits_test.cpp
+++ b/src/librelay/wait_limits_test.cpp
@@ -117,37 +117,3 @@
     s.exchange_.answer_tokens_ = 170;
     cr_assert(expected_end(s.exchange_, now) < now + 5s);
 }
-
-
-// Guards against cutting a stream at the end of a shutdown that its upstream
-// writes more slowly than its engine should, or that is longer than its caller
-// estimated (review/4).
-Test(wait_limits, the_latest_end_follows_the_longest_answer_and_the_pace)
-{
-    sample s(catalog::request_kind::resumable_stream);
-    const base::time_point now{1000s};
-    s.exchange_.deadline_ = now + 30s;
-    s.exchange_.answer_tokens_ = 10;
-    s.exchange_.max_answer_tokens_ = 250;
-    const auto at_usual_pace = latest_end(s.exchange_, 0ns, now);
-    // 50 events, each after five steps of 9.4 ms.
-    cr_assert(at_usual_pace > now + 50 * 47ms);
-    cr_assert(at_usual_pace < now + 2 * 50 * 47ms);
-    cr_assert(latest_end(s.exchange_, 10ms, now) == at_usual_pace);
-    cr_assert(latest_end(s.exchange_, 100ms, now) > now + 50 * 100ms);
-    s.exchange_.deadline_ = now + 3s;
-    cr_assert(latest_end(s.exchange_, 100ms, now) == now + 3s);
-}
-
-
-Test(wait_limits, the_latest_end_of_an_unknown_answer_is_its_deadline)
-{
-    sample s(catalog::request_kind::at_most_once);
-    const base::time_point now{1000s};
-    s.exchange_.deadline_ = now + 8s;
-    s.exchange_.answer_tokens_ = 170;
-    cr_assert(latest_end(s.exchange_, 50ms, now) == now + 8s);
-    s.exchange_.max_answer_tokens_ = 170;
-    s.exchange_.model_ = "";
-    cr_assert(latest_end(s.exchange_, 50ms, now) == now + 8s);
-}
