entry, relay: rejected callers of a stopping daemon return when one is ready

What callers saw: a daemon that stopped while no daemon was ready, and did not cover for others, told its rejected callers to come back after 50 ms; one that did told them 0.75 to 1.25 s, however far the first restart was. Both came back before a daemon was ready and were rejected for good. Since acceptance goes by deadlines there are more of them.

Change: the control plane estimates when the first daemon will be ready (next_ready): now if one is; else from those that start, have ended or are about to end.

--- a/src/include/monsoondock/relay/drain_schedule.hpp
+++ b/src/include/monsoondock/relay/drain_schedule.hpp
@@ -2,6 +2,8 @@
 
 #include <monsoondock/base/boot_clock.hpp>
 
+#include <chrono>
+
 namespace monsoondock::relay {
 
 /// Times of a graceful shutdown.
@@ -12,9 +14,8 @@
     base::time_point accept_until_;
     /// When requests in progress are aborted.
     base::time_point exit_at_;
-    /// Until then no other daemon is known to be ready, and callers may use the
-    /// address of this one.
-    base::time_point cover_until_{};
+    /// When another daemon is expected to be ready; in the past when one is.
+    base::time_point others_ready_at_{};
 };
 
 
@@ -49,6 +50,12 @@
     const response_end& end) noexcept;
 
 
+/// Returns how long it will take until another daemon is ready; zero when one
+/// is.
+std::chrono::milliseconds
+others_ready_in(const drain_schedule& schedule, base::time_point now) noexcept;
+
+
 /// Returns the name of an acceptance as it appears in logs.
 const char* to_string(acceptance a) noexcept;
 
--- a/src/libentry/all_daemons_stop_together_test.cpp
+++ b/src/libentry/all_daemons_stop_together_test.cpp
@@ -152,3 +152,52 @@
     cr_assert(directory_ttl(true, 100ms) == 100ms);
     cr_assert(directory_ttl(false, 2s) == 2s);
 }
+
+
+namespace {
+
+base::time_point
+next_ready_for(unsigned self, const membership::member_table& members)
+{
+    return next_ready(members, {name_of(self), start}, 2300ms, start + 3s);
+}
+
+} // namespace
+
+
+// Callers were told to come back after 50 ms while no daemon was ready, and
+// were rejected again.
+Test(all_daemons_stop_together, rejected_callers_learn_when_a_daemon_is_ready)
+{
+    membership::member_table members;
+    // The only daemon ends and starts again.
+    cr_assert(next_ready_for(0, members) == start + 4s);
+    // Of two, the one that stopped first ends first.
+    add(members, make_member(1, member_state::leaving, start + 2s));
+    cr_assert(next_ready_for(0, members) == start + 4s);
+    cr_assert(next_ready_for(2, members) == start + 4s);
+    // One has ended before.
+    add(members, make_member(3, member_state::dead, start + 2500ms));
+    cr_assert(next_ready_for(0, members) == start + 3500ms);
+    // One has started, and is not ready yet.
+    add(members, make_member(4, member_state::alive, start + 2500ms));
+    cr_assert(next_ready_for(0, members) == start + 3250ms);
+    add(members, make_member(5, member_state::alive, start, entry_mode::open));
+    cr_assert(next_ready_for(0, members) == start + 3s);
+}
+
+
+// The daemons that cover for others end only when one is ready.
+Test(all_daemons_stop_together, the_end_of_a_covering_daemon_is_not_awaited)
+{
+    membership::member_table members;
+    add(members, make_member(1, member_state::leaving, start - 1s));
+    const stopping_daemon self{name_of(0), start};
+    // Daemon 1 has still to end, and the time at which it does is not known.
+    cr_assert(next_ready(members, self, 2300ms, start + 3s) == start + 4s);
+    cr_assert(next_ready(members, self, 2300ms, start + 6s) == start + 7s);
+    // Only those are left that did not come back.
+    members.clear();
+    add(members, make_member(1, member_state::dead, start + 1s));
+    cr_assert(next_ready(members, self, 2300ms, start + 6s) == start + 6250ms);
+}
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -39,17 +39,36 @@
 }
 
 
-// Goes on accepting callers while this daemon covers for those that restart.
-// Once another is ready, callers may still use the address of this one until
-// the directory's latest response expires.
-void extend_acceptance(control_plane& c, relay::drain_schedule& schedule)
+// Returns how long callers may use the address of this daemon after the
+// directory gave it to them.
+std::chrono::milliseconds
+address_lifetime(const control_plane& c, bool covering)
 {
-    if (!covering_daemons(c).contains(c.config_.daemon_))
-        return;
-    schedule.cover_until_ = base::boot_clock::now() +
-                            directory_ttl(true, c.config_.directory_ttl_) +
-                            directory_cache_margin;
-    c.proxy_->drain(schedule);
+    return directory_ttl(covering, c.config_.directory_ttl_) +
+           directory_cache_margin;
+}
+
+
+// Returns until when callers may use the address of this daemon: while it
+// covers for those that restart, until the latest response of the directory
+// expires.
+base::time_point
+used_until(const control_plane& c, base::time_point known, base::time_point now)
+{
+    return covering_daemons(c).contains(c.config_.daemon_)
+               ? std::max(known, now + address_lifetime(c, true))
+               : known;
+}
+
+
+// Returns when another daemon is expected to be ready.
+base::time_point others_ready_at(const control_plane& c, base::time_point now)
+{
+    return next_ready(
+        c.node_.members(),
+        {c.config_.daemon_, c.stopping_since_},
+        address_lifetime(c, false),
+        now);
 }
 
 
@@ -61,14 +80,17 @@
 {
     relay::reverse_proxy& proxy = *c.proxy_;
     relay::drain_schedule schedule{
-        start_time + c.config_.directory_ttl_ + directory_cache_margin,
-        start_time + c.config_.grace_ - exit_before_deadline};
+        start_time + address_lifetime(c, false),
+        start_time + c.config_.grace_ - exit_before_deadline,
+        others_ready_at(c, start_time)};
     proxy.drain(schedule);
+    base::time_point open_until = schedule.accept_until_;
     co_await wait_for(c, schedule.exit_at_, [&] {
-        extend_acceptance(c, schedule);
-        return proxy.busy_connections() == 0 &&
-               base::boot_clock::now() >=
-                   std::max(schedule.accept_until_, schedule.cover_until_);
+        const base::time_point now = base::boot_clock::now();
+        open_until = used_until(c, open_until, now);
+        schedule.others_ready_at_ = others_ready_at(c, now);
+        proxy.drain(schedule);
+        return proxy.busy_connections() == 0 && now >= open_until;
     });
     proxy.close_idle_connections();
     const auto is_closed = [&proxy] {
--- a/src/libentry/shutdown_cover.cpp
+++ b/src/libentry/shutdown_cover.cpp
@@ -18,6 +18,12 @@
 
 constexpr std::chrono::milliseconds covering_ttl{250};
 
+// Time from the end of a daemon until it is ready again.
+constexpr std::chrono::milliseconds restart_time{1000};
+
+// Time from the start of a daemon until it is ready.
+constexpr std::chrono::milliseconds start_time{250};
+
 
 bool is_ready(const member& m)
 {
@@ -77,4 +83,42 @@
     return result;
 }
 
+
+base::time_point next_ready(
+    const membership::member_table& members,
+    const stopping_daemon& self,
+    std::chrono::milliseconds stop_time,
+    base::time_point now)
+{
+    const auto ready_after_stop = [&](base::time_point since) {
+        return std::max(since + stop_time, now) + restart_time;
+    };
+    const std::set<base::daemon_id> covering =
+        covering_daemons(members, self, now);
+    base::time_point result = covering.contains(self.daemon_)
+                                  ? base::time_point::max()
+                                  : ready_after_stop(self.since_);
+    for (const auto& [id, m] : members) {
+        const base::time_point changed_at = m.state_changed_at_;
+        switch (m.record_.state_) {
+        case member_state::alive:
+            result = std::min(result, is_ready(m) ? now : now + start_time);
+            break;
+        case member_state::leaving:
+            if (!covering.contains(id))
+                result = std::min(result, ready_after_stop(changed_at));
+            break;
+        case member_state::dead:
+            if (now - changed_at < restart_allowance)
+                result = std::min(
+                    result,
+                    std::max(changed_at + restart_time, now + start_time));
+            break;
+        case member_state::suspect:
+            break;
+        }
+    }
+    return std::min(result, now + stop_time + restart_time);
+}
+
 } // namespace monsoondock::entry::pvt
--- a/src/libentry/shutdown_cover.hpp
+++ b/src/libentry/shutdown_cover.hpp
@@ -41,6 +41,17 @@
     base::time_point now);
 
 
+/// Returns when a daemon is expected to be ready: now if one is, else when the
+/// first of those that start, have ended recently or are about to end will be.
+/// Those that cover for others are not counted. self is this daemon, which is
+/// stopping; stop_time is the least time that a shutdown takes.
+base::time_point next_ready(
+    const membership::member_table& members,
+    const stopping_daemon& self,
+    std::chrono::milliseconds stop_time,
+    base::time_point now);
+
+
 /// Returns those that this daemon knows of, itself perhaps included.
 std::set<base::daemon_id> covering_daemons(const control_plane& c);
 
--- a/src/librelay/drain_schedule.cpp
+++ b/src/librelay/drain_schedule.cpp
@@ -1,5 +1,7 @@
 #include <monsoondock/relay/drain_schedule.hpp>
 
+#include <algorithm>
+
 namespace monsoondock::relay {
 
 acceptance assess(
@@ -15,6 +17,16 @@
 }
 
 
+std::chrono::milliseconds
+others_ready_in(const drain_schedule& schedule, base::time_point now) noexcept
+{
+    using std::chrono::milliseconds;
+    return std::max(
+        milliseconds{0},
+        std::chrono::ceil<milliseconds>(schedule.others_ready_at_ - now));
+}
+
+
 const char* to_string(acceptance a) noexcept
 {
     switch (a) {
--- a/src/librelay/drain_schedule_test.cpp
+++ b/src/librelay/drain_schedule_test.cpp
@@ -60,3 +60,21 @@
         assess(schedule, start + 5s, {start + 6500ms, start + 6500ms}) ==
         acceptance::due_in_time);
 }
+
+
+// While no daemon was ready, rejected callers came back after 50 ms, and were
+// rejected for good.
+Test(drain_schedule, callers_wait_for_a_daemon_that_is_ready)
+{
+    const relay::drain_schedule alone{start + 2s, start + 7s, start + 5s};
+    cr_assert(relay::others_ready_in(alone, start + 3s) == 2s);
+    cr_assert(relay::others_ready_in(alone, start + 4500ms) == 500ms);
+}
+
+
+Test(drain_schedule, callers_go_to_daemons_that_are_ready_at_once)
+{
+    const relay::drain_schedule covered{start + 2s, start + 7s, start + 5s};
+    cr_assert(relay::others_ready_in(covered, start + 6s) == 0ms);
+    cr_assert(relay::others_ready_in(schedule, start + 3s) == 0ms);
+}
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -3,7 +3,6 @@
 #include "crash_records.hpp"
 #include "detour.hpp"
 #include "forward_records.hpp"
-#include "rejection_pause.hpp"
 #include "suspended_try.hpp"
 #include "upstream_choice.hpp"
 #include "wait_limits.hpp"
@@ -36,7 +35,8 @@
 // A slot becomes free after about the duration of one response.
 constexpr milliseconds busy_retry_after{500};
 constexpr milliseconds crash_retry_after{60000};
-// Callers that were told the end of a pause return within at least this time.
+// Callers that wait for the end of a time return within at least this time
+// after it.
 constexpr milliseconds min_pause_spread{200};
 constexpr int pause_spread_divisor = 4;
 
@@ -54,6 +54,12 @@
 }
 
 
+milliseconds bounded_retry_after(const exchange& e, milliseconds wanted)
+{
+    return std::max(min_retry_after, std::min(wanted, longest_retry_after(e)));
+}
+
+
 // Adds jitter, so that callers refused at the same time do not retry at the
 // same time.
 milliseconds jittered_retry_after(forward_context& c, milliseconds wanted)
@@ -61,14 +67,35 @@
     const double spread = 0.75 + 0.5 * random_fraction(c.t_);
     const auto jittered = milliseconds(
         static_cast<std::int64_t>(double(wanted.count()) * spread));
-    return std::max(
-        min_retry_after, std::min(jittered, longest_retry_after(c.e_)));
+    return bounded_retry_after(c.e_, jittered);
+}
+
+
+// Returns when callers may retry that are to wait for the end of the given
+// time. They are spread over some time after it, so that none comes too early.
+milliseconds spread_after(forward_context& c, milliseconds left)
+{
+    const auto spread = std::max(min_pause_spread, left / pause_spread_divisor);
+    return left + milliseconds(static_cast<std::int64_t>(
+                      double(spread.count()) * random_fraction(c.t_)));
+}
+
+
+local_response stopping_response(forward_context& c)
+{
+    const milliseconds wait =
+        c.t_.drain_ ? others_ready_in(*c.t_.drain_, base::boot_clock::now())
+                    : milliseconds{0};
+    return {
+        http::status::service_unavailable,
+        "stopping",
+        bounded_retry_after(
+            c.e_, wait.count() > 0 ? spread_after(c, wait) : wait)};
 }
 
 
 // Returns when the caller may retry, if all upstreams that could serve the
-// request have asked for a pause. Callers are spread over some time after the
-// end of the first pause.
+// request have asked for a pause.
 std::optional<milliseconds> retry_after_pause(forward_context& c)
 {
     const auto found = c.t_.view_->upstreams_.find(c.e_.deployment_);
@@ -79,20 +106,14 @@
         found->second, c.t_.upstream_table_, c.e_.model_, now);
     if (!end)
         return std::nullopt;
-    const auto left = std::chrono::ceil<milliseconds>(*end - now);
-    const auto spread = std::max(min_pause_spread, left / pause_spread_divisor);
-    return left + milliseconds(static_cast<std::int64_t>(
-                      double(spread.count()) * random_fraction(c.t_)));
+    return spread_after(c, std::chrono::ceil<milliseconds>(*end - now));
 }
 
 
 local_response final_response(forward_context& c)
 {
     if (c.t_.aborting_ && c.e_.possible_runs_ == 0)
-        return {
-            http::status::service_unavailable,
-            "stopping",
-            jittered_retry_after(c, min_retry_after)};
+        return stopping_response(c);
     if (c.e_.possible_runs_ > 0) {
         const bool timed_out = c.e_.stop_reason_ == stop_reason::deadline ||
                                time_left(c.e_).count() <= 0;
@@ -347,7 +368,7 @@
     base::event_line("request_in_shutdown")
         .field("request", c.e_.id_)
         .field("acceptance", to_string(found))
-        .field("covering", now < schedule.cover_until_ ? "yes" : "no")
+        .field("others_ready", schedule.others_ready_at_ - now)
         .field("exit", schedule.exit_at_ - now)
         .field("deadline", end.deadline_ - now)
         .field("expected", end.expected_ - now);
@@ -366,11 +387,7 @@
              "too_many_detours",
              jittered_retry_after(c, busy_retry_after)});
     if (!is_accepted(c, now))
-        co_return co_await send_local_response(
-            c,
-            {http::status::service_unavailable,
-             "stopping",
-             jittered_retry_after(c, rejection_pause(*c.t_.drain_, now))});
+        co_return co_await send_local_response(c, stopping_response(c));
     if (!admit_crashing_request(c.t_, c.e_))
         co_return co_await send_local_response(
             c,
--- a/src/librelay/shutdown_test.cpp
+++ b/src/librelay/shutdown_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <string>
 #include <thread>
 
 using namespace monsoondock;
@@ -161,6 +162,21 @@
 }
 
 
+// Guards against telling callers to come back before another daemon is ready,
+// where they are rejected once more.
+Test(shutdown, rejected_caller_returns_when_another_daemon_is_ready)
+{
+    proxy_session s(request_kind::at_most_once, {make_body()});
+    const base::time_point now = base::boot_clock::now();
+    s.proxy_.drain({now, now + 25s, now + 15s});
+    const caller_response response = s.call();
+    cr_assert_eq(response.status_, 503);
+    const double seconds = std::stod(response.retry_after_);
+    cr_assert(seconds > 5);
+    cr_assert(seconds < 20);
+}
+
+
 // During a shutdown a request that might not be finished is rejected at once,
 // and the caller is told when to come back.
 Test(shutdown, request_that_may_outlast_the_daemon_is_rejected)
