entry: a stopping daemon goes by estimates for 3 s at most, and aborts last

What callers would see: where callers keep addresses for longer than 2.7 s, by the setting directory_ttl, requests that come later than 3 s after SIGTERM are accepted on their expected end, and may be cut; with a grace period below 2.4 s what is accepted may be aborted before the last sixth of the period.

Change: plan_shutdown, a pure function, bounds the time in which the expected end of a response counts to 2.7 s after the signal, and the time between the abort and the kill to an eighth of the grace period. Nothing changes for a TTL of 2 s and a grace of 8 s.

Measured: shutdown_times/* pass; with the former terms (a variant without the bounds) both fail.

--- a/src/include/monsoondock/relay/drain_schedule.hpp
+++ b/src/include/monsoondock/relay/drain_schedule.hpp
@@ -10,7 +10,7 @@
 struct drain_schedule
 {
     /// Until then callers may use the address of this daemon, as its directory
-    /// told them.
+    /// told them, and requests are accepted on their expected end.
     base::time_point accept_until_;
     /// When requests in progress are aborted.
     base::time_point exit_at_;
--- a/src/libentry/shutdown.cpp
+++ b/src/libentry/shutdown.cpp
@@ -1,5 +1,6 @@
 #include "control_plane.hpp"
 #include "shutdown_cover.hpp"
+#include "shutdown_times.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
@@ -19,7 +20,6 @@
 // Callers may use the address of this daemon for the directory TTL and this
 // margin after they received it.
 constexpr std::chrono::milliseconds directory_cache_margin{300};
-constexpr std::chrono::milliseconds exit_before_deadline{400};
 // Time to write the last responses of aborted requests.
 constexpr std::chrono::milliseconds abort_time{150};
 
@@ -79,12 +79,11 @@
 drain_proxy(control_plane& c, base::time_point start_time)
 {
     relay::reverse_proxy& proxy = *c.proxy_;
-    relay::drain_schedule schedule{
-        start_time + address_lifetime(c, false),
-        start_time + c.config_.grace_ - exit_before_deadline,
-        others_ready_at(c, start_time)};
+    relay::drain_schedule schedule =
+        plan_shutdown(start_time, c.config_.grace_, address_lifetime(c, false));
+    schedule.others_ready_at_ = others_ready_at(c, start_time);
     proxy.drain(schedule);
-    base::time_point open_until = schedule.accept_until_;
+    base::time_point open_until = start_time + address_lifetime(c, false);
     co_await wait_for(c, schedule.exit_at_, [&] {
         const base::time_point now = base::boot_clock::now();
         open_until = used_until(c, open_until, now);
