base: reject responses whose status is outside 100 to 599

Callers saw answers with the status 000, 001, 099, 600 and 999 when a host in trouble sent one; one beside X-Not-Executed was answered 503, as if the request had not run, though the host may have run it. On users' own interface callers got status 0 with the body. A write to the store whose response had the status 000 counted as not received, and an order to a host as answered.

Cause: Beast's parser takes any three digits for a status, and each reader compared the number with the statuses that it knows. bounded_response_parser, which all these readers use, now fails with bad_status (RFC 9110, section 15). The response then counts as one that broke off: the try is lost (log: reason=invalid_status), the connection is closed, and nothing of its header is taken as evidence, as the parser fails before anyone reads it. It covers both relay stacks, detours, informational responses, calls of engines and services in the traffic path, the store and peers.

--- a/src/include/monsoondock/base/bounded_parser.hpp
+++ b/src/include/monsoondock/base/bounded_parser.hpp
@@ -46,9 +46,4 @@
     std::size_t field_bytes_ = 0;
 };
 
-
-/// Parser of a response.
-template <class Body>
-using bounded_response_parser = bounded_parser<false, Body>;
-
 } // namespace monsoondock::base
--- a/src/include/monsoondock/base/read_response_header.hpp
+++ b/src/include/monsoondock/base/read_response_header.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/await_tuple.hpp>
-#include <monsoondock/base/bounded_parser.hpp>
+#include <monsoondock/base/bounded_response_parser.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/src/libentry/http_call_test.cpp
+++ b/src/libentry/http_call_test.cpp
@@ -1,4 +1,6 @@
 #include "../libbase/endless_server_test.hpp"
+#include "../libbase/raw_server_test.hpp"
+#include "../libbase/response_examples_test.hpp"
 #include "http_call.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -33,6 +35,22 @@
     return result.get();
 }
 
+
+void expect_broken(const std::vector<base::test::response_example>& examples)
+{
+    for (const auto& e : examples) {
+        const base::test::raw_server server(
+            {base::test::make_response(e, {}, "{}")});
+        const auto result = call(server.address());
+        const auto* failure = std::get_if<entry::pvt::call_failure>(&result);
+        cr_expect(
+            failure != nullptr &&
+                *failure == entry::pvt::call_failure::unanswered,
+            "%s",
+            e.name_.c_str());
+    }
+}
+
 } // namespace
 
 
@@ -54,3 +72,18 @@
             sent, way.bound_ + in_transit_bytes, "%s: %zu", way.name_, sent);
     }
 }
+
+
+// An order counted as answered by a status that is none, though the host may
+// have carried it out.
+Test(http_call, a_status_out_of_range_is_no_response)
+{
+    expect_broken(base::test::invalid_statuses());
+}
+
+
+// Guards against field names that are no tokens.
+Test(http_call, a_response_with_a_broken_field_name_is_none)
+{
+    expect_broken(base::test::invalid_names());
+}
--- a/src/libplatform/http_client_test.cpp
+++ b/src/libplatform/http_client_test.cpp
@@ -1,4 +1,6 @@
 #include "../libbase/endless_server_test.hpp"
+#include "../libbase/raw_server_test.hpp"
+#include "../libbase/response_examples_test.hpp"
 
 #include <monsoondock/platform/http_client.hpp>
 
@@ -125,6 +127,40 @@
 const std::string no_changes = R"({"next":9,"changes":[]})";
 const std::string written_as_8 = R"({"version":8})";
 
+
+// A write whose response is broken may have taken effect, and a read has
+// failed.
+void expect_broken(const std::vector<base::test::response_example>& examples)
+{
+    const std::string era = "X-Store-Era: 1\r\n";
+    for (const auto& e : examples) {
+        base::test::raw_server store(
+            {base::test::make_response(e, era, written_as_8),
+             base::test::make_response(e, era, list_of_version_7),
+             base::test::make_response({}, era, list_of_version_7)});
+        asio::io_context context;
+        http_client client(context.get_executor(), {store.address()}, 30s);
+        auto written = asio::co_spawn(
+            context, client.put("a/b", "{}", if_absent{}), asio::use_future);
+        context.run();
+        cr_expect(
+            std::holds_alternative<answer_lost>(written.get()),
+            "write: %s",
+            e.name_.c_str());
+        context.restart();
+        auto listed =
+            asio::co_spawn(context, client.list("a/"), asio::use_future);
+        context.run();
+        cr_expect_not(base::ok(listed.get()), "list: %s", e.name_.c_str());
+        context.restart();
+        listed = asio::co_spawn(context, client.list("a/"), asio::use_future);
+        context.run();
+        cr_expect(base::ok(listed.get()), "%s", e.name_.c_str());
+        // None is used again after a broken response.
+        cr_expect_eq(store.connections(), 3, "%s", e.name_.c_str());
+    }
+}
+
 } // namespace
 
 
@@ -242,3 +278,18 @@
                        base::ok(found.get());
     cr_assert_not(taken);
 }
+
+
+// A write whose response had the status 000 or 099 counted as not received by
+// the store, and was repeated.
+Test(http_client, a_status_out_of_range_is_no_response)
+{
+    expect_broken(base::test::invalid_statuses());
+}
+
+
+// Guards against field names that are no tokens.
+Test(http_client, a_response_with_a_broken_field_name_is_none)
+{
+    expect_broken(base::test::invalid_names());
+}
--- a/src/librelay/failure_reason.cpp
+++ b/src/librelay/failure_reason.cpp
@@ -17,6 +17,8 @@
     // A header reaches its limit before it fills the buffer of a connection.
     if (failure == http::error::buffer_overflow)
         return "chunk_header_too_large";
+    if (failure == http::error::bad_status)
+        return "invalid_status";
     if (failure == boost::asio::error::operation_aborted)
         return "stopped";
     const bool ended = failure == http::error::end_of_stream ||
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -104,6 +104,7 @@
     std::thread thread_;
     std::vector<scripted_response> script_;
     std::atomic<std::size_t> requests_{0};
+    std::atomic<std::size_t> connections_{0};
     std::atomic<std::size_t> repeated_bytes_{0};
     std::atomic<int> repetitions_{0};
     std::atomic<std::chrono::milliseconds> read_pause_{
@@ -224,6 +225,7 @@
                 co_await acceptor_.async_accept(base::await_tuple);
             if (failure)
                 co_return;
+            ++connections_;
             // The bytes that could be sent are to show what the proxy holds.
             socket.set_option(
                 asio::socket_base::send_buffer_size(send_buffer_bytes));
@@ -267,6 +269,12 @@
 }
 
 
+std::size_t fake_upstream::connections() const
+{
+    return impl_->connections_;
+}
+
+
 bool fake_upstream::wait_for_end_of_repetition(
     std::chrono::milliseconds time) const
 {
--- a/src/librelay/fake_upstream_test.hpp
+++ b/src/librelay/fake_upstream_test.hpp
@@ -107,6 +107,10 @@
     std::size_t requests() const;
 
 
+    /// Returns the number of connections accepted.
+    std::size_t connections() const;
+
+
     /// Waits until all repeated parts have ended. Returns false when one goes
     /// on after the time.
     bool wait_for_end_of_repetition(std::chrono::milliseconds time) const;
--- a/src/librelay/suspended_try.hpp
+++ b/src/librelay/suspended_try.hpp
@@ -2,7 +2,7 @@
 
 #include "upstream_connection.hpp"
 
-#include <monsoondock/base/bounded_parser.hpp>
+#include <monsoondock/base/bounded_response_parser.hpp>
 #include <monsoondock/base/byte_budget.hpp>
 #include <monsoondock/relay/upstream.hpp>
 
