--- a/src/include/monsoondock/base/bounded_parser.hpp
+++ b/src/include/monsoondock/base/bounded_parser.hpp
@@ -22,11 +22,7 @@
         this->header_limit(max_header_bytes);
     }
 
-private:
-    // The separator after the name, and the end of the line.
-    static constexpr std::size_t line_overhead_bytes = 4;
-
-
+protected:
     void on_field_impl(
         boost::beast::http::field name,
         boost::beast::string_view name_string,
@@ -41,6 +37,10 @@
         this->get().insert(name, name_string, value);
     }
 
+private:
+    // The separator after the name, and the end of the line.
+    static constexpr std::size_t line_overhead_bytes = 4;
+
 
     std::size_t max_header_bytes_;
     std::size_t field_bytes_ = 0;
--- a/src/libbase/response_examples_test.hpp
+++ b/src/libbase/response_examples_test.hpp
@@ -83,6 +83,23 @@
 }
 
 
+/// Returns responses with a field line that begins with a blank or tab, so that
+/// it continues the line before it (RFC 9112, section 5.2).
+inline std::vector<response_example> folded_fields()
+{
+    return {
+        {"blank before a name", "200 OK", "X-Field: a\r\n X-Name: b\r\n"},
+        {"tab before a name", "200 OK", "X-Field: a\r\n\tX-Name: b\r\n"},
+        {"blank before a name, after an empty value",
+         "200 OK",
+         "X-Field:\r\n X-Name: b\r\n"},
+        {"line of blanks", "200 OK", "X-Field: a\r\n  \r\n"},
+        {"line of blanks after an empty value",
+         "200 OK",
+         "X-Field:\r\n \t \r\n"}};
+}
+
+
 /// Returns responses that are valid, though unusual.
 inline std::vector<response_example> unusual_responses()
 {
--- a/src/libbase/response_parser_test.cpp
+++ b/src/libbase/response_parser_test.cpp
@@ -95,7 +95,7 @@
             continue;
         for (const std::string& name :
              {std::string(1, c), c + std::string("b"), std::string("b") + c}) {
-            // It continues the line before it.
+            // It continues the line before it; see rejects_folded_lines.
             if (name.front() == ' ' || name.front() == '\t')
                 continue;
             const bool accepted = is_accepted(
@@ -108,6 +108,14 @@
 }
 
 
+// Guards against a field line that begins with a blank and becomes part of the
+// value before it, so that its framing is lost.
+Test(response_parser, rejects_folded_lines)
+{
+    expect_rejected(folded_fields());
+}
+
+
 // Guards against checks that reject what is valid.
 Test(response_parser, accepts_unusual_responses)
 {
--- a/src/libplatform/http_client_test.cpp
+++ b/src/libplatform/http_client_test.cpp
@@ -293,3 +293,10 @@
 {
     expect_broken(base::test::invalid_names());
 }
+
+
+// The same for a line that begins with a blank.
+Test(http_client, a_response_with_a_folded_line_is_none)
+{
+    expect_broken(base::test::folded_fields());
+}
--- a/src/librelay/broken_response_test.cpp
+++ b/src/librelay/broken_response_test.cpp
@@ -57,8 +57,14 @@
     const scripted_response& sound)
 {
     proxy_session s(kind, {broken, sound}, one_host());
-    const unsigned status = s.call().status_;
-    cr_expect_eq(status, 502, "%s: status %u", e.name_.c_str(), status);
+    const caller_response response = s.call();
+    cr_expect_eq(
+        response.status_,
+        502,
+        "%s: status %u, body %s",
+        e.name_.c_str(),
+        response.status_,
+        response.body_.c_str());
     cr_expect_eq(s.upstream_.requests(), 1, "%s", e.name_.c_str());
     cr_expect_eq(s.call_once({}).status_, 200, "%s", e.name_.c_str());
     cr_expect_eq(s.upstream_.connections(), 2, "%s", e.name_.c_str());
@@ -171,6 +177,22 @@
 }
 
 
+// Guards against a line whose name begins with a blank: it was passed on as
+// part of another field, and the body was passed on without its framing.
+Test(broken_response, folded_lines)
+{
+    expect_broken(base::test::folded_fields());
+    const response_example chunks{"framing in a folded line", "200 OK", {}};
+    const std::string fields = body_fields + " Transfer-Encoding: chunked\r\n";
+    scripted_response broken = send_verbatim(
+        "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + make_chunk(body) +
+        make_last_chunk());
+    broken.ending_ = ending::close;
+    expect_no_answer(
+        request_kind::at_most_once, chunks, broken, make_whole_body());
+}
+
+
 // Guards against a late response to another request whose head is broken.
 Test(broken_response, response_to_another_request)
 {
--- a/src/librelay/failure_reason.cpp
+++ b/src/librelay/failure_reason.cpp
@@ -19,6 +19,8 @@
         return "chunk_header_too_large";
     if (failure == http::error::bad_status)
         return "invalid_status";
+    if (failure == http::error::bad_obs_fold)
+        return "folded_field";
     if (failure == boost::asio::error::operation_aborted)
         return "stopped";
     const bool ended = failure == http::error::end_of_stream ||
--- a/src/librelay/failure_reason_test.cpp
+++ b/src/librelay/failure_reason_test.cpp
@@ -17,6 +17,7 @@
         failure_reason(http::error::buffer_overflow) ==
         "chunk_header_too_large");
     cr_assert(failure_reason(http::error::bad_status) == "invalid_status");
+    cr_assert(failure_reason(http::error::bad_obs_fold) == "folded_field");
     cr_assert(failure_reason(http::error::bad_version) == "malformed");
     cr_assert(failure_reason(http::error::bad_chunk) == "malformed");
     cr_assert(failure_reason(http::error::end_of_stream) == "connection_lost");
--- a/src/libtraffic/broken_response_test.cpp
+++ b/src/libtraffic/broken_response_test.cpp
@@ -149,3 +149,11 @@
 {
     expect_broken(base::test::invalid_names());
 }
+
+
+// Guards against a line whose name begins with a blank, read as a part of the
+// value before it, so that its framing is lost.
+Test(broken_response, folded_lines)
+{
+    expect_broken(base::test::folded_fields());
+}
