base, relay: tell the class of a status by its number

Callers got a 299 without the host's seal, or with a Content-Encoding, as an answer, and an informational response such as 199 as the final one: with the host's id it went on to the caller; without it, it was taken for the response to another request, and five of them failed a sound request. On users' own interface a 199 became an answer with the status 0.

Cause: the class was asked of Beast's enumeration, which knows the assigned statuses only; any other one has no class there. base::status_class_of takes the number, in both relays, read_response_header, the record of completions and the pace of services.

--- a/src/include/monsoondock/base/read_response_header.hpp
+++ b/src/include/monsoondock/base/read_response_header.hpp
@@ -2,11 +2,11 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/bounded_response_parser.hpp>
+#include <monsoondock/base/status_class.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/status.hpp>
 
 #include <optional>
 
@@ -40,8 +40,7 @@
             stream, buffer, *parser, await_tuple);
         if (failure)
             co_return failure;
-        if (http::to_status_class(parser->get().result()) !=
-            http::status_class::informational)
+        if (status_class_of(parser->get()) != http::status_class::informational)
             co_return boost::system::error_code();
         read_bytes += size;
         if (read_bytes > limits.header_bytes_)
--- a/src/librelay/broken_response_test.cpp
+++ b/src/librelay/broken_response_test.cpp
@@ -249,3 +249,51 @@
                 e.name_.c_str());
     }
 }
+
+
+// Guards against a success without the host's seal, or with a coding that is
+// not the host's, that is passed on because its status is unassigned.
+Test(broken_response, unassigned_success_without_a_seal)
+{
+    const response_example e{"299", "299 Unusual", {}};
+    for (const char* fields :
+         {"X-Request-Id: $ID\r\n",
+          "X-Request-Id: $ID\r\nX-Seal: s\r\nContent-Encoding: gzip\r\n"}) {
+        const scripted_response r =
+            send_verbatim(make_response(e, fields, body));
+        proxy_session s(request_kind::at_most_once, {r});
+        const unsigned status = s.call().status_;
+        cr_expect_eq(status, 502, "%s: status %u", fields, status);
+        expect_answer_of_next_host(
+            request_kind::idempotent, e, r, make_whole_body(), body);
+    }
+}
+
+
+// Guards against an informational response that is passed on, or taken for the
+// response to another request, because its status is unassigned.
+Test(broken_response, unassigned_informational_responses_are_skipped)
+{
+    const std::string response =
+        base::test::make_response({}, body_fields, body);
+    for (const char* fields : {"", "X-Request-Id: r-1\r\n"}) {
+        std::string informational = "HTTP/1.1 199 Unusual\r\n";
+        informational.append(fields).append("\r\n");
+        for (const int count : {1, 5}) {
+            std::string text;
+            for (int i = 0; i < count; ++i)
+                text += informational;
+            proxy_session s(
+                request_kind::at_most_once, {send_verbatim(text + response)});
+            const caller_response received = s.call();
+            cr_expect_eq(
+                received.status_,
+                200,
+                "%d of %s: status %u",
+                count,
+                informational.c_str(),
+                received.status_);
+            cr_expect(received.body_ == body, "%s", received.body_.c_str());
+        }
+    }
+}
--- a/src/librelay/crash_records.cpp
+++ b/src/librelay/crash_records.cpp
@@ -3,6 +3,7 @@
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/stable_hash.hpp>
+#include <monsoondock/base/status_class.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -323,10 +324,9 @@
     if (t.crash_tracker_.mark_completed(e.fingerprint_, now) &&
         t.callbacks_.on_crash_)
         t.callbacks_.on_crash_({e.fingerprint_, {}, true});
-    const bool succeeded =
-        !state.buffered_response_ ||
-        http::to_status_class(state.buffered_response_->result()) ==
-            http::status_class::successful;
+    const bool succeeded = !state.buffered_response_ ||
+                           base::status_class_of(*state.buffered_response_) ==
+                               http::status_class::successful;
     // The end of a connection may be that of the upstream.
     if (succeeded && state.framing_ != body_framing::connection_close)
         t.part_tracker_.add_completion(e.prompt_parts_, run_of(target), now);
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -8,6 +8,7 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/status_class.hpp>
 #include <monsoondock/hostlimits/pause.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -76,7 +77,7 @@
             co_return fail(c, failure_reason(failure));
         e.upstream_->header_bytes_ += size;
         http_response_parser& parser = *c.parser_;
-        if (http::to_status_class(parser.get().result()) ==
+        if (base::status_class_of(parser.get()) ==
             http::status_class::informational) {
             c.parser_.reset();
             if (e.upstream_->header_bytes_ > max_response_header_bytes)
@@ -256,8 +257,8 @@
         co_return try_outcome::rejected;
     }
     const bool encoded = response.count(http::field::content_encoding) > 0;
-    const bool success = http::to_status_class(response.result()) ==
-                         http::status_class::successful;
+    const bool success =
+        base::status_class_of(response) == http::status_class::successful;
     if (success && (!sealed || encoded))
         co_return lose(c, "not_sealed");
     c.state_.buffered_response_ = std::move(response);
--- a/src/librelay/upstream_pace.cpp
+++ b/src/librelay/upstream_pace.cpp
@@ -3,6 +3,7 @@
 #include "serving_engine.hpp"
 
 #include <monsoondock/base/event_line.hpp>
+#include <monsoondock/base/status_class.hpp>
 #include <monsoondock/hostpace/compare.hpp>
 #include <monsoondock/hostpace/engine_pace.hpp>
 #include <monsoondock/relay/availability.hpp>
@@ -195,8 +196,8 @@
     const std::size_t level =
         hostpace::load_level(total_load(target_state(c)), c.target_.slots_);
     auto& known = c.t_.service_latencies_[c.e_.deployment_];
-    const bool failed = http::to_status_class(response.result()) ==
-                        http::status_class::server_error;
+    const bool failed =
+        base::status_class_of(response) == http::status_class::server_error;
     if (!failed)
         known.add(c.target_.host_, level, latency, now);
     const auto expected = known.expected(level, now);
--- a/src/libtraffic/broken_response_test.cpp
+++ b/src/libtraffic/broken_response_test.cpp
@@ -157,3 +157,22 @@
 {
     expect_broken(base::test::folded_fields());
 }
+
+
+// Guards against an informational response that is passed on because its status
+// is unassigned.
+Test(broken_response, unassigned_informational_responses_are_skipped)
+{
+    const std::string text =
+        "HTTP/1.1 199 Unusual\r\n\r\n" + make_response({}, json_field, body);
+    server_session s;
+    const raw_server engine({text});
+    place_groups(s, {engine.address()});
+    const caller_response completion = s.complete_chat("p");
+    cr_expect_eq(completion.status_, 200, "%u", completion.status_);
+    cr_expect(completion.body_ == body, "%s", completion.body_.c_str());
+    const raw_server host({text});
+    const auto response = call_service(s, host);
+    cr_expect_eq(response.result_int(), 200, "%u", response.result_int());
+    cr_expect(response.body() == body, "%s", response.body().c_str());
+}
