traffic: pass unassigned statuses on as they are

Callers of users' own interface got the status 000 when a sound engine or service had answered 299, 498 or another unassigned status: the daemon made the broken answer itself. By reading, a keyed call kept it as its outcome.

Cause: both copies of an upstream's response were built from response.result(), which is 0 for a status that Beast has no name for. make_caller_response takes the number, once for both.

Evidence: on the code before, traffic broken_response/unusual_responses_are_passed_on: 'unassigned success: status 0', the same for 399 and 498, an engine's and a service's; an_unassigned_failure_of_a_service_is_passed_on: '598: status 0'.

--- a/src/libbase/response_examples_test.hpp
+++ b/src/libbase/response_examples_test.hpp
@@ -107,7 +107,7 @@
         {"no reason phrase", "200 ", {}},
         {"unassigned success", "299 Unusual", {}},
         {"unassigned redirection", "399 Unusual", {}},
-        {"unassigned client error", "499 Unusual", {}},
+        {"unassigned client error", "498 Unusual", {}},
         {"every character of a name",
          "200 OK",
          "!#$%&'*+-.^_`|~0123456789"
--- a/src/librelay/broken_response_test.cpp
+++ b/src/librelay/broken_response_test.cpp
@@ -228,7 +228,8 @@
 Test(broken_response, unusual_responses_are_passed_on)
 {
     auto examples = base::test::unusual_responses();
-    examples.push_back({"unassigned server error", "599 Unusual", {}});
+    for (const char* status : {"598 Unusual", "599 Unusual"})
+        examples.push_back({status, status, {}});
     for (const response_example& e : examples) {
         const std::string text = make_response(e, body_fields, body);
         proxy_session s(request_kind::at_most_once, {send_verbatim(text)});
--- a/src/libtraffic/broken_response_test.cpp
+++ b/src/libtraffic/broken_response_test.cpp
@@ -176,3 +176,58 @@
     cr_expect_eq(response.result_int(), 200, "%u", response.result_int());
     cr_expect(response.body() == body, "%s", response.body().c_str());
 }
+
+
+// Guards against valid responses that are held back, and against an unassigned
+// status that becomes another one.
+Test(broken_response, unusual_responses_are_passed_on)
+{
+    for (const response_example& e : base::test::unusual_responses()) {
+        const auto expected =
+            static_cast<unsigned>(std::stoul(e.status_.substr(0, 3)));
+        const std::string text = make_response(e, json_field, body);
+        server_session s;
+        const raw_server engine({text});
+        place_groups(s, {engine.address()});
+        const caller_response completion = s.complete_chat("p");
+        cr_expect_eq(
+            completion.status_,
+            expected,
+            "%s: status %u",
+            e.name_.c_str(),
+            completion.status_);
+        cr_expect(completion.body_ == body, "%s", completion.body_.c_str());
+        const raw_server host({text});
+        const auto response = call_service(s, host);
+        cr_expect_eq(
+            response.result_int(),
+            expected,
+            "%s: status %u",
+            e.name_.c_str(),
+            response.result_int());
+        cr_expect(response.body() == body, "%s", response.body().c_str());
+        cr_expect(
+            response[http::field::content_type] == "application/json",
+            "%s",
+            e.name_.c_str());
+    }
+}
+
+
+// The same for a failure of a service; that of an engine is not passed on.
+Test(broken_response, an_unassigned_failure_of_a_service_is_passed_on)
+{
+    for (const unsigned status : {598U, 599U}) {
+        const response_example e{{}, std::to_string(status) + " Unusual", {}};
+        server_session s;
+        const raw_server host({make_response(e, json_field, body)});
+        const auto response = call_service(s, host);
+        cr_expect_eq(
+            response.result_int(),
+            status,
+            "%u: status %u",
+            status,
+            response.result_int());
+        cr_expect(response.body() == body, "%s", response.body().c_str());
+    }
+}
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -1,5 +1,6 @@
 #include "chat_attempt.hpp"
 
+#include "caller_response.hpp"
 #include "caller_writer.hpp"
 #include "in_flight_guard.hpp"
 #include "refusals.hpp"
@@ -376,10 +377,8 @@
             co_return fail_attempt(
                 a, "other responses use the memory for responses");
     }
-    const auto& head = parser.get();
-    buffered_response response(head.result(), http_version_1_1);
-    response.set(http::field::content_type, head[http::field::content_type]);
-    response.body() = std::move(body);
+    buffered_response response =
+        make_caller_response(parser.get(), std::move(body));
     release_connection(a, parser);
     co_return reply(std::move(response));
 }
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -1,5 +1,6 @@
 #include "service_exchange.hpp"
 
+#include "caller_response.hpp"
 #include "in_flight_guard.hpp"
 #include "upstream_limit.hpp"
 
@@ -96,10 +97,7 @@
             "no complete response received: " + read_failure.message()};
     const auto& answer = parser->get();
     record_limit(thread, *host.load_, host.host_.value_, answer);
-    buffered_response response(answer.result(), http_version_1_1);
-    response.set(http::field::content_type, answer[http::field::content_type]);
-    response.body() = answer.body();
-    co_return response;
+    co_return make_caller_response(answer, answer.body());
 }
 
 } // namespace monsoondock::traffic::pvt
