daemon: read the responses of engines as all other responses are read

An order to an engine whose response had the status 000, or that came after an informational response, counted as refused (conflict), though the engine may have carried it out; a status after an informational response counted as none.

Cause: engine_client had a reader of its own, on Beast's parser alone. It now uses base::read_response: a broken response is none (unavailable, and the log line of the order names the reason), its connection is closed, and informational ones are skipped. The limits stay as they were, 8 KiB of header and 64 KiB of body.

--- a/src/libdaemon/engine_client.cpp
+++ b/src/libdaemon/engine_client.cpp
@@ -1,13 +1,14 @@
 #include "engine_client.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/read_response_header.hpp>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <optional>
 #include <sstream>
 
 namespace monsoondock::daemon {
@@ -17,8 +18,8 @@
 
 namespace {
 
-constexpr auto await_tuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t MAX_RESPONSE_BYTES = 65536;
+constexpr base::response_limits max_response{
+    .header_bytes_ = 8 * 1024, .body_bytes_ = 64 * 1024};
 constexpr unsigned HTTP_VERSION_1_1 = 11;
 
 using http_request = http::request<http::string_body>;
@@ -62,7 +63,7 @@
 {
     c.stream_.expires_after(timeout);
     const auto [failure] =
-        co_await c.stream_.async_connect(engine, await_tuple);
+        co_await c.stream_.async_connect(engine, base::await_tuple);
     co_return failure;
 }
 
@@ -73,16 +74,15 @@
 {
     request.prepare_payload();
     const auto [write_error, bytes_written] =
-        co_await http::async_write(c.stream_, request, await_tuple);
+        co_await http::async_write(c.stream_, request, base::await_tuple);
     if (write_error)
         co_return unavailable(write_error.message());
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(MAX_RESPONSE_BYTES);
-    const auto [read_error, bytes_read] =
-        co_await http::async_read(c.stream_, c.buffer_, parser, await_tuple);
+    std::optional<base::bounded_response_parser<http::string_body>> parser;
+    const boost::system::error_code read_error = co_await base::read_response(
+        c.stream_, c.buffer_, parser, max_response);
     if (read_error)
         co_return unavailable(read_error.message());
-    co_return parser.release();
+    co_return parser->release();
 }
 
 } // namespace
