traffic: log why a call of a plain service got no response

Operators could not tell a broken answer to a keyed call from a lost connection: the reason was dropped, and the log had outcome=outcome_unknown only. call_service now writes event=upstream_failed with the request, the host and the reason, as attempts at engines do; one line for each call that failed.

The service stand-in gets a fault that sends raw bytes, and the claims session the calls that show it: statuses 000, 099 and 600, names with a blank, before it or within, and with a control byte. Each call ran once, is answered 502 outcome_unknown, and its key is not run again.

--- a/src/include/monsoondock/standin/exchange.hpp
+++ b/src/include/monsoondock/standin/exchange.hpp
@@ -63,6 +63,10 @@
 reply_truncated(exchange& e, const std::string& json, std::size_t bytes);
 
 
+/// Sends text as it is in place of a response.
+boost::asio::awaitable<void> reply_raw(exchange& e, std::string text);
+
+
 /// Closes the connection without a response.
 void drop(exchange& e);
 
--- a/src/libstandin/exchange.cpp
+++ b/src/libstandin/exchange.cpp
@@ -113,6 +113,14 @@
 }
 
 
+asio::awaitable<void> reply_raw(exchange& e, std::string text)
+{
+    const auto [error, count] =
+        co_await asio::async_write(e.socket_, asio::buffer(text), NO_THROW);
+    e.keep_alive_ = e.keep_alive_ && !error;
+}
+
+
 void drop(exchange& e)
 {
     boost::system::error_code ignored;
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -5,6 +5,7 @@
 #include "upstream_limit.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/event_line.hpp>
 #include <monsoondock/base/read_response_header.hpp>
 
 #include <boost/beast/http/write.hpp>
@@ -61,6 +62,20 @@
         left, std::chrono::nanoseconds::zero(), bound);
 }
 
+
+call_failure fail_call(
+    const request_context& context,
+    const service_host& host,
+    run_state run,
+    std::string reason)
+{
+    base::event_line("upstream_failed", base::severity::warning)
+        .field("request", context.id_)
+        .field("host", host.host_)
+        .field("reason", reason);
+    return {run, std::move(reason)};
+}
+
 } // namespace
 
 asio::awaitable<call_result> call_service(
@@ -75,16 +90,16 @@
     const auto upstream =
         co_await connect_upstream(host.address_, bounds.connect_timeout_);
     if (upstream == nullptr)
-        co_return call_failure{
-            run_state::unsent, "could not connect to the host"};
+        co_return fail_call(
+            context, host, run_state::unsent, "could not connect to the host");
     const caller_request request = make_service_request(context, path);
     upstream->stream_.expires_after(
         time_left(context, bounds.upstream_idle_timeout_));
     const auto [write_failure, sent] = co_await http::async_write(
         upstream->stream_, request, base::await_tuple);
     if (write_failure)
-        co_return call_failure{
-            run_state::maybe_sent, "writing the request failed"};
+        co_return fail_call(
+            context, host, run_state::maybe_sent, "writing the request failed");
     std::optional<base::bounded_response_parser<http::string_body>> parser;
     const boost::system::error_code read_failure = co_await base::read_response(
         upstream->stream_,
@@ -92,9 +107,11 @@
         parser,
         {max_response_header_bytes, max_answer_bytes});
     if (read_failure)
-        co_return call_failure{
+        co_return fail_call(
+            context,
+            host,
             run_state::maybe_sent,
-            "no complete response received: " + read_failure.message()};
+            "no complete response received: " + read_failure.message());
     const auto& answer = parser->get();
     record_limit(thread, *host.load_, host.host_.value_, answer);
     co_return make_caller_response(answer, answer.body());
--- a/src/monsoondock-service-standin/faults.cpp
+++ b/src/monsoondock-service-standin/faults.cpp
@@ -15,6 +15,8 @@
         f.delay_ = ms(v->to_number<std::uint32_t>());
     if (const auto* v = body.if_contains("cut_after_bytes"))
         f.cut_after_bytes_ = v->to_number<std::uint64_t>();
+    if (const auto* v = body.if_contains("raw_response"))
+        f.raw_response_ = std::string(v->as_string());
 }
 
 } // namespace monsoondock::service_standin
--- a/src/monsoondock-service-standin/faults.hpp
+++ b/src/monsoondock-service-standin/faults.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace monsoondock::service_standin {
 
@@ -20,6 +21,8 @@
     /// Number of body bytes after which each response is truncated; 0 disables
     /// it.
     std::uint64_t cut_after_bytes_ = 0;
+    /// Sent as it is in place of each response; empty disables it.
+    std::string raw_response_;
 };
 
 
--- a/src/monsoondock-service-standin/plain_service.cpp
+++ b/src/monsoondock-service-standin/plain_service.cpp
@@ -82,6 +82,8 @@
         standin::drop(e);
     else if (s.faults_.cut_after_bytes_ > 0)
         co_await standin::reply_truncated(e, body, s.faults_.cut_after_bytes_);
+    else if (!s.faults_.raw_response_.empty())
+        co_await standin::reply_raw(e, s.faults_.raw_response_);
     else
         co_await reply(e, status::ok, std::move(body));
 }
--- a/testsuite/claims/run.py
+++ b/testsuite/claims/run.py
@@ -5,6 +5,7 @@
 import concurrent.futures
 import json
 import pathlib
+import re
 import socket
 import time
 
@@ -192,6 +193,38 @@
     test.show_call("repeat", "d1", "k-cut")
 
 
+BROKEN_HEADS = (
+    ("status 000", "000 X", ""),
+    ("status 099", "099 X", ""),
+    ("status 600", "600 X", ""),
+    ("blank in a name", "200 OK", "X Name: a\r\n"),
+    ("blank before a name", "200 OK", " X-Name: a\r\n"),
+    ("control byte in a name", "200 OK", "X-Na\x01me: a\r\n"))
+
+
+def show_broken_answers(test):
+    """A call whose answer has a broken head may have run: it is neither
+    answered with it nor sent again."""
+    test.session.say("## answers with a broken head")
+    log = test.daemons["d1"].log
+    logged_before = len(log.read_text())
+
+    def reasons():
+        return re.findall(r'event=upstream_failed .*reason="([^"]*)"',
+                          log.read_text()[logged_before:])
+
+    for number, (label, status, field) in enumerate(BROKEN_HEADS):
+        test.ledger_faults(raw_response=(
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{field}"
+            "Content-Length: 2\r\n\r\n{}"))
+        test.show_call(label, "d1", f"k-broken-{number}")
+        test.ledger_faults(raw_response="")
+        test.show_call("repeat", "d2", f"k-broken-{number}")
+    wait_until(lambda: len(reasons()) == len(BROKEN_HEADS), "the log")
+    for reason in reasons():
+        test.session.say(f"in the log: {reason}")
+
+
 def show_lost_answers(test):
     test.session.say("## lost answers of the store")
     test.store_faults(lose_write_answers=1)
@@ -287,6 +320,7 @@
         show_concurrent_calls(test)
         show_while_running(test)
         show_crashes(test)
+        show_broken_answers(test)
         show_lost_answers(test)
         show_outage(test)
         show_kill(test)
