load, ctl, bench: read responses as the daemons do

Cause: the tools had readers of their own on Beast's parser. They use read_response_header or read_response of libbase now. Limits stay: 8 KiB of header, 64 MiB of an answer in the load tool, 8 MiB in monsoondockctl.

Evidence: on the code before, load connection_pool/a_status_out_of_range_is_no_answer ('000' to '999'), an_answer_with_a_folded_line_is_none and informational_responses_are_skipped ('103') failed; an_answer_with_a_broken_field_name_ is_none did not. Now load 16 of 16. By hand, monsoondockctl members before a raw server: 'did not answer', status 4, for 000 and for a folded line; exit status 0 after 103 and 199, where it had been 1.

--- a/src/libload/connection_pool.cpp
+++ b/src/libload/connection_pool.cpp
@@ -1,14 +1,16 @@
 #include "connection_pool.hpp"
 
+#include <monsoondock/base/read_response_header.hpp>
 #include <monsoondock/standin/no_throw.hpp>
 #include <monsoondock/standin/process.hpp>
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <optional>
+
 namespace monsoondock::load::pvt {
 
 namespace asio = boost::asio;
@@ -17,10 +19,11 @@
 
 namespace {
 
-constexpr std::uint64_t BODY_LIMIT_BYTES = std::uint64_t{64} * 1024 * 1024;
+constexpr base::response_limits max_answer{
+    .header_bytes_ = 8 * 1024, .body_bytes_ = std::uint64_t{64} * 1024 * 1024};
 
 using connection_ptr = std::unique_ptr<connection>;
-using parser = http::response_parser<http::string_body>;
+using parser = base::bounded_response_parser<http::string_body>;
 using error_code = boost::system::error_code;
 
 
@@ -95,19 +98,19 @@
 
 /// Sends q on c and reads the answer into a.
 asio::awaitable<error_code>
-round_trip(connection& c, request& q, parser& p, raw_answer& a)
+round_trip(connection& c, request& q, std::optional<parser>& p, raw_answer& a)
 {
     const auto [write_error, sent] =
         co_await http::async_write(c.stream_, q, NO_THROW);
     if (write_error)
         co_return write_error;
-    const auto [read_error, received] =
-        co_await http::async_read_header(c.stream_, c.buffer_, p, NO_THROW);
+    const error_code read_error = co_await base::read_response_header(
+        c.stream_, c.buffer_, p, max_answer);
     if (read_error)
         co_return read_error;
-    a.status_ = static_cast<int>(p.get().result_int());
-    a.retry_after_ = p.get().count(http::field::retry_after) > 0;
-    co_return co_await read_body(c, p, a);
+    a.status_ = static_cast<int>(p->get().result_int());
+    a.retry_after_ = p->get().count(http::field::retry_after) > 0;
+    co_return co_await read_body(c, *p, a);
 }
 
 
@@ -121,15 +124,14 @@
     std::chrono::milliseconds timeout)
 {
     c->stream_.expires_after(timeout);
-    parser p;
-    p.body_limit(BODY_LIMIT_BYTES);
+    std::optional<parser> p;
     raw_answer a;
     const error_code error = co_await round_trip(*c, q, p, a);
     if (error)
         co_return transport_failure{describe_error(error)};
     if (a.body_.empty())
         a.first_byte_at_ = a.last_byte_at_ = base::boot_clock::now();
-    if (p.get().keep_alive() && c->buffer_.size() == 0)
+    if (p->get().keep_alive() && c->buffer_.size() == 0)
         pool.idle_[address].push_back(std::move(c));
     co_return a;
 }
--- a/src/monsoondock-bench/client.cpp
+++ b/src/monsoondock-bench/client.cpp
@@ -1,11 +1,11 @@
 #include "roles.hpp"
 
-#include <boost/asio/as_tuple.hpp>
+#include <monsoondock/base/read_response_header.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +16,8 @@
 #include <array>
 #include <charconv>
 #include <iostream>
+#include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,10 +30,14 @@
 
 using clock = std::chrono::steady_clock;
 
-constexpr auto await_tuple = asio::as_tuple(asio::use_awaitable);
+using base::await_tuple;
+
 constexpr unsigned http_version_1_1 = 11;
 constexpr std::chrono::seconds warm_up{2};
 constexpr std::size_t read_bytes = 4096;
+constexpr base::response_limits max_response{
+    .header_bytes_ = 8 * 1024,
+    .body_bytes_ = std::numeric_limits<std::uint64_t>::max()};
 
 // Measurements of all streams of the client within the measurement window.
 struct stream_measurements
@@ -100,11 +106,13 @@
     stream_measurements& measurements,
     clock::time_point started)
 {
-    http::response_parser<http::buffer_body> parser;
-    const auto [head_failure, head_size] =
-        co_await http::async_read_header(stream, buffer, parser, await_tuple);
-    if (head_failure || parser.get().result() != http::status::ok)
+    std::optional<base::bounded_response_parser<http::buffer_body>> received;
+    const boost::system::error_code head_failure =
+        co_await base::read_response_header(
+            stream, buffer, received, max_response);
+    if (head_failure || received->get().result() != http::status::ok)
         co_return false;
+    auto& parser = *received;
     std::array<char, read_bytes> bytes{};
     bool awaiting_first = true;
     bool done = false;
--- a/src/monsoondockctl/daemon_call.cpp
+++ b/src/monsoondockctl/daemon_call.cpp
@@ -1,5 +1,7 @@
 #include "daemon_call.hpp"
 
+#include <monsoondock/base/read_response_header.hpp>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -8,6 +10,8 @@
 #include <boost/beast/http.hpp>
 #include <boost/json.hpp>
 
+#include <optional>
+
 namespace monsoondockctl {
 
 namespace asio = boost::asio;
@@ -20,6 +24,8 @@
 namespace {
 
 constexpr unsigned HTTP_1_1 = 11;
+constexpr base::response_limits max_answer{
+    .header_bytes_ = 8 * 1024, .body_bytes_ = std::uint64_t{8} * 1024 * 1024};
 
 using response = http::response<http::string_body>;
 using json_result = base::result<json::value>;
@@ -51,9 +57,12 @@
     co_await stream.async_connect(address, asio::use_awaitable);
     co_await http::async_write(stream, request, asio::use_awaitable);
     beast::flat_buffer buffer;
-    response answer;
-    co_await http::async_read(stream, buffer, answer, asio::use_awaitable);
-    co_return answer;
+    std::optional<base::bounded_response_parser<http::string_body>> answer;
+    const boost::system::error_code failure =
+        co_await base::read_response(stream, buffer, answer, max_answer);
+    if (failure)
+        throw boost::system::system_error(failure);
+    co_return answer->release();
 }
 
 
