--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -198,6 +198,13 @@
         # While set, an object with the limit of requests a second that the
         # worker names in all answers; it is told of arrivals.
         self.limited = None
+        # Bytes of the next answers, sent as they are; $ID stands for the id of
+        # the request, $SEAL for the seal of the worker. Workers may share the
+        # list.
+        self.raw_answers = []
+        # Requests, each with the address from which its connection came and
+        # whether it got such an answer.
+        self.arrivals = []
         worker = self
 
         class WorkerHandler(Handler):
@@ -230,13 +237,28 @@
             limited = self.limited
             if limited is not None:
                 limited.arrivals.append(time.monotonic())
+            raw = self.take_raw_answer(handler)
             try:
-                self.serve(handler, body)
+                if raw is None:
+                    self.serve(handler, body)
+                else:
+                    handler.wfile.write(raw)
             except OSError:
                 handler.work.end("left")
                 raise
             handler.work.end("whole")
 
+    def take_raw_answer(self, handler):
+        """Returns the bytes to send in place of an answer, or None."""
+        request_id = handler.headers["X-Request-Id"]
+        answer = self.raw_answers.pop(0) if self.raw_answers else None
+        self.arrivals.append(
+            (request_id, handler.client_address, answer is not None))
+        if answer is None:
+            return None
+        return (answer.replace(b"$ID", request_id.encode())
+                .replace(b"$SEAL", f"seal-{self.name}".encode()))
+
     def seal_headers(self, handler):
         headers = [("X-Request-Id", handler.headers["X-Request-Id"]),
                    ("X-Response-Seal", f"seal-{self.name}")]
