--- a/src/libdaemon/engine_client.cpp
+++ b/src/libdaemon/engine_client.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr base::response_limits max_response{
-    .header_bytes_ = 8 * 1024, .body_bytes_ = 64 * 1024};
+    .header_bytes_ = 8 * 1024, .body_bytes_ = std::uint64_t{64} * 1024};
 constexpr unsigned HTTP_VERSION_1_1 = 11;
 
 using http_request = http::request<http::string_body>;
