relay: log how the connection to an upstream ended

All reads, writes and looks go through upstream_socket now, which records the first end that a call was told of. try and request lines have end, end_source and body_bytes; try_resumed says the same when a suspended try goes on. No decision changes.

--- a/src/librelay/caller_connection.cpp
+++ b/src/librelay/caller_connection.cpp
@@ -26,7 +26,8 @@
 
 void close_when_idle(caller_connection& connection)
 {
-    if (peek_socket(connection.socket_) == socket_content::bytes)
+    boost::system::error_code ignored;
+    if (peek_socket(connection.socket_, ignored) == socket_content::bytes)
         return;
     const base::time_point now = base::boot_clock::now();
     if (!connection.used_) {
@@ -34,7 +35,6 @@
             std::min(connection.phase_deadline_, now + first_request_time);
         return;
     }
-    boost::system::error_code ignored;
     connection.socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     connection.half_closed_ = true;
     connection.phase_deadline_ = now + close_timeout;
@@ -50,8 +50,9 @@
         asio::ip::tcp::socket::wait_read,
         [connection](const boost::system::error_code& failure) {
             connection->read_wait_pending_ = false;
-            if (failure ||
-                peek_socket(connection->socket_) != socket_content::end)
+            boost::system::error_code ignored;
+            if (failure || peek_socket(connection->socket_, ignored) !=
+                               socket_content::end)
                 return;
             report_disconnect(*connection);
         });
--- a/src/librelay/cut_log.cpp
+++ b/src/librelay/cut_log.cpp
@@ -30,12 +30,19 @@
 };
 
 
+bool holds_bytes(caller_connection& connection)
+{
+    boost::system::error_code ignored;
+    return peek_socket(connection.socket_, ignored) == socket_content::bytes;
+}
+
+
 void add(connection_counts& counts, caller_connection& connection)
 {
     switch (connection.phase_) {
     case caller_phase::idle:
         ++counts.idle_;
-        if (peek_socket(connection.socket_) == socket_content::bytes)
+        if (holds_bytes(connection))
             ++counts.unread_;
         return;
     case caller_phase::header:
--- a/src/librelay/exchange.cpp
+++ b/src/librelay/exchange.cpp
@@ -12,9 +12,9 @@
         return;
     boost::system::error_code ignored;
     if (reason == stop_reason::rerouted)
-        e.upstream_->socket_.cancel(ignored);
+        e.upstream_->socket_.next_layer().cancel(ignored);
     else
-        e.upstream_->socket_.close(ignored);
+        e.upstream_->socket_.next_layer().close(ignored);
 }
 
 
--- a/src/librelay/proxy_thread.cpp
+++ b/src/librelay/proxy_thread.cpp
@@ -169,14 +169,14 @@
     if (e.upstream_ == nullptr || e.phase_ == wait_phase::connect)
         return;
     const send_finding finding = check_peer(
-        e.upstream_->socket_,
+        e.upstream_->socket_.next_layer(),
         e.upstream_->sending_,
         std::chrono::hours(24),
         now);
     if (finding != send_finding::unreachable)
         return;
     boost::system::error_code ignored;
-    e.upstream_->socket_.close(ignored);
+    e.upstream_->socket_.next_layer().close(ignored);
 }
 
 
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -239,6 +239,7 @@
             e.upstream_->buffer_,
             parser,
             base::await_tuple);
+        c.state_.body_bytes_ = parser.get().body().size();
         if (failure)
             co_return lose(c, failure_reason(failure));
     }
@@ -330,6 +331,7 @@
 {
     response_state& s = c.state_;
     std::string& body = parser.get().body();
+    s.body_bytes_ += body.size();
     const std::uint64_t known_events = s.splitter_.events_;
     std::string events = extract_events(s.splitter_, body);
     record_events(c, s.splitter_.events_ - known_events);
--- a/src/librelay/suspended_try.cpp
+++ b/src/librelay/suspended_try.cpp
@@ -1,7 +1,6 @@
 #include "suspended_try.hpp"
 
 #include "event_splitter.hpp"
-#include "peek_socket.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
@@ -31,7 +30,7 @@
 
 bool responds(const suspended_try& s)
 {
-    const std::string received = peek_text(s.connection_->socket_);
+    const std::string received = s.connection_->socket_.peek_text();
     if (!s.parser_->is_header_done())
         return begins_response(received);
     // The framing of chunks stays in the text; it does not look like an event.
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -9,6 +9,7 @@
 #include "upstream_limits.hpp"
 
 #include <monsoondock/base/await_tuple.hpp>
+#include <monsoondock/base/event_line.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -32,7 +33,7 @@
     e.upstream_ =
         std::make_shared<upstream_connection>(c.t_.context_.get_executor());
     enter_phase(e, wait_phase::connect);
-    auto& socket = e.upstream_->socket_;
+    auto& socket = e.upstream_->socket_.next_layer();
     boost::system::error_code ignored;
     socket.open(asio::ip::tcp::v4(), ignored);
     bound_connection(socket);
@@ -125,6 +126,8 @@
     exchange& e = c.e_;
     const auto waited = base::boot_clock::now() - e.phase_start_;
     e.phase_ = wait_phase::none;
+    if (e.upstream_ != nullptr)
+        c.state_.connection_end_ = e.upstream_->socket_.end();
     const bool was_rerouted = outcome == try_outcome::lost &&
                               e.stop_reason_ == stop_reason::rerouted &&
                               c.parser_ != nullptr;
@@ -139,7 +142,7 @@
     }
     if (e.upstream_ != nullptr) {
         boost::system::error_code ignored;
-        e.upstream_->socket_.close(ignored);
+        e.upstream_->socket_.next_layer().close(ignored);
         e.upstream_.reset();
     }
     if (e.stop_reason_ == stop_reason::caller_left || e.caller_->disconnected_)
@@ -165,6 +168,8 @@
     state.failure_ = {};
     state.evacuated_ = false;
     state.framing_ = body_framing::none;
+    state.connection_end_ = {};
+    state.body_bytes_ = 0;
     state.response_began_ = {};
     state.partial_event_bytes_ = 0;
     ++target_state(c).in_flight_;
@@ -172,6 +177,18 @@
     co_return finish_try(c, outcome);
 }
 
+
+void log_resumed_try(const try_context& c)
+{
+    const connection_end& end = c.e_.upstream_->socket_.end();
+    base::event_line("try_resumed")
+        .field("request", c.e_.id_)
+        .field("host", c.target_.host_)
+        .field("events", c.state_.splitter_.events_)
+        .field("end", to_string(end))
+        .field("end_source", to_string(end.source_));
+}
+
 } // namespace
 
 asio::awaitable<try_outcome> try_upstream(
@@ -217,6 +234,9 @@
         state.splitter_, std::move(suspended->partial_event_));
     state.memory_ = std::move(suspended->memory_);
     state.failure_ = {};
+    state.connection_end_ = {};
+    state.body_bytes_ = 0;
+    log_resumed_try(c);
     enter_phase(
         e,
         c.parser_->is_header_done() && state.splitter_.events_ > 0
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -50,6 +50,10 @@
     /// True when the header of a streamed response has been sent to the caller.
     bool header_sent_ = false;
     std::optional<http_response> buffered_response_;
+    /// How the connection of the last try ended, and how many bytes of a body
+    /// had come on it since the try began or went on.
+    connection_end connection_end_;
+    std::size_t body_bytes_ = 0;
     /// Framing of the last response that an upstream sent.
     body_framing framing_ = body_framing::none;
     /// When the header of the response of the current try arrived; unset before
--- a/src/librelay/upstream_connection.cpp
+++ b/src/librelay/upstream_connection.cpp
@@ -1,13 +1,11 @@
 #include "upstream_connection.hpp"
 
-#include "peek_socket.hpp"
-
 namespace monsoondock::relay::pvt {
 
 bool is_reusable(upstream_connection& connection)
 {
     return connection.buffer_.size() == 0 &&
-           peek_socket(connection.socket_) == socket_content::nothing;
+           connection.socket_.peek() == socket_content::nothing;
 }
 
 
--- a/src/librelay/upstream_connection.hpp
+++ b/src/librelay/upstream_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "send_monitor.hpp"
+#include "upstream_socket.hpp"
 
 #include <monsoondock/base/boot_clock.hpp>
 
@@ -28,7 +29,7 @@
         : socket_(executor)
     {}
 
-    boost::asio::ip::tcp::socket socket_;
+    upstream_socket socket_;
     boost::beast::flat_buffer buffer_{max_unparsed_bytes};
     /// Size in bytes of the response headers of the current try, those of
     /// informational responses included.
