relay: a reset that one call was told of is never an end of file

Callers saw 200 with half of a body and its size as the Content-Length, or a stream that was complete after half of its events.

Cause: Linux tells of a reset to one call and reports an end of file to the next. When the replacement failed, the try went on, read an end of file, and a response without length and chunks counted as complete. A read that met the reset while its try was being rerouted lost it in the same way.

upstream_socket keeps the first failure that any call was told of; the end of what can be read is that failure from then on. Bytes that came before it are still read.

--- a/src/librelay/upstream_socket.cpp
+++ b/src/librelay/upstream_socket.cpp
@@ -18,6 +18,13 @@
 }
 
 
+boost::system::error_code upstream_socket::known_end(
+    const boost::system::error_code& failure) const noexcept
+{
+    return failure == asio::error::eof ? end_.failure_ : failure;
+}
+
+
 socket_content upstream_socket::peek()
 {
     boost::system::error_code failure;
--- a/src/librelay/upstream_socket.hpp
+++ b/src/librelay/upstream_socket.hpp
@@ -34,7 +34,7 @@
 
 
 /// TCP connection to an upstream. All reads, writes and looks at its content go
-/// through this class, which records how the connection ended.
+/// through this class, which keeps how the connection ended.
 class upstream_socket
 {
 public:
@@ -65,7 +65,9 @@
     }
 
 
-    /// Reads as Asio's AsyncReadStream.
+    /// Reads as Asio's AsyncReadStream. Where an earlier call was told of a
+    /// failure, the end of what can be read is that failure, not an end of
+    /// file.
     template <class Buffers, class Token>
     auto async_read_some(const Buffers& buffers, Token&& token)
     {
@@ -80,7 +82,7 @@
                         return;
                     }
                     record_end(failure, end_source::read);
-                    self.complete(failure, size);
+                    self.complete(known_end(failure), size);
                 },
                 token,
                 socket_);
@@ -121,6 +123,11 @@
         const boost::system::error_code& failure, end_source source) noexcept;
 
 
+    // Returns how the connection ended, if it has.
+    boost::system::error_code
+    known_end(const boost::system::error_code& failure) const noexcept;
+
+
     boost::asio::ip::tcp::socket socket_;
     connection_end end_;
 };
--- a/src/librelay/upstream_socket_test.cpp
+++ b/src/librelay/upstream_socket_test.cpp
@@ -89,6 +89,44 @@
 }
 
 
+// A reset that one call had been told of was an end of file for the next, and
+// so the end of a response without length and chunks.
+Test(upstream_socket, a_reset_is_never_an_end_of_file)
+{
+    connected_pair looked_at;
+    looked_at.end(ending::reset);
+    cr_expect(looked_at.read() == asio::error::connection_reset);
+    connected_pair read;
+    read.peer_.set_option(asio::socket_base::linger(true, 0));
+    read.peer_.close();
+    cr_expect(read.read() == asio::error::connection_reset);
+    cr_expect(read.read() == asio::error::connection_reset);
+}
+
+
+// Guards against losing what had arrived before the reset.
+Test(upstream_socket, bytes_before_a_reset_are_read)
+{
+    connected_pair pair;
+    asio::write(pair.peer_, asio::buffer("abc", 3));
+    while (pair.socket_.peek() != socket_content::bytes)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    pair.peer_.set_option(asio::socket_base::linger(true, 0));
+    pair.peer_.close();
+    cr_expect(!pair.read());
+    cr_expect(pair.read() == asio::error::connection_reset);
+}
+
+
+Test(upstream_socket, an_orderly_end_stays_one)
+{
+    connected_pair pair;
+    pair.end(ending::close);
+    cr_expect(pair.read() == asio::error::eof);
+    cr_expect(pair.read() == asio::error::eof);
+}
+
+
 Test(upstream_socket, an_own_close_is_no_end_of_the_peer)
 {
     connected_pair pair;
