--- a/src/librelay/confirm_end.cpp
+++ b/src/librelay/confirm_end.cpp
@@ -12,8 +12,7 @@
 
 bool is_failure(const connection_end& end)
 {
-    return end.source_ != end_source::none &&
-           end.failure_ != asio::error::eof;
+    return end.source_ != end_source::none && end.failure_ != asio::error::eof;
 }
 
 
--- a/src/librelay/receive_response.hpp
+++ b/src/librelay/receive_response.hpp
@@ -43,6 +43,15 @@
 void keep_connection(try_context& c, std::chrono::milliseconds idle_time);
 
 
+/// Returns the connection of the exchange to the pool if the response leaves it
+/// usable.
+void return_to_pool(try_context& c, const http_response_parser& parser);
+
+
+/// Records that the upstream has sent a part of its response.
+void record_progress(try_context& c);
+
+
 /// Returns true when the response is relayed as a stream of events.
 bool is_event_stream(const exchange& e, const http_response& response);
 
