base, relay: a second response behind one without a length is no part of it

The first response has no end of its own, so it counts as broken off as soon as the header of another response, with a field for the id of a request, is found in it: a stream goes on elsewhere after its last event or is cut, other responses are repeated or answered 502.

--- a/src/librelay/confirm_end.cpp
+++ b/src/librelay/confirm_end.cpp
@@ -2,6 +2,8 @@
 
 #include "open_connection.hpp"
 
+#include <monsoondock/base/find_response.hpp>
+
 #include <boost/asio/error.hpp>
 
 namespace monsoondock::relay::pvt {
@@ -31,6 +33,14 @@
 
 } // namespace
 
+std::size_t find_second_response(const try_context& c, std::string_view text)
+{
+    if (c.state_.framing_ != base::body_framing::connection_close)
+        return std::string_view::npos;
+    return base::find_response(text, c.t_.config_.headers_.request_id_);
+}
+
+
 base::body_end
 body_end_of(const try_context& c, const http_response_parser& parser)
 {
@@ -38,8 +48,12 @@
     end.framing_ = c.state_.framing_;
     end.as_framed_ = parser.is_done();
     end.connection_failed_ = is_failure(c.e_.upstream_->socket_.end());
-    end.inside_event_ =
-        is_event_stream(c.e_, parser.get()) && ends_inside_event(c);
+    const bool stream = is_event_stream(c.e_, parser.get());
+    end.inside_event_ = stream && ends_inside_event(c);
+    end.second_response_ = stream
+                               ? c.state_.splitter_.has_second_response_
+                               : find_second_response(c, parser.get().body()) !=
+                                     std::string_view::npos;
     return end;
 }
 
--- a/src/librelay/confirm_end.hpp
+++ b/src/librelay/confirm_end.hpp
@@ -6,6 +6,11 @@
 
 namespace monsoondock::relay::pvt {
 
+/// Returns where a second response to the request begins in a part of a body
+/// that ends with its connection, or npos.
+std::size_t find_second_response(const try_context& c, std::string_view text);
+
+
 /// Returns what is known of the end of the body that the try has received.
 base::body_end
 body_end_of(const try_context& c, const http_response_parser& parser);
--- a/src/librelay/early_end_test.cpp
+++ b/src/librelay/early_end_test.cpp
@@ -112,6 +112,37 @@
 }
 
 
+// A second response right behind one without a length became a part of its
+// body; in a stream its header reached the caller as an event.
+Test(early_end, a_second_response_is_no_part_of_the_first)
+{
+    for (const int version : unframed_versions) {
+        scripted_response twice;
+        twice.parts_ = {
+            {make_unframed_header(false, version) + body +
+             make_unframed_header(false, version) + body}};
+        twice.ending_ = ending::close;
+        proxy_session once(request_kind::at_most_once, {twice});
+        cr_expect_eq(once.call().status_, 502, "HTTP/1.%d", version);
+
+        scripted_response stream;
+        stream.parts_ = {
+            {make_unframed_header(true, version) + make_events(1, 2) +
+             make_unframed_header(true, version) + make_events(1, 4)}};
+        stream.ending_ = ending::close;
+        proxy_session cut(request_kind::at_most_once_stream, {stream});
+        const caller_response response = cut.call();
+        cr_expect(response.body_ == make_events(1, 2), "HTTP/1.%d", version);
+        cr_expect_not(response.complete_, "HTTP/1.%d", version);
+        proxy_session resumed(
+            request_kind::resumable_stream, {stream, scripted_response{}});
+        const caller_response whole = resumed.call();
+        cr_expect(whole.body_ == make_events(1, 4), "HTTP/1.%d", version);
+        cr_expect(whole.complete_, "HTTP/1.%d", version);
+    }
+}
+
+
 // A host that was killed halfway through a response without length and chunks
 // was believed to have ended it: 200 with half of the body, or the last chunk
 // between two events.
--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -74,18 +74,24 @@
 
 } // namespace
 
-std::string extract_events(event_splitter& splitter, std::string_view bytes)
+std::string extract_events(
+    event_splitter& splitter,
+    std::string_view bytes,
+    const response_check& begins_response)
 {
     splitter.pending_.append(bytes);
     std::string complete;
     std::size_t begin = 0;
     const std::string_view all = splitter.pending_;
-    while (!splitter.mismatch_) {
+    while (!splitter.mismatch_ && !splitter.has_second_response_) {
         const std::size_t end = find_event_end(splitter);
         if (end == 0)
             break;
         const std::string_view event = all.substr(begin, end - begin);
-        if (accept_event(splitter, event_id(event)))
+        splitter.has_second_response_ =
+            begins_response && begins_response(event);
+        if (!splitter.has_second_response_ &&
+            accept_event(splitter, event_id(event)))
             complete.append(event);
         begin = end;
     }
@@ -134,6 +140,7 @@
     take_partial_event(splitter);
     splitter.position_ = splitter.last_id_;
     splitter.mismatch_ = false;
+    splitter.has_second_response_ = false;
 }
 
 
--- a/src/librelay/event_splitter.hpp
+++ b/src/librelay/event_splitter.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +27,9 @@
     /// True once an event of the present stream begins before the last one
     /// returned and ends after it; no more events are returned then.
     bool mismatch_ = false;
+    /// True once the header of another response has come in place of an event;
+    /// no more events are returned then.
+    bool has_second_response_ = false;
     /// Number of events received.
     std::uint64_t events_ = 0;
 };
@@ -35,10 +39,18 @@
 inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 
 
+/// Returns true when a block of lines is the header of another response to the
+/// same request, and no event.
+using response_check = std::function<bool(std::string_view block)>;
+
+
 /// Appends bytes and returns all events that are complete. Events whose id is
 /// not greater than the last one are skipped as duplicates. Ids only increase,
 /// by any number, so that a missing event can't be told from them.
-std::string extract_events(event_splitter& splitter, std::string_view bytes);
+std::string extract_events(
+    event_splitter& splitter,
+    std::string_view bytes,
+    const response_check& begins_response = {});
 
 
 /// Returns true when the bytes received end inside an event. Comments are not
--- a/src/librelay/relay_stream.cpp
+++ b/src/librelay/relay_stream.cpp
@@ -69,7 +69,10 @@
     std::string& body = parser.get().body();
     s.body_bytes_ += body.size();
     const std::uint64_t known_events = s.splitter_.events_;
-    std::string events = extract_events(s.splitter_, body);
+    std::string events =
+        extract_events(s.splitter_, body, [&](std::string_view block) {
+            return find_second_response(c, block) == 0;
+        });
     record_events(c, s.splitter_.events_ - known_events);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
@@ -161,6 +164,8 @@
             co_return try_outcome::caller_gone;
         if (splitter.mismatch_)
             co_return lose(c, "overlapping_event");
+        if (splitter.has_second_response_)
+            co_return lose(c, "second_response");
         if (splitter.pending_.size() > max_event_bytes)
             co_return lose(c, "event_too_large");
         if (!c.state_.memory_.resize(splitter.pending_.capacity()))
