relay: streams of HTTP/1.0 are reset until they are complete

The connection is set to be reset when its stream begins, which the kernel does also for a process that is killed, and to be closed in order once the stream is complete. Test: golden-entry-response-ends.

--- a/src/librelay/caller_connection.cpp
+++ b/src/librelay/caller_connection.cpp
@@ -61,10 +61,17 @@
 
 void disconnect(caller_connection& connection)
 {
+    reset_on_close(connection, true);
     boost::system::error_code ignored;
-    connection.socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     connection.socket_.close(ignored);
     report_disconnect(connection);
 }
 
+
+void reset_on_close(caller_connection& connection, bool reset)
+{
+    boost::system::error_code ignored;
+    connection.socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/caller_connection.hpp
+++ b/src/librelay/caller_connection.hpp
@@ -66,6 +66,12 @@
 void disconnect(caller_connection& connection);
 
 
+/// Has the connection reset instead of closed in order, also by the kernel when
+/// this process ends, or no longer. For a response whose end is the end of the
+/// connection: until it is complete, nothing may look like its end.
+void reset_on_close(caller_connection& connection, bool reset);
+
+
 /// Closes an idle connection: ends this side and gives the caller a short time
 /// to end the other, in which no request is read. A connection with unread
 /// bytes stays open, since they are a request; a new one stays open for a short
--- a/src/librelay/event_splitter_test.cpp
+++ b/src/librelay/event_splitter_test.cpp
@@ -166,15 +166,15 @@
 // of its events were taken for those that the caller had.
 Test(event_splitter, nothing_behind_the_header_of_a_response_is_an_event)
 {
-    event_splitter s;
+    pvt::event_splitter s;
     const std::string header = "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n";
     const auto check = [&](std::string_view block) {
         return block == header;
     };
     cr_assert(
-        extract_events(s, "id: 1\ndata: a\n\n" + header, check) ==
+        pvt::extract_events(s, "id: 1\ndata: a\n\n" + header, check) ==
         "id: 1\ndata: a\n\n");
     cr_assert(s.has_second_response_);
-    cr_assert(extract_events(s, "id: 2\ndata: b\n\n", check).empty());
+    cr_assert(pvt::extract_events(s, "id: 2\ndata: b\n\n", check).empty());
     cr_assert_eq(*s.last_id_, 1);
 }
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -179,15 +179,12 @@
 }
 
 
-// Closes the connection without the last chunk, or resets one whose end would
-// mark the end of the stream, so that a stream that cannot be resumed does not
-// look complete.
+// Closes the connection without the last chunk, so that a stream that cannot be
+// resumed does not look complete. One whose end would mark the end of the stream
+// is reset; see reset_on_close.
 bool abort_stream(forward_context& c)
 {
     boost::system::error_code ignored;
-    if (!c.state_.chunked_)
-        c.e_.caller_->socket_.set_option(
-            asio::socket_base::linger(true, 0), ignored);
     c.e_.caller_->socket_.close(ignored);
     c.outcome_ = {
         c.e_.stop_reason_ == stop_reason::deadline ? "stream_timeout"
--- a/src/librelay/relay_stream.cpp
+++ b/src/librelay/relay_stream.cpp
@@ -102,6 +102,8 @@
         text = serialize_stream_header(parser.get(), s.keep_alive_, s.chunked_);
         s.first_response_at_ = base::boot_clock::now();
         s.header_sent_ = true;
+        if (!s.chunked_)
+            reset_on_close(*c.e_.caller_, true);
     }
     if (!s.chunked_)
         text.append(events);
@@ -131,6 +133,8 @@
         co_return try_outcome::caller_gone;
     if (!complete)
         co_return lose(c, base::reason_of(end));
+    if (!c.state_.chunked_)
+        reset_on_close(*c.e_.caller_, false);
     return_to_pool(c, parser);
     co_return try_outcome::relayed;
 }
