traffic: answers without a length are complete only if their host lives

The same cause on the product's own interface: an engine's answer that is no stream, and the answer of a plain service, counted as complete when their connection was closed in order. Both ask base::judge now, and check the host as the relay does; a keyed call whose answer broke off ends as outcome_unknown. Streams end with [DONE], as before.

--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_response.hpp"
 #include "caller_writer.hpp"
+#include "confirm_end.hpp"
 #include "in_flight_guard.hpp"
 #include "refusals.hpp"
 #include "upstream_limit.hpp"
@@ -347,7 +348,9 @@
         if (splitter.pending_.size() > max_event_bytes)
             co_return fail_attempt(a, "an event exceeds the maximum size");
     }
-    if (!splitter.progress_.done_)
+    base::body_end end;
+    end.has_closing_event_ = splitter.progress_.done_;
+    if (base::judge(end) != base::end_verdict::complete)
         co_return fail_attempt(a, "the stream ended without its [DONE] event");
     observe_token_interval(a);
     release_connection(a, parser);
@@ -377,6 +380,15 @@
             co_return fail_attempt(
                 a, "other responses use the memory for responses");
     }
+    const base::body_end end = co_await confirm_end(
+        end_of_body(base::framing_of(parser), body),
+        a.group_.head_,
+        limits_of(a).connect_timeout_);
+    if (base::judge(end) != base::end_verdict::complete)
+        co_return fail_attempt(
+            a,
+            "the end of the response is not confirmed: " +
+                std::string(base::reason_of(end)));
     buffered_response response =
         make_caller_response(parser.get(), std::move(body));
     release_connection(a, parser);
--- a/src/libtraffic/service_exchange.cpp
+++ b/src/libtraffic/service_exchange.cpp
@@ -1,6 +1,7 @@
 #include "service_exchange.hpp"
 
 #include "caller_response.hpp"
+#include "confirm_end.hpp"
 #include "in_flight_guard.hpp"
 #include "upstream_limit.hpp"
 
@@ -113,6 +114,17 @@
             run_state::maybe_sent,
             "no complete response received: " + read_failure.message());
     const auto& answer = parser->get();
+    const base::body_end end = co_await confirm_end(
+        end_of_body(base::framing_of(*parser), answer.body()),
+        host.address_,
+        bounds.connect_timeout_);
+    if (base::judge(end) != base::end_verdict::complete)
+        co_return fail_call(
+            context,
+            host,
+            run_state::maybe_sent,
+            "the end of the response is not confirmed: " +
+                std::string(base::reason_of(end)));
     record_limit(thread, *host.load_, host.host_.value_, answer);
     co_return make_caller_response(answer, answer.body());
 }
