--- a/src/include/monsoondock/base/body_end.hpp
+++ b/src/include/monsoondock/base/body_end.hpp
@@ -2,6 +2,7 @@
 
 #include <monsoondock/base/body_framing.hpp>
 
+#include <chrono>
 #include <string_view>
 
 namespace monsoondock::base {
@@ -10,15 +11,21 @@
 enum class host_check
 {
     not_made,
-    /// The host accepted a connection after that end.
+    /// The host accepted a connection after that end, which stayed open.
     accepts,
-    /// It refused one, or did not answer in time.
+    /// It refused or closed one, or did not answer in time.
     gone,
     /// It is leaving, so that it may refuse connections in good order.
     leaving
 };
 
 
+/// How long an accepted connection has to stay open. The kernel may end the
+/// connections of a killed process before its listener, and then resets those
+/// that the listener has accepted meanwhile.
+inline constexpr std::chrono::milliseconds host_check_time{20};
+
+
 /// Evidence of how the body of a response ended.
 struct body_end
 {
--- a/src/librelay/confirm_end.cpp
+++ b/src/librelay/confirm_end.cpp
@@ -2,9 +2,11 @@
 
 #include "open_connection.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/find_response.hpp>
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace monsoondock::relay::pvt {
 
@@ -31,6 +33,15 @@
            events.events_ == 0 && !resumed;
 }
 
+
+asio::awaitable<bool> stays_open(exchange& e)
+{
+    asio::steady_timer timer(
+        e.upstream_->socket_.get_executor(), base::host_check_time);
+    co_await timer.async_wait(base::await_tuple);
+    co_return e.stop_reason_ == stop_reason::none&& is_reusable(*e.upstream_);
+}
+
 } // namespace
 
 std::size_t find_second_response(const try_context& c, std::string_view text)
@@ -68,8 +79,8 @@
     const wait_phase phase = e.phase_;
     const base::time_point phase_start = e.phase_start_;
     const bool received_bytes = e.received_bytes_;
-    const bool accepted =
-        e.stop_reason_ == stop_reason::none && co_await open_connection(c);
+    const bool accepted = e.stop_reason_ == stop_reason::none &&
+                          co_await open_connection(c) && co_await stays_open(e);
     e.phase_ = phase;
     e.phase_start_ = phase_start;
     e.received_bytes_ = received_bytes;
--- a/src/libtraffic/confirm_end.cpp
+++ b/src/libtraffic/confirm_end.cpp
@@ -2,8 +2,12 @@
 
 #include "upstream_connection.hpp"
 
+#include <monsoondock/base/await_tuple.hpp>
 #include <monsoondock/base/find_response.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
 namespace monsoondock::traffic::pvt {
 
 namespace asio = boost::asio;
@@ -27,9 +31,15 @@
 {
     if (base::judge(end) != base::end_verdict::unconfirmed)
         co_return end;
+    end.host_ = base::host_check::gone;
     const auto connection = co_await connect_upstream(host, connect_timeout);
-    end.host_ = connection != nullptr ? base::host_check::accepts
-                                      : base::host_check::gone;
+    if (connection == nullptr)
+        co_return end;
+    asio::steady_timer timer(
+        co_await asio::this_coro::executor, base::host_check_time);
+    co_await timer.async_wait(base::await_tuple);
+    if (is_reusable(*connection))
+        end.host_ = base::host_check::accepts;
     co_return end;
 }
 
