--- a/src/libbase/find_response_test.cpp
+++ b/src/libbase/find_response_test.cpp
@@ -40,3 +40,14 @@
     const std::string before = "HTTP/1.0, HTTP/1.1 999\r\n\r\n";
     cr_assert_eq(find_response(before + response, "X-Id"), before.size());
 }
+
+
+// A body of lines that look like the begin of a header blocked the thread for
+// seconds, as each of them was parsed to the end of the text.
+Test(find_response, each_line_is_looked_at_once, .timeout = 30)
+{
+    std::string text;
+    while (text.size() < std::size_t{16} * 1024 * 1024)
+        text.append("a:HTTP/1.1 200 \r\n");
+    cr_assert_eq(find_response(text, "X-Id"), std::string::npos);
+}
--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -77,7 +77,7 @@
 std::string extract_events(
     event_splitter& splitter,
     std::string_view bytes,
-    const response_check& begins_response)
+    const response_check& has_response)
 {
     splitter.pending_.append(bytes);
     std::string complete;
@@ -88,8 +88,7 @@
         if (end == 0)
             break;
         const std::string_view event = all.substr(begin, end - begin);
-        splitter.has_second_response_ =
-            begins_response && begins_response(event);
+        splitter.has_second_response_ = has_response && has_response(event);
         if (!splitter.has_second_response_ &&
             accept_event(splitter, event_id(event)))
             complete.append(event);
--- a/src/librelay/event_splitter.hpp
+++ b/src/librelay/event_splitter.hpp
@@ -39,8 +39,8 @@
 inline constexpr std::size_t max_event_bytes = std::size_t{1024} * 1024;
 
 
-/// Returns true when a block of lines is the header of another response to the
-/// same request, and no event.
+/// Returns true when a block of lines is no event, but has the header of
+/// another response at its end.
 using response_check = std::function<bool(std::string_view block)>;
 
 
@@ -50,7 +50,7 @@
 std::string extract_events(
     event_splitter& splitter,
     std::string_view bytes,
-    const response_check& begins_response = {});
+    const response_check& has_response = {});
 
 
 /// Returns true when the bytes received end inside an event. Comments are not
--- a/src/librelay/relay_stream.cpp
+++ b/src/librelay/relay_stream.cpp
@@ -71,7 +71,7 @@
     const std::uint64_t known_events = s.splitter_.events_;
     std::string events =
         extract_events(s.splitter_, body, [&](std::string_view block) {
-            return find_second_response(c, block) == 0;
+            return find_second_response(c, block) != std::string_view::npos;
         });
     record_events(c, s.splitter_.events_ - known_events);
     body.clear();
@@ -124,12 +124,15 @@
     base::body_end end = body_end_of(c, parser);
     if (base::judge(end) == base::end_verdict::unconfirmed) {
         // The events don't wait for the check.
-        if (!co_await pass_on(c, parser, std::exchange(events, {}), false))
+        const bool sent =
+            co_await pass_on(c, parser, std::exchange(events, {}), false);
+        if (!sent)
             co_return try_outcome::caller_gone;
         end.host_ = co_await check_host(c);
     }
     const bool complete = base::judge(end) == base::end_verdict::complete;
-    if (!co_await pass_on(c, parser, std::move(events), complete))
+    const bool sent = co_await pass_on(c, parser, std::move(events), complete);
+    if (!sent)
         co_return try_outcome::caller_gone;
     if (!complete)
         co_return lose(c, base::reason_of(end));
@@ -164,7 +167,8 @@
         const event_splitter& splitter = c.state_.splitter_;
         if (last && !splitter.mismatch_)
             co_return co_await relay_end(c, parser, std::move(events));
-        if (!co_await pass_on(c, parser, std::move(events), false))
+        const bool sent = co_await pass_on(c, parser, std::move(events), false);
+        if (!sent)
             co_return try_outcome::caller_gone;
         if (splitter.mismatch_)
             co_return lose(c, "overlapping_event");
