relay, traffic: only a host that refuses connections is gone

After a reset the host is asked once more: a listener that is closed refuses. A host that is leaving is no exception any more: it can be killed too. A check that was stopped is logged as such (end_unconfirmed).

--- a/src/include/monsoondock/base/body_end.hpp
+++ b/src/include/monsoondock/base/body_end.hpp
@@ -11,19 +11,21 @@
 enum class host_check
 {
     not_made,
-    /// The host accepted a connection after that end, which stayed open.
+    /// The host accepted a connection after that end; if that one was reset, a
+    /// further one.
     accepts,
-    /// It refused or closed one, or did not answer in time.
+    /// It refused one, or did not answer in time.
     gone,
-    /// It is leaving, so that it may refuse connections in good order.
-    leaving
+    /// The check was stopped.
+    unknown
 };
 
 
-/// How long an accepted connection has to stay open. The kernel may end the
-/// connections of a killed process before its listener, and then resets those
-/// that the listener has accepted meanwhile.
-inline constexpr std::chrono::milliseconds host_check_time{20};
+/// How long an accepted connection has to stay open to show that the host
+/// lives. The kernel may end the connections of a killed process before its
+/// listener, and then resets those that the listener has accepted meanwhile; a
+/// host may also reset connections because it has too many.
+inline constexpr std::chrono::milliseconds host_check_time{50};
 
 
 /// Evidence of how the body of a response ended.
@@ -31,10 +33,8 @@
 {
     body_framing framing_ = body_framing::none;
     /// The body ended as its framing says: by its length, by the last chunk, or
-    /// with the connection.
+    /// with a connection that was closed in order and has not failed.
     bool as_framed_ = false;
-    /// The connection failed, whatever a later read said.
-    bool connection_failed_ = false;
     /// A stream ended inside an event, or before its first one.
     bool inside_event_ = false;
     /// The events of the stream tell its end, and it came.
--- a/src/libbase/body_end.cpp
+++ b/src/libbase/body_end.cpp
@@ -10,18 +10,16 @@
         return end_verdict::broken_off;
     if (end.framing_ != body_framing::connection_close)
         return end_verdict::complete;
-    if (end.connection_failed_)
-        return end_verdict::broken_off;
     switch (end.host_) {
     case host_check::not_made:
         return end_verdict::unconfirmed;
-    case host_check::gone:
-        return end_verdict::broken_off;
     case host_check::accepts:
-    case host_check::leaving:
+        return end_verdict::complete;
+    case host_check::gone:
+    case host_check::unknown:
         break;
     }
-    return end_verdict::complete;
+    return end_verdict::broken_off;
 }
 
 
@@ -33,6 +31,8 @@
         return "broken_off";
     if (end.host_ == host_check::gone)
         return "host_gone";
+    if (end.host_ == host_check::unknown)
+        return "end_unconfirmed";
     return "connection_lost";
 }
 
--- a/src/librelay/confirm_end.cpp
+++ b/src/librelay/confirm_end.cpp
@@ -14,15 +14,9 @@
 
 namespace {
 
-bool is_failure(const connection_end& end)
-{
-    return end.source_ != end_source::none && end.failure_ != asio::error::eof;
-}
-
-
 // Returns true when a stream ends inside an event or, where the connection ends
 // it, before its first one.
-bool ends_inside_event(const try_context& c)
+bool stream_is_broken(const try_context& c)
 {
     const event_splitter& events = c.state_.splitter_;
     if (ends_inside_event(events))
@@ -34,12 +28,42 @@
 }
 
 
+bool is_stopped(const exchange& e)
+{
+    return e.stop_reason_ != stop_reason::none;
+}
+
+
+// Returns true when the peer leaves the new connection of the exchange open.
 asio::awaitable<bool> stays_open(exchange& e)
 {
+    e.phase_ = wait_phase::none;
     asio::steady_timer timer(
         e.upstream_->socket_.get_executor(), base::host_check_time);
     co_await timer.async_wait(base::await_tuple);
-    co_return e.stop_reason_ == stop_reason::none&& is_reusable(*e.upstream_);
+    const bool open = !is_stopped(e) && is_reusable(*e.upstream_);
+    co_return open;
+}
+
+
+// Returns true when the listener of the target is open. A host that has as many
+// connections as it accepts resets further ones, but does not refuse them.
+asio::awaitable<bool> is_listening(try_context& c)
+{
+    if (is_stopped(c.e_))
+        co_return false;
+    const boost::system::error_code failure = co_await open_connection(c);
+    if (!failure) {
+        const bool open = co_await stays_open(c.e_);
+        if (open)
+            co_return true;
+    } else if (failure != asio::error::connection_reset) {
+        co_return false;
+    }
+    if (is_stopped(c.e_))
+        co_return false;
+    const boost::system::error_code further = co_await open_connection(c);
+    co_return !further || further == asio::error::connection_reset;
 }
 
 } // namespace
@@ -58,9 +82,8 @@
     base::body_end end;
     end.framing_ = c.state_.framing_;
     end.as_framed_ = parser.is_done();
-    end.connection_failed_ = is_failure(c.e_.upstream_->socket_.end());
     const bool stream = is_event_stream(c.e_, parser.get());
-    end.inside_event_ = stream && ends_inside_event(c);
+    end.inside_event_ = stream && stream_is_broken(c);
     end.second_response_ = stream
                                ? c.state_.splitter_.has_second_response_
                                : find_second_response(c, parser.get().body()) !=
@@ -79,17 +102,17 @@
     const wait_phase phase = e.phase_;
     const base::time_point phase_start = e.phase_start_;
     const bool received_bytes = e.received_bytes_;
-    const bool accepted = e.stop_reason_ == stop_reason::none &&
-                          co_await open_connection(c) && co_await stays_open(e);
+    const base::time_point begin = base::boot_clock::now();
+    const bool listening = co_await is_listening(c);
+    // The check is no part of the time that the upstream took.
     e.phase_ = phase;
-    e.phase_start_ = phase_start;
+    e.phase_start_ = phase_start + (base::boot_clock::now() - begin);
     e.received_bytes_ = received_bytes;
-    if (accepted)
-        keep_connection(c, default_idle_time);
-    if (accepted)
+    if (listening)
         co_return base::host_check::accepts;
-    const upstream_state& s = target_state(c);
-    co_return s.leaving_ ? base::host_check::leaving : base::host_check::gone;
+    const bool timed_out = e.stop_reason_ == stop_reason::connect_timeout;
+    co_return is_stopped(e) && !timed_out ? base::host_check::unknown
+                                          : base::host_check::gone;
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/confirm_end.hpp
+++ b/src/librelay/confirm_end.hpp
@@ -17,7 +17,7 @@
 
 
 /// Finds out whether the host of a response that has ended with its connection
-/// still accepts connections, and keeps the new one for other requests.
+/// still accepts connections.
 boost::asio::awaitable<base::host_check> check_host(try_context& c);
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/early_end_test.cpp
+++ b/src/librelay/early_end_test.cpp
@@ -203,6 +203,31 @@
 }
 
 
+// Guards against losing a complete response because its host has as many
+// connections as it accepts, and resets the one that checks it.
+Test(early_end, response_of_a_host_without_free_connections_is_complete)
+{
+    for (const int version : unframed_versions) {
+        scripted_response r;
+        r.parts_ = {{make_unframed_header(false, version) + body}};
+        r.ending_ = ending::close_when_full;
+        proxy_session once(request_kind::at_most_once, {r});
+        const caller_response response = once.call();
+        cr_expect_eq(response.status_, 200, "HTTP/1.%d", version);
+        cr_expect(response.body_ == body, "HTTP/1.%d", version);
+
+        scripted_response stream;
+        stream.parts_ = {
+            {make_unframed_header(true, version) + make_events(1, 4)}};
+        stream.ending_ = ending::close_when_full;
+        proxy_session streams(request_kind::at_most_once_stream, {stream});
+        const caller_response streamed = streams.call();
+        cr_expect(streamed.body_ == make_events(1, 4), "HTTP/1.%d", version);
+        cr_expect(streamed.complete_, "HTTP/1.%d", version);
+    }
+}
+
+
 // The header of a second response reached the caller as a part of the event in
 // which the first one broke off, and the stream counted as complete.
 Test(early_end, a_second_response_behind_a_part_of_an_event_is_not_passed_on)
--- a/src/librelay/fake_upstream_test.cpp
+++ b/src/librelay/fake_upstream_test.cpp
@@ -102,6 +102,8 @@
     std::atomic<int> repetitions_{0};
     std::atomic<std::chrono::milliseconds> read_pause_{
         std::chrono::milliseconds(0)};
+    // Used by the thread only.
+    bool full_ = false;
     mutable std::mutex mutex_;
     std::vector<std::string> targets_;
 
@@ -116,6 +118,7 @@
         boost::system::error_code ignored;
         if (how == ending::process_end)
             acceptor_.close(ignored);
+        full_ = full_ || how == ending::close_when_full;
         socket.close(ignored);
         return true;
     }
@@ -231,6 +234,10 @@
             if (failure)
                 co_return;
             ++connections_;
+            if (full_) {
+                end_connection(socket, ending::reset);
+                continue;
+            }
             // The bytes that could be sent are to show what the proxy holds.
             socket.set_option(
                 asio::socket_base::send_buffer_size(send_buffer_bytes));
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -180,8 +180,8 @@
 
 
 // Closes the connection without the last chunk, so that a stream that cannot be
-// resumed does not look complete. One whose end would mark the end of the stream
-// is reset; see reset_on_close.
+// resumed does not look complete. One whose end would mark the end of the
+// stream is reset; see reset_on_close.
 bool abort_stream(forward_context& c)
 {
     boost::system::error_code ignored;
--- a/src/librelay/open_connection.cpp
+++ b/src/librelay/open_connection.cpp
@@ -5,11 +5,13 @@
 
 #include <monsoondock/base/await_tuple.hpp>
 
+#include <boost/asio/error.hpp>
+
 namespace monsoondock::relay::pvt {
 
 namespace asio = boost::asio;
 
-asio::awaitable<bool> open_connection(try_context& c)
+asio::awaitable<boost::system::error_code> open_connection(try_context& c)
 {
     exchange& e = c.e_;
     e.upstream_ =
@@ -27,7 +29,9 @@
         co_await socket.async_connect(c.target_.address_, base::await_tuple);
     if (!failure && !c.detour_)
         c.t_.connected_.insert(c.target_.host_);
-    co_return !failure && e.stop_reason_ == stop_reason::none;
+    if (!failure && e.stop_reason_ != stop_reason::none)
+        co_return asio::error::operation_aborted;
+    co_return failure;
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/receive_response.cpp
+++ b/src/librelay/receive_response.cpp
@@ -32,6 +32,8 @@
 // maximum size of their bodies.
 constexpr int max_mismatched_responses = 2;
 constexpr std::size_t max_mismatched_body_bytes = std::size_t{1024} * 1024;
+// How long an upstream keeps an idle connection open when it does not say so.
+constexpr std::chrono::milliseconds default_keep_alive{700};
 // Subtracted because the upstream may close the connection while a request is
 // in transit.
 constexpr std::chrono::milliseconds keep_alive_margin{400};
@@ -105,7 +107,7 @@
             p.second.data(), p.second.data() + p.second.size(), seconds);
         return std::chrono::seconds(seconds) - keep_alive_margin;
     }
-    return default_idle_time;
+    return default_keep_alive - keep_alive_margin;
 }
 
 
@@ -199,8 +201,6 @@
         if (failure)
             co_return lose(c, failure_reason(failure));
     }
-    record_progress(c);
-    record_call(c, parser.get());
     base::body_end end = body_end_of(c, parser);
     // A rejection is told by the header alone.
     if (base::judge(end) == base::end_verdict::unconfirmed &&
@@ -208,6 +208,8 @@
         end.host_ = co_await check_host(c);
     if (base::judge(end) == base::end_verdict::broken_off)
         co_return lose(c, base::reason_of(end));
+    record_progress(c);
+    record_call(c, parser.get());
     return_to_pool(c, parser);
     http_response response = parser.release();
     c.parser_.reset();
@@ -265,15 +267,9 @@
     const auto idle = keep_alive_time(parser.get());
     if (idle.count() <= 0)
         return;
-    keep_connection(c, idle);
-}
-
-
-void keep_connection(try_context& c, std::chrono::milliseconds idle_time)
-{
-    c.e_.upstream_->usable_until_ = base::boot_clock::now() + idle_time;
+    e.upstream_->usable_until_ = base::boot_clock::now() + idle;
     c.t_.upstream_pool_.put(
-        c.target_.address_, c.target_.host_.value_, std::move(c.e_.upstream_));
+        c.target_.address_, c.target_.host_.value_, std::move(e.upstream_));
 }
 
 
--- a/src/librelay/receive_response.hpp
+++ b/src/librelay/receive_response.hpp
@@ -33,16 +33,6 @@
 std::unique_ptr<http_response_parser> make_parser(const exchange& e);
 
 
-/// How long an idle connection may be used when its host does not say how long
-/// it keeps it open.
-inline constexpr std::chrono::milliseconds default_idle_time{300};
-
-
-/// Returns the connection of the exchange to the pool, where it may be used for
-/// so long.
-void keep_connection(try_context& c, std::chrono::milliseconds idle_time);
-
-
 /// Returns the connection of the exchange to the pool if the response leaves it
 /// usable.
 void return_to_pool(try_context& c, const http_response_parser& parser);
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -29,7 +29,8 @@
         c.target_.address_, c.target_.host_.value_, now);
     if (e.upstream_ != nullptr)
         co_return true;
-    co_return co_await open_connection(c);
+    const boost::system::error_code failure = co_await open_connection(c);
+    co_return !failure;
 }
 
 
