relay: suspend only tries whose read was ended by the daemon

Found by the review, by reading: a try that was lost for another reason (second response, overlapping event, a reset) in the moment in which it was rerouted was suspended all the same, and could go on without that verdict.

--- a/src/librelay/failure_reason.cpp
+++ b/src/librelay/failure_reason.cpp
@@ -22,7 +22,7 @@
     if (failure == http::error::bad_obs_fold)
         return "folded_field";
     if (failure == boost::asio::error::operation_aborted)
-        return "stopped";
+        return stopped_reason;
     const bool ended = failure == http::error::end_of_stream ||
                        failure == http::error::partial_message;
     if (!ended && failure.category() ==
--- a/src/librelay/failure_reason.hpp
+++ b/src/librelay/failure_reason.hpp
@@ -6,6 +6,10 @@
 
 namespace monsoondock::relay::pvt {
 
+/// Reason of a response whose reading this daemon has ended.
+inline constexpr std::string_view stopped_reason = "stopped";
+
+
 /// Returns what an error of sending a request or of reading a response says
 /// about the response, as it appears in logs.
 std::string_view
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -116,6 +116,7 @@
         c.state_.connection_end_ = e.upstream_->socket_.end();
     const bool was_rerouted = outcome == try_outcome::lost &&
                               e.stop_reason_ == stop_reason::rerouted &&
+                              c.state_.failure_ == stopped_reason &&
                               c.parser_ != nullptr;
     if (was_rerouted && e.upstream_ != nullptr && !e.caller_->disconnected_)
         return suspend(c);
