relay: a resumed stream without framing and events is not complete

"Closed before the first event" was told by the events of all tries together.

Events are counted for each try. stream_end/ a_resumed_stream_without_framing_and_events_is_not_complete fails before. a_resumed_stream_may_end_without_an_event had played the unframed case and asserted the fault; it plays the two framings that do mark an end now.

--- a/src/librelay/confirm_end.cpp
+++ b/src/librelay/confirm_end.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 // Returns true when a stream ends inside an event or, where the connection ends
-// it, before its first one.
+// it, before the first one of this try. Only a caller may have asked for the
+// rest of a stream that has none.
 bool stream_is_broken(const try_context& c)
 {
     const event_splitter& events = c.state_.splitter_;
@@ -24,7 +25,7 @@
     const bool resumed =
         c.e_.request_.count(c.t_.config_.headers_.last_event_id_) > 0;
     return c.state_.framing_ == base::body_framing::connection_close &&
-           events.events_ == 0 && !resumed;
+           c.state_.events_ == 0 && !resumed;
 }
 
 
--- a/src/librelay/relay_stream.cpp
+++ b/src/librelay/relay_stream.cpp
@@ -73,7 +73,9 @@
         extract_events(s.splitter_, body, [&](std::string_view block) {
             return find_second_response(c, block) != std::string_view::npos;
         });
-    record_events(c, s.splitter_.events_ - known_events);
+    const std::uint64_t new_events = s.splitter_.events_ - known_events;
+    s.events_ += new_events;
+    record_events(c, new_events);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
     return events;
--- a/src/librelay/stream_end_test.cpp
+++ b/src/librelay/stream_end_test.cpp
@@ -241,16 +241,38 @@
 
 Test(stream_end, a_resumed_stream_may_end_without_an_event)
 {
-    scripted_response rest = make_truncated_response();
-    rest.last_event_ = 4;
-    rest.partial_event_ = "";
-    scripted_response whole;
-    whole.ending_ = ending::reset;
-    whole.finished_ = false;
-    proxy_session s(request_kind::resumable_stream, {whole, rest});
-    const caller_response response = s.call();
-    cr_assert(response.complete_);
-    cr_assert(response.body_ == make_events(1, 4));
+    for (const framing f : {framing::length, framing::chunked}) {
+        scripted_response rest;
+        rest.framing_ = f;
+        scripted_response whole;
+        whole.ending_ = ending::reset;
+        whole.finished_ = false;
+        proxy_session s(request_kind::resumable_stream, {whole, rest});
+        const caller_response response = s.call();
+        cr_assert(response.complete_);
+        cr_assert(response.body_ == make_events(1, 4));
+    }
+}
+
+
+// A stream that was resumed at a host which closed its connection before it had
+// sent an event was complete for its caller.
+Test(stream_end, a_resumed_stream_without_framing_and_events_is_not_complete)
+{
+    for (const framing f : {framing::connection_close, framing::http_1_0}) {
+        scripted_response reset;
+        reset.last_event_ = 2;
+        reset.finished_ = false;
+        reset.ending_ = ending::reset;
+        scripted_response nothing;
+        nothing.framing_ = f;
+        nothing.last_event_ = 2;
+        nothing.ending_ = ending::close;
+        proxy_session s(request_kind::resumable_stream, {reset, nothing});
+        const caller_response response = s.call();
+        cr_assert(response.body_ == make_events(1, 2));
+        cr_assert_not(response.complete_);
+    }
 }
 
 
--- a/src/librelay/suspended_try.hpp
+++ b/src/librelay/suspended_try.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,8 @@
     std::shared_ptr<upstream_connection> connection_;
     /// What has been received of the response.
     std::unique_ptr<http_response_parser> parser_;
+    /// Number of events received.
+    std::uint64_t events_ = 0;
     /// Bytes of the event that was incomplete.
     std::string partial_event_;
     /// Memory of the body or event.
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -97,6 +97,7 @@
     suspended->target_ = c.target_;
     suspended->connection_ = std::move(e.upstream_);
     suspended->parser_ = std::move(c.parser_);
+    suspended->events_ = c.state_.events_;
     suspended->partial_event_ = take_partial_event(c.state_.splitter_);
     suspended->memory_ = std::move(c.state_.memory_);
     drop_suspended_try(c.t_, e);
@@ -155,6 +156,7 @@
     state.failure_ = {};
     state.evacuated_ = false;
     state.framing_ = base::body_framing::none;
+    state.events_ = 0;
     state.connection_end_ = {};
     state.body_bytes_ = 0;
     state.response_began_ = {};
@@ -220,6 +222,7 @@
     restore_partial_event(
         state.splitter_, std::move(suspended->partial_event_));
     state.memory_ = std::move(suspended->memory_);
+    state.events_ = suspended->events_;
     state.failure_ = {};
     state.connection_end_ = {};
     state.body_bytes_ = 0;
--- a/src/librelay/try_upstream.hpp
+++ b/src/librelay/try_upstream.hpp
@@ -50,6 +50,8 @@
     /// True when the header of a streamed response has been sent to the caller.
     bool header_sent_ = false;
     std::optional<http_response> buffered_response_;
+    /// Events that the current try has received.
+    std::uint64_t events_ = 0;
     /// How the connection of the last try ended, and how many bytes of a body
     /// had come on it since the try began or went on.
     connection_end connection_end_;
