traffic: test answers that end early, by framing, end and moment

Cause: the product's own interface asks base::judge since the check of hosts came in, but no test had a host that ends its answer early.

--- a/src/libtraffic/server_session_test.cpp
+++ b/src/libtraffic/server_session_test.cpp
@@ -70,9 +70,16 @@
 }
 
 
-server_session::server_session(const limits& bounds, admin_handler admin)
+server_session::server_session(
+    const limits& bounds, admin_handler admin, const claim_options& claims)
     : server_(
-          {snapshots_, metrics_, bounds, std::move(admin), {}, {}, nullptr}),
+          {snapshots_,
+           metrics_,
+           bounds,
+           std::move(admin),
+           claims,
+           {},
+           nullptr}),
       address_(free_address(context_))
 {
     publish();
@@ -137,10 +144,10 @@
 
 caller_response server_session::receive()
 {
-    http::response<http::string_body> response;
+    http::response_parser<http::string_body> parser;
     boost::system::error_code failure;
-    http::read(socket_, buffer_, response, failure);
-    return parse_response(response, !failure);
+    http::read(socket_, buffer_, parser, failure);
+    return parse_response(parser.get(), !failure);
 }
 
 
--- a/src/libtraffic/server_session_test.hpp
+++ b/src/libtraffic/server_session_test.hpp
@@ -31,7 +31,9 @@
 struct server_session
 {
     explicit server_session(
-        const limits& bounds = make_limits(), admin_handler admin = {});
+        const limits& bounds = make_limits(),
+        admin_handler admin = {},
+        const claim_options& claims = {});
 
 
     /// Publishes a snapshot with the given number of groups, of which the first
@@ -56,7 +58,7 @@
     caller_response complete_chat(const std::string& prompt);
 
 
-    /// Receives one response.
+    /// Receives one response, or the part of it that has come.
     caller_response receive();
 
 
