traffic: end a cut stream to a caller of HTTP/1.0 with a reset

Cause: the product's own interface sent streams in chunks to callers of HTTP/1.0, which know none (RFC 9112, section 6.1). The end of the connection is the end of the answer for them, and the daemon closed it in order also when it cut a stream, when it exited and when its threads were stopped.

Change: their streams have no chunks and the connection is closed after them, also if they asked to keep it. It is set to be reset from the header on, so that the kernel resets it too when the daemon is killed, and to be closed in order once [DONE] has come and the stream is complete, as in relay.

A daemon that is killed was not played here.

--- a/src/libtraffic/caller_connection.hpp
+++ b/src/libtraffic/caller_connection.hpp
@@ -33,6 +33,17 @@
     bool used_ = false;
     /// True when the head of the current response was written.
     bool response_begun_ = false;
+    /// True when the end of the connection marks the end of the current
+    /// response, since the caller's version of HTTP has no chunks.
+    bool ends_with_connection_ = false;
+    /// True when the connection is to be reset, see reset_on_close.
+    bool resets_ = false;
 };
 
+
+/// Has the connection reset instead of closed in order, also by the kernel when
+/// this process ends, or no longer. For a response whose end is the end of the
+/// connection: until it is complete, nothing may look like its end.
+void reset_on_close(caller_connection& caller, bool reset);
+
 } // namespace monsoondock::traffic::pvt
--- a/src/libtraffic/caller_session.cpp
+++ b/src/libtraffic/caller_session.cpp
@@ -303,7 +303,7 @@
             thread, caller, std::move(*response), keep);
     }
     co_return std::holds_alternative<streamed>(outcome) && keep &&
-        !thread.shared_.closing_;
+        !caller.ends_with_connection_ && !thread.shared_.closing_;
 }
 
 
@@ -402,6 +402,8 @@
     while (co_await serve_next(thread, caller)) {
     }
     caller.phase_ = caller_phase::closing;
+    if (caller.resets_)
+        co_return;
     co_await close_after_linger(caller);
 }
 
--- a/src/libtraffic/caller_writer.hpp
+++ b/src/libtraffic/caller_writer.hpp
@@ -19,12 +19,14 @@
     const limits& bounds);
 
 
-/// Writes events as one HTTP chunk. Returns false when the write fails.
+/// Writes events, as one HTTP chunk if the caller knows chunks. Returns false
+/// when the write fails.
 boost::asio::awaitable<bool> write_chunk(
     caller_connection& caller, std::string_view events, const limits& bounds);
 
 
-/// Writes the last chunk of a body. Returns false when the write fails.
+/// Writes the last chunk of a body that is complete, or lets the connection end
+/// in order if that is the end of the body. Returns false when the write fails.
 boost::asio::awaitable<bool>
 write_last_chunk(caller_connection& caller, const limits& bounds);
 
