relay: reset streams of HTTP/1.0 whose socket is destroyed

Cause: reset_on_close set SO_LINGER by set_option. The destructor of an Asio socket undoes a linger that was set in this way, so that a connection which was still open when its proxy was destroyed was closed in order: the end of a stream for a caller of HTTP/1.0. Exchanges that are ended by the proxy close their sockets themselves and were reset.

Change: base::reset_on_close calls setsockopt, for relay and traffic (where Beast closes the socket before it is destroyed).

Measured: early_end/stream_of_a_destroyed_proxy_does_not_end_in_order failed before ("End of file") and passes now; 10 of 10 runs of relay early_end/*, 198 of 198 tests of relay, 68 of 68 of traffic.

--- a/src/librelay/caller_connection.cpp
+++ b/src/librelay/caller_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "peek_socket.hpp"
 
+#include <monsoondock/base/reset_on_close.hpp>
+
 #include <algorithm>
 
 namespace monsoondock::relay::pvt {
@@ -70,8 +72,7 @@
 
 void reset_on_close(caller_connection& connection, bool reset)
 {
-    boost::system::error_code ignored;
-    connection.socket_.set_option(asio::socket_base::linger(reset, 0), ignored);
+    base::reset_on_close(connection.socket_, reset);
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/early_end_test.cpp
+++ b/src/librelay/early_end_test.cpp
@@ -1,8 +1,12 @@
 #include "proxy_session_test.hpp"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 #include <array>
+#include <memory>
 
 using namespace monsoondock;
 using namespace monsoondock::relay::test;
@@ -247,3 +251,32 @@
             part);
     }
 }
+
+
+// A stream to a caller of HTTP/1.0 that was open when the daemon's proxy ended
+// was closed in order, which is the end of such a stream.
+Test(early_end, stream_of_a_destroyed_proxy_does_not_end_in_order)
+{
+    scripted_response silent;
+    silent.parts_ = {
+        {make_unframed_header(true, 1) + make_events(1, 2)}, {"", 2}};
+    auto s = std::make_unique<proxy_session>(
+        request_kind::at_most_once_stream,
+        std::vector<scripted_response>{silent});
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket caller(context);
+    caller.assign(boost::asio::ip::tcp::v4(), s->connect().release());
+    boost::asio::write(
+        caller, boost::asio::buffer(make_request({10, 60000ms, {}, {}, {}})));
+    std::string text;
+    boost::asio::read_until(
+        caller, boost::asio::dynamic_buffer(text), make_events(1, 2));
+    s.reset();
+    boost::system::error_code failure;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(text), failure);
+    cr_expect(
+        failure == boost::asio::error::connection_reset,
+        "%s",
+        failure.message().c_str());
+    cr_expect(text.ends_with(make_events(1, 2)));
+}
--- a/src/libtraffic/caller_connection.cpp
+++ b/src/libtraffic/caller_connection.cpp
@@ -1,12 +1,12 @@
 #include "caller_connection.hpp"
 
+#include <monsoondock/base/reset_on_close.hpp>
+
 namespace monsoondock::traffic::pvt {
 
 void reset_on_close(caller_connection& caller, bool reset)
 {
-    boost::system::error_code ignored;
-    caller.stream_.socket().set_option(
-        boost::asio::socket_base::linger(reset, 0), ignored);
+    base::reset_on_close(caller.stream_.socket(), reset);
     caller.resets_ = reset;
 }
 
