base: test that no part of a text of a peer or the store is read

Settings, hosts, objects of the store and the status of an engine come as JSON objects, also without length and chunks, where a sender that ends early gives a part of the text. The users' store dialect, which parses with the same parse_store_body, has no such test yet.

--- a/src/libdaemon/engine_messages_test.cpp
+++ b/src/libdaemon/engine_messages_test.cpp
@@ -63,3 +63,18 @@
         encode_order(order, {}) ==
         R"({"group":"a-1","generation":7,"order":"unload"})");
 }
+
+
+// Guards against a status that is read although its engine ended early.
+Test(engine_messages, no_part_of_a_status_is_read)
+{
+    const std::string whole =
+        R"({"group":"a","generation":17,"phase":"ready","running":10,)"
+        R"("queued":20,"request_limit":1.5})";
+    for (std::size_t size = 0; size <= whole.size(); ++size)
+        cr_expect_eq(
+            base::ok(parse_engine_status(whole.substr(0, size))),
+            size == whole.size(),
+            "%zu",
+            size);
+}
--- a/src/libentry/host_sync_test.cpp
+++ b/src/libentry/host_sync_test.cpp
@@ -167,3 +167,19 @@
         cr_assert_eq(received->changes_[i].deleted_, sent.changes_[i].deleted_);
     }
 }
+
+
+// Guards against a part of the hosts of a peer that ended early.
+Test(host_sync, no_part_of_a_response_is_read)
+{
+    const daemon_hosts follower = make_daemon_hosts("follower/1");
+    daemon_hosts leader = make_daemon_hosts("leader/1");
+    const auto from = leader.position_;
+    apply(leader, 7, 900);
+    const std::string whole =
+        pvt::to_text(sync_request_response(follower, from, leader));
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        cr_expect_not(
+            pvt::parse_sync_response(whole.substr(0, size)), "%zu", size);
+    cr_expect(pvt::parse_sync_response(whole));
+}
--- a/src/libplatform/parse_store_body_test.cpp
+++ b/src/libplatform/parse_store_body_test.cpp
@@ -47,3 +47,33 @@
         cr_assert_not(
             base::ok(native_dialect().read_listing_("k/", body)), "%s", body);
 }
+
+
+// Guards against a part of a response without length and chunks, whose store
+// ended early, that is read as a whole one.
+Test(parse_store_body, no_part_of_a_body_is_read)
+{
+    const std::string change =
+        R"({"key":"k/a","version":12,"value":{"n":[1,"]}"]}})";
+    const std::string listed = R"({"version":12,"objects":[)" + change + "]}";
+    const std::string changed = R"({"next":12,"changes":[)" + change + "]}";
+    const std::string written = R"({"version":12})";
+    const store_dialect& d = native_dialect();
+    const auto expect_whole = [](const std::string& whole, const auto& read) {
+        for (std::size_t size = 0; size <= whole.size(); ++size) {
+            const std::string part = whole.substr(0, size);
+            cr_expect_eq(
+                base::ok(read(part)), size == whole.size(), "%s", part.c_str());
+        }
+    };
+    expect_whole(change, [&](const std::string& part) {
+        return d.read_object_("k/a", part);
+    });
+    expect_whole(listed, [&](const std::string& part) {
+        return d.read_listing_("k/", part);
+    });
+    expect_whole(changed, [&](const std::string& part) {
+        return d.read_changes_("k/", part);
+    });
+    expect_whole(written, d.read_version_);
+}
