testsuite: the soak's proxy passes no orderly end on behind dropped bytes

Cause: the proxy dropped bytes in the modes cut_from, cut_to and silent, and passed the FIN behind them on. TCP never does that: a receiver is told of the end only after all bytes. A response without length and chunks, truncated by the proxy, then ended in order, which no daemon can tell from a whole one. Change: a FIN waits until the mode lets bytes through again, as it would be sent again, and connections with dropped bytes are reset in its place.

--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -24,6 +24,7 @@
         host, port = target.rsplit(":", 1)
         self.target = (host, int(port))
         self.mode = "pass"
+        self.dropped_bytes = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -66,11 +67,17 @@
                 if mode == "delay":
                     time.sleep(random.uniform(0, MAX_DELAY_SECONDS))
                 lost = lost or mode in (dropped, "silent")
-                if not lost:
+                if lost:
+                    self.dropped_bytes += len(data)
+                else:
                     sink.sendall(data)
             else:
-                sink.shutdown(socket.SHUT_WR)
-                return
+                # A lost FIN is sent again, but it does not pass lost bytes.
+                while self.mode in (dropped, "silent"):
+                    time.sleep(POLL_SECONDS)
+                if not lost and self.mode != "reset":
+                    sink.shutdown(socket.SHUT_WR)
+                    return
         except OSError:
             pass
         for end in ends:
