testsuite: a stream resumed behind its last event ends whole in the soak

Cause: a worker that was asked for what follows the last event and closed its connection in order counted as one that closed early. Change: it counts as whole. Result: complete_answers_test.py passes, with a case for it that failed before.

--- a/testsuite/soak/complete_answers_test.py
+++ b/testsuite/soak/complete_answers_test.py
@@ -168,6 +168,8 @@
     def test_stream_that_ends_in_order_behind_all_events_is_whole(self):
         work, body, _ = self.play(stream_early, 1, event=EVENTS + 1)
         self.assertEqual((work.outcome, body), ("whole", STREAM))
+        work, body, _ = self.play(stream_early, EVENTS + 1)
+        self.assertEqual((work.outcome, body), ("whole", ""))
 
     def test_resets_are_seen_as_such(self):
         for play, argument in ((stream_early, 1), (answer_early, b"done r")):
--- a/testsuite/soak/early_ends.py
+++ b/testsuite/soak/early_ends.py
@@ -69,7 +69,7 @@
     inside = end.inside_event and first <= end.event <= worker.EVENTS
     if inside:
         handler.wfile.write(worker.event(end.event)[:PART_BYTES])
-    whole = end.event > worker.EVENTS
+    whole = max(first, end.event) > worker.EVENTS
     finish(handler, end, "broke_off" if inside else
            "whole" if whole else "closed_early")
 
