--- a/testsuite/soak/complete_answers.py
+++ b/testsuite/soak/complete_answers.py
@@ -34,7 +34,7 @@
             continue
         its_works = works.get(call.request_id, [])
         if not is_complete(call, its_works):
-            ends = " ".join(f"{w.outcome}:{len(w.written)}"
+            ends = " ".join(f"{w.outcome}:{w.how}:{len(w.written)}"
                             for w in its_works)
             whole = len(whole_body(call.kind, call.request_id))
             found.append(
--- a/testsuite/soak/early_ends.py
+++ b/testsuite/soak/early_ends.py
@@ -51,9 +51,10 @@
     time.sleep(end.silence_seconds)
     handler.close_connection = True
     if not end.resets:
-        handler.work.end(outcome)
+        handler.work.end(outcome, "inside event" if outcome == "broke_off"
+                         else "")
         return
-    handler.work.end("broke_off")
+    handler.work.end("broke_off", "reset")
     handler.connection.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     handler.connection.close()
--- a/testsuite/users_platform.py
+++ b/testsuite/users_platform.py
@@ -484,14 +484,14 @@
     def crash(self, handler):
         """Simulates a crash in the middle of an event: resets the connection,
         closes the listener and removes the entry of the worker."""
-        handler.work.end("broke_off")
+        handler.work.end("broke_off", "fall")
         try:
             handler.wfile.write(b"a\r\nid: ")
         except OSError:
             # The daemon has closed the connection already.
             pass
         for stream in list(self.open_streams):
-            stream.work.end("broke_off")
+            stream.work.end("broke_off", "fall")
             try:
                 stream.connection.shutdown(socket.SHUT_RDWR)
             except OSError:
--- a/testsuite/work_record.py
+++ b/testsuite/work_record.py
@@ -14,11 +14,15 @@
         self.begun = time.monotonic()
         self.ended = None
         self.outcome = "working"
+        # How a worker broke off, where it notes that: "reset", "fall" or
+        # "inside event" (in order).
+        self.how = ""
         # Whole events, or bytes of another body, that the worker has written;
         # kept by the workers of the soak only.
         self.written = ""
 
-    def end(self, outcome):
+    def end(self, outcome, how=""):
         if self.ended is None:
             self.ended = time.monotonic()
             self.outcome = outcome
+            self.how = how
