testsuite: the run that ended last tells whether a host broke off in the soak

A suspended try goes on when its replacement has failed, so that the run that began last is not the one that ended the request. The other order still counts; both are tests.

--- a/testsuite/soak/lost_requests.py
+++ b/testsuite/soak/lost_requests.py
@@ -134,7 +134,9 @@
 def is_excused(call, runs, log):
     """Returns whether the host broke off, the time of the request was over, or
     the daemon could not wait for the host any longer."""
-    if runs and runs[-1].outcome in ("broke_off", "closed_early"):
+    # A suspended try goes on when its replacement fails.
+    last = max(runs, key=lambda run: run.ended or float("inf"), default=None)
+    if last is not None and last.outcome in ("broke_off", "closed_early"):
         return True
     if call.ended >= call.begun + call.deadline_seconds:
         return True
--- a/testsuite/soak/lost_requests_test.py
+++ b/testsuite/soak/lost_requests_test.py
@@ -80,6 +80,15 @@
         self.assertEqual(reasons(STREAM_CUT, log, [
             broken, make_work(101, 101, "rejected")]), [])
 
+    def test_suspended_host_that_broke_off_last_excuses(self):
+        log = make_log([(0, 101)])
+        suspended = make_work(100, 102, "broke_off")
+        replacement = make_work(101, 101.9, "left")
+        self.assertEqual(
+            reasons(STREAM_CUT, log, [suspended, replacement]), [])
+        self.assertEqual(reasons(STREAM_CUT, log, [
+            suspended, make_work(101, 102.1, "left")]), ["stop"])
+
     def test_time_that_is_over_excuses(self):
         log = make_log([(0, 101)])
         self.assertEqual(reasons(change(deadline_seconds=2), log), [])
