--- a/review/common_3.py
+++ b/review/common_3.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import socketserver
 import subprocess
@@ -244,10 +245,17 @@
         rest = rest[count + 2:]
 
 
+def end_early(number, _frame):
+    raise InterruptedError(f"ended by signal {number}")
+
+
 def run(folder, play):
     """Runs a case and ends with its exit status."""
     record = Record(folder)
     status = NOT_RUN
+    # The processes are ended when the with-block is left.
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, end_early)
     try:
         with contextlib.redirect_stderr(sys.stdout), Session() as session:
             status = play(session, record)
