--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Workers spoil two answers in a hundred: one digit too many in the id of an
+"""Workers spoil two answers of four hundred: one digit too many in the id of an
 event."""
 
 import pathlib
@@ -14,8 +14,8 @@
     daemon_ports, has_trouble, run, wait_until)
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-REQUESTS = 100
-SPOILED = {30, 70}
+REQUESTS = 400
+SPOILED = {150, 350}
 EVENTS = 40
 
 
