--- a/review/13/case.py
+++ b/review/13/case.py
@@ -118,7 +118,8 @@
                    f"{'complete' if complete else 'not complete'}")
         if status != 200 or not complete:
             continue
-        sound = len(runs) == 1 and body == runs[0]
+        # The body of one worker, or of a stream that was resumed rightly.
+        sound = body in runs or body == events_from(1, request_id)
         whole += sound
         if sound:
             continue
