traffic: the closing mark in the text of a token ends no stream

Callers of the product's own interface got a stream cut short that looked complete: any event that contained `data: [DONE]`, also in the text of a token, counted as the closing one, and all bytes behind it were left out.

Cause: the mark was searched for anywhere in an event. Now an event closes a stream only if the mark is its only data.

event_splitter/the_closing_mark_in_a_text_ends_no_stream failed before: take_events returned the first of three events.

--- a/src/libtraffic/event_splitter.cpp
+++ b/src/libtraffic/event_splitter.cpp
@@ -9,9 +9,30 @@
 constexpr std::string_view event_end = "\n\n";
 
 
+// Returns true for an event whose only data is the closing mark. The text of a
+// token may contain that mark.
+bool is_closing_event(std::string_view event)
+{
+    bool closing = false;
+    while (!event.empty()) {
+        const std::size_t end = std::min(event.find('\n'), event.size() - 1);
+        const std::string_view line = event.substr(0, end);
+        event.remove_prefix(end + 1);
+        if (!line.starts_with("data:"))
+            continue;
+        if (closing)
+            return false;
+        closing = line == "data: [DONE]" || line == "data:[DONE]";
+        if (!closing)
+            return false;
+    }
+    return closing;
+}
+
+
 void count_event(stream_progress& progress, std::string_view event)
 {
-    if (event.find("data: [DONE]") != std::string_view::npos)
+    if (is_closing_event(event))
         progress.done_ = true;
     else if (event.find("\"content\":") != std::string_view::npos)
         ++progress.tokens_;
--- a/src/libtraffic/event_splitter_test.cpp
+++ b/src/libtraffic/event_splitter_test.cpp
@@ -34,3 +34,16 @@
     cr_assert_eq(take_events(splitter, "\n").size(), 801);
     cr_assert_eq(splitter.searched_, 0);
 }
+
+
+// A stream whose text has the closing mark ended there, as if it were complete.
+Test(event_splitter, the_closing_mark_in_a_text_ends_no_stream)
+{
+    const std::string stream =
+        "data: {\"content\":\"write data: [DONE] at the end\"}\n\n"
+        "data: {\"content\":\"b\"}\n\n: end\ndata: [DONE]\n\n";
+    event_splitter splitter;
+    cr_assert(take_events(splitter, stream) == stream);
+    cr_assert_eq(splitter.progress_.tokens_, 2);
+    cr_assert(splitter.progress_.done_);
+}
