traffic: a body that is no stream does not follow a stream

A caller of the product's own interface whose stream had broken off got the header and the body of another response behind its chunks: bytes that are no chunk, where the rest of the stream was due.

Cause: the attempt that was to resume a stream passed on whatever the engine answered; a body that is no stream was returned as the response to the request, though a header had been sent. Such an attempt fails now, as one that breaks off does.

answer_integrity/a_body_does_not_follow_a_stream failed before: the caller found 'HTTP/1.1 200 OK' where a chunk was due.

--- a/src/libtraffic/answer_integrity_test.cpp
+++ b/src/libtraffic/answer_integrity_test.cpp
@@ -1,5 +1,6 @@
 #include "server_session_test.hpp"
 
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/json/parse.hpp>
 #include <criterion/criterion.h>
 
@@ -71,3 +72,49 @@
     cr_assert(answer.status_ == 503);
     cr_assert(r.first_.requests() + r.second_.requests() == 0);
 }
+
+
+namespace {
+
+// Has the first engine break streams off, and the second one answer what is to
+// go on behind them with a fault. Expects no answer that looks complete and is
+// not the engine's.
+void resume_at_faulty_engine(test::engine_fault fault, bool may_stand_alone)
+{
+    server_session r;
+    int cut = 0;
+    for (int i = 0; i < 40; ++i) {
+        r.first_.inject_faults(test::engine_fault::truncated, 3);
+        r.second_.inject_faults(fault, 3);
+        const std::string prompt = "p" + std::to_string(i);
+        const caller_response answer = r.complete_chat(prompt);
+        const bool whole = answer.text_ == test::expected_answer(prompt);
+        const bool alone = may_stand_alone && answer.body_ == "{}";
+        cr_assert(
+            !answer.complete_ || whole || alone,
+            "%d: %s",
+            i,
+            answer.body_.c_str());
+        // Bytes in which the caller found no chunk.
+        const std::string rest =
+            boost::beast::buffers_to_string(r.buffer_.data());
+        cr_assert(
+            rest.find("HTTP/1.1") == std::string::npos, "%s", rest.c_str());
+        if (answer.complete_ || alone)
+            continue;
+        ++cut;
+        r.socket_ = r.connect();
+        r.buffer_.clear();
+    }
+    cr_assert_gt(cut, 0);
+}
+
+} // namespace
+
+
+// A body that is no stream followed the events of a stream that had broken off,
+// with a second header between them.
+Test(answer_integrity, a_body_does_not_follow_a_stream)
+{
+    resume_at_faulty_engine(test::engine_fault::no_stream, true);
+}
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -432,6 +432,9 @@
     a.progress_.run_ = run_state::answered;
     if (head[http::field::content_type].starts_with("text/event-stream"))
         co_return co_await relay_stream(a, parser);
+    // The caller has a part of a stream, which only a stream continues.
+    if (a.progress_.head_sent_)
+        co_return fail_attempt(a, "the engine's response is no stream");
     co_return co_await relay_buffered(a, parser);
 }
 
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -134,6 +134,10 @@
         return head("another") + events("another", from) + stream_end;
     case engine_fault::informational_first:
         return informational_response + complete;
+    case engine_fault::no_stream:
+        return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+               "X-Request-Id: " +
+               id + "\r\nContent-Length: 2\r\n\r\n{}";
     case engine_fault::endless_status_line:
         return "HTTP/1.1 200 a";
     case engine_fault::endless_fields:
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -35,6 +35,8 @@
     stalled_head,
     /// Sends an informational response before the complete one.
     informational_first,
+    /// Sends a complete body that is no stream.
+    no_stream,
     /// Sends bytes without end: in the status line, as header fields, as
     /// informational responses, in a chunk header or extension, as trailers,
     /// in an event, as events after [DONE], as a body that is no stream, and
