relay: events of a stream are left out only if the caller has them

Cause: accept_event took an id that is not above the highest one for proof that the caller has the event, in every run. Ids tell that only in a run that was resumed behind them, and only if they are in order. The same rule resumed streams behind ids that tell nothing (no number, several, lower ones) and joined runs by ids alone, so that events were lost or came twice and the answer looked complete.

base::stream_join decides now, for any relay, what becomes of an event and which runs are joined; base::judge has its reason for an end. A first run is passed on as it is. A stream is resumed only behind ids in order. A resumed run is joined where it goes on behind the caller's last id, or repeats events with the same content up to there; it is asked to repeat the last event where that one's id may be wrong, as it skips more than any before it. All else is lost with its reason, and the caller sees a cut.

--- a/src/include/monsoondock/base/body_end.hpp
+++ b/src/include/monsoondock/base/body_end.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <monsoondock/base/body_framing.hpp>
+#include <monsoondock/base/stream_join.hpp>
 
 #include <chrono>
 #include <string_view>
@@ -37,6 +38,8 @@
     bool as_framed_ = false;
     /// A stream ended inside an event, or before its first one.
     bool inside_event_ = false;
+    /// Why a resumed stream does not go on behind what its caller has.
+    join_failure join_ = join_failure::none;
     /// The events of the stream tell its end, and it came.
     bool has_closing_event_ = false;
     /// Another response follows on the connection where the body has no end of
--- a/src/libbase/body_end.cpp
+++ b/src/libbase/body_end.cpp
@@ -4,6 +4,8 @@
 
 end_verdict judge(const body_end& end) noexcept
 {
+    if (end.join_ != join_failure::none)
+        return end_verdict::broken_off;
     if (end.has_closing_event_)
         return end_verdict::complete;
     if (!end.as_framed_ || end.inside_event_ || end.second_response_)
@@ -25,6 +27,8 @@
 
 std::string_view reason_of(const body_end& end) noexcept
 {
+    if (end.join_ != join_failure::none)
+        return to_string(end.join_);
     if (end.second_response_)
         return "second_response";
     if (end.inside_event_)
--- a/src/librelay/confirm_end.cpp
+++ b/src/librelay/confirm_end.cpp
@@ -85,6 +85,8 @@
     end.as_framed_ = parser.is_done();
     const bool stream = is_event_stream(c.e_, parser.get());
     end.inside_event_ = stream && stream_is_broken(c);
+    if (stream)
+        end.join_ = c.state_.splitter_.join_.run_.failure_;
     end.second_response_ = stream
                                ? c.state_.splitter_.has_second_response_
                                : find_second_response(c, parser.get().body()) !=
--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -1,6 +1,5 @@
 #include "event_splitter.hpp"
 
-#include <charconv>
 #include <utility>
 
 namespace monsoondock::relay::pvt {
@@ -30,50 +29,6 @@
 }
 
 
-std::optional<std::uint64_t> event_id(std::string_view event)
-{
-    std::size_t line = 0;
-    while (line < event.size()) {
-        const std::size_t end = event.find('\n', line);
-        std::string_view text = event.substr(line, end - line);
-        line = end == std::string_view::npos ? event.size() : end + 1;
-        if (!text.starts_with("id:"))
-            continue;
-        text.remove_prefix(3);
-        while (text.starts_with(' '))
-            text.remove_prefix(1);
-        std::uint64_t id = 0;
-        const auto [stop, failure] =
-            std::from_chars(text.data(), text.data() + text.size(), id);
-        if (failure == std::errc())
-            return id;
-    }
-    return std::nullopt;
-}
-
-
-// Tracks the id of an event. Returns true when the receiver does not have the
-// event yet, nor a part of it.
-bool accept_event(event_splitter& s, std::optional<std::uint64_t> id)
-{
-    ++s.events_;
-    if (!id)
-        return true;
-    const auto begin = std::exchange(s.position_, id);
-    if (s.last_id_ && *id <= *s.last_id_) {
-        ++s.left_out_;
-        return false;
-    }
-    // Other ids than those of the last stream: the upstream has begun anew and
-    // has put the tokens together differently.
-    if (s.last_id_ && begin != s.last_id_) {
-        s.mismatch_ = true;
-        return false;
-    }
-    s.last_id_ = id;
-    return true;
-}
-
 } // namespace
 
 std::string extract_events(
@@ -85,15 +40,18 @@
     std::string complete;
     std::size_t begin = 0;
     const std::string_view all = splitter.pending_;
-    while (!splitter.mismatch_ && !splitter.has_second_response_) {
+    while (splitter.join_.run_.failure_ == base::join_failure::none &&
+           !splitter.has_second_response_) {
         const std::size_t end = find_event_end(splitter);
         if (end == 0)
             break;
         const std::string_view event = all.substr(begin, end - begin);
         splitter.has_second_response_ = has_response && has_response(event);
-        if (!splitter.has_second_response_ &&
-            accept_event(splitter, event_id(event)))
-            complete.append(event);
+        if (!splitter.has_second_response_) {
+            ++splitter.events_;
+            accept_event(
+                splitter.join_, base::read_event(event), event, complete);
+        }
         begin = end;
     }
     splitter.pending_.erase(0, begin);
@@ -136,12 +94,18 @@
 }
 
 
-void discard_partial_event(event_splitter& splitter)
+void begin_run(event_splitter& splitter)
 {
     take_partial_event(splitter);
-    splitter.position_ = splitter.last_id_;
-    splitter.mismatch_ = false;
     splitter.has_second_response_ = false;
+    splitter.left_out_ += splitter.join_.run_.repeated_;
+    begin_run(splitter.join_);
+}
+
+
+std::uint64_t left_out(const event_splitter& splitter)
+{
+    return splitter.left_out_ + splitter.join_.run_.repeated_;
 }
 
 
@@ -153,10 +117,12 @@
 }
 
 
-void restore_partial_event(event_splitter& splitter, std::string bytes)
+void restore_run(
+    event_splitter& splitter, base::run_join run, std::string partial_event)
 {
-    discard_partial_event(splitter);
-    splitter.pending_ = std::move(bytes);
+    begin_run(splitter);
+    splitter.join_.run_ = std::move(run);
+    splitter.pending_ = std::move(partial_event);
 }
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/event_splitter.hpp
+++ b/src/librelay/event_splitter.hpp
@@ -1,16 +1,16 @@
 #pragma once
 
+#include <monsoondock/base/stream_join.hpp>
+
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 
 namespace monsoondock::relay::pvt {
 
-/// Splits a byte stream into complete server-sent events and tracks their ids,
-/// so that a stream can be resumed at another upstream without lost or
-/// duplicate events.
+/// Splits a byte stream into complete server-sent events, those of all runs of
+/// a stream. base::stream_join decides which of them are returned.
 struct event_splitter
 {
     /// Bytes of the incomplete event at the end.
@@ -19,19 +19,12 @@
     std::size_t line_begin_ = 0;
     /// Bytes of pending_ that have been searched for the end of that line.
     std::size_t searched_ = 0;
-    /// Id of the last event returned; empty before the first one.
-    std::optional<std::uint64_t> last_id_;
-    /// Id after which the next event of the present stream begins: that of its
-    /// last event, skipped or not, or the one after which it was resumed.
-    std::optional<std::uint64_t> position_;
-    /// True once an event of the present stream begins before the last one
-    /// returned and ends after it; no more events are returned then.
-    bool mismatch_ = false;
+    base::stream_join join_;
     /// True once the header of another response has come in place of an event;
     /// no more events are returned then.
     bool has_second_response_ = false;
     /// Number of events received, and of those left out as the receiver has
-    /// them.
+    /// them; the latter without those of the present run.
     std::uint64_t events_ = 0;
     std::uint64_t left_out_ = 0;
 };
@@ -46,9 +39,8 @@
 using response_check = std::function<bool(std::string_view block)>;
 
 
-/// Appends bytes and returns all events that are complete. Events whose id is
-/// not greater than the last one are skipped as duplicates. Ids only increase,
-/// by any number, so that a missing event can't be told from them.
+/// Appends bytes and returns all events that are complete and that the receiver
+/// is to get; see base::accept_event.
 std::string extract_events(
     event_splitter& splitter,
     std::string_view bytes,
@@ -60,9 +52,13 @@
 bool ends_inside_event(const event_splitter& splitter);
 
 
-/// Discards the incomplete event, before the stream is resumed after the last
-/// event at another upstream.
-void discard_partial_event(event_splitter& splitter);
+/// Discards the incomplete event, before another run of the stream; see
+/// base::begin_run.
+void begin_run(event_splitter& splitter);
+
+
+/// Returns the number of events that were left out.
+std::uint64_t left_out(const event_splitter& splitter);
 
 
 /// Returns true when the text has an event that is complete and is more than a
@@ -74,8 +70,9 @@
 std::string take_partial_event(event_splitter& splitter);
 
 
-/// Goes on after the last event with the bytes of an incomplete event in place
-/// of those that the splitter has.
-void restore_partial_event(event_splitter& splitter, std::string bytes);
+/// Goes on with an earlier run and the bytes of its incomplete event, in place
+/// of those that the splitter has. The receiver has got no events since.
+void restore_run(
+    event_splitter& splitter, base::run_join run, std::string partial_event);
 
 } // namespace monsoondock::relay::pvt
--- a/src/librelay/exchange.cpp
+++ b/src/librelay/exchange.cpp
@@ -22,7 +22,7 @@
 {
     if (e.possible_runs_ == 0)
         return true;
-    return catalog::may_repeat(e.route_->kind_) &&
+    return catalog::may_repeat(e.route_->kind_) && e.may_resume_ &&
            e.possible_runs_ < e.route_->max_attempts_;
 }
 
--- a/src/librelay/exchange.hpp
+++ b/src/librelay/exchange.hpp
@@ -107,6 +107,9 @@
     /// and parts of events.
     bool received_bytes_ = false;
     stop_reason stop_reason_ = stop_reason::none;
+    /// False once the events that the caller has do not tell where another
+    /// upstream would go on.
+    bool may_resume_ = true;
     /// Earlier try that goes on when its replacement fails.
     std::shared_ptr<suspended_try> suspended_;
     /// True when the retry limiter has granted a retry that is not used yet.
--- a/src/librelay/forward.cpp
+++ b/src/librelay/forward.cpp
@@ -373,6 +373,18 @@
 }
 
 
+// Prepares for the runs of a stream, which begins where the caller asks for.
+void prepare_stream(forward_context& c)
+{
+    base::stream_join& join = c.state_.splitter_.join_;
+    join.resumable_ = catalog::may_repeat(c.e_.route_->kind_);
+    const auto text = c.e_.request_[c.t_.config_.headers_.last_event_id_];
+    const auto id = base::parse_event_id({text.data(), text.size()});
+    if (id)
+        begin_after(join, *id);
+}
+
+
 asio::awaitable<bool> serve(forward_context& c)
 {
     record_demand(c);
@@ -406,6 +418,7 @@
 asio::awaitable<bool> forward(proxy_thread& t, std::shared_ptr<exchange> e)
 {
     forward_context c{t, *e, {}, {}, {}, {}, {}};
+    prepare_stream(c);
     c.state_.keep_alive_ = e->request_.keep_alive();
     c.state_.chunked_ = e->request_.version() >= http_version_1_1;
     const auto* chosen =
--- a/src/librelay/proxy_session_test.hpp
+++ b/src/librelay/proxy_session_test.hpp
@@ -63,6 +63,8 @@
     std::string prompt_parts_;
     /// Tokens of the prompt and most tokens of the answer; empty for none.
     std::string token_counts_;
+    /// The caller's own Last-Event-Id; empty for none.
+    std::string last_event_id_;
 };
 
 
--- a/src/librelay/relay_stream.cpp
+++ b/src/librelay/relay_stream.cpp
@@ -78,6 +78,7 @@
     record_events(c, new_events);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
+    c.e_.may_resume_ = resume_at(s.splitter_.join_).has_value();
     return events;
 }
 
@@ -123,6 +124,7 @@
 asio::awaitable<try_outcome> relay_end(
     try_context& c, const http_response_parser& parser, std::string events)
 {
+    finish_run(c.state_.splitter_.join_, events);
     base::body_end end = body_end_of(c, parser);
     if (base::judge(end) == base::end_verdict::unconfirmed) {
         // The events don't wait for the check.
@@ -167,13 +169,14 @@
         }
         std::string events = take_events(c, parser);
         const event_splitter& splitter = c.state_.splitter_;
-        if (last && !splitter.mismatch_)
+        const base::join_failure failure = splitter.join_.run_.failure_;
+        if (last && failure == base::join_failure::none)
             co_return co_await relay_end(c, parser, std::move(events));
         const bool sent = co_await pass_on(c, parser, std::move(events), false);
         if (!sent)
             co_return try_outcome::caller_gone;
-        if (splitter.mismatch_)
-            co_return lose(c, "overlapping_event");
+        if (failure != base::join_failure::none)
+            co_return lose(c, to_string(failure));
         if (splitter.has_second_response_)
             co_return lose(c, "second_response");
         if (splitter.pending_.size() > max_event_bytes)
@@ -185,13 +188,13 @@
             e.stop_reason_ = stop_reason::none;
         if (e.stop_reason_ != stop_reason::none)
             co_return try_outcome::lost;
-        const auto [failure, size] = co_await http::async_read_some(
+        const auto [read_failure, size] = co_await http::async_read_some(
             e.upstream_->socket_,
             e.upstream_->buffer_,
             parser,
             base::await_tuple);
-        if (failure)
-            co_return lose(c, failure_reason(failure));
+        if (read_failure)
+            co_return lose(c, failure_reason(read_failure));
     }
 }
 
--- a/src/librelay/suspended_try.hpp
+++ b/src/librelay/suspended_try.hpp
@@ -4,6 +4,7 @@
 
 #include <monsoondock/base/bounded_response_parser.hpp>
 #include <monsoondock/base/byte_budget.hpp>
+#include <monsoondock/base/stream_join.hpp>
 #include <monsoondock/relay/upstream.hpp>
 
 #include <boost/beast/http/string_body.hpp>
@@ -30,6 +31,7 @@
     std::uint64_t events_ = 0;
     /// Bytes of the event that was incomplete.
     std::string partial_event_;
+    base::run_join run_;
     /// Memory of the body or event.
     base::byte_lease memory_;
 };
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -40,11 +40,13 @@
     forwarding_fields fields{c.target_.host_, {}, {}};
     fields.time_left_ = std::chrono::duration_cast<std::chrono::milliseconds>(
         e.deadline_ - base::boot_clock::now());
-    if (c.state_.splitter_.last_id_)
-        fields.last_event_id_ = std::to_string(*c.state_.splitter_.last_id_);
-    else
-        fields.last_event_id_ =
-            std::string(e.request_[c.t_.config_.headers_.last_event_id_]);
+    const auto point = resume_at(c.state_.splitter_.join_);
+    if (!point)
+        co_return fail(c, "not_resumable");
+    fields.last_event_id_ =
+        point->after_id_.empty()
+            ? std::string(e.request_[c.t_.config_.headers_.last_event_id_])
+            : point->after_id_;
     const std::string head =
         c.detour_
             ? serialize_detour_request(
@@ -99,6 +101,7 @@
     suspended->parser_ = std::move(c.parser_);
     suspended->events_ = c.state_.events_;
     suspended->partial_event_ = take_partial_event(c.state_.splitter_);
+    suspended->run_ = std::move(c.state_.splitter_.join_.run_);
     suspended->memory_ = std::move(c.state_.memory_);
     drop_suspended_try(c.t_, e);
     e.suspended_ = std::move(suspended);
@@ -125,7 +128,7 @@
     if (outcome == try_outcome::answered && !c.detour_)
         record_call_time(c.t_, e, c.target_, waited);
     if (outcome == try_outcome::lost) {
-        discard_partial_event(c.state_.splitter_);
+        take_partial_event(c.state_.splitter_);
         c.state_.memory_ = {};
     }
     if (e.upstream_ != nullptr) {
@@ -151,7 +154,7 @@
     e.refusal_logged_ = false;
     ++e.sends_;
     response_state& state = c.state_;
-    discard_partial_event(state.splitter_);
+    begin_run(state.splitter_);
     state.memory_ = base::byte_lease(c.t_.response_memory_);
     state.failure_ = {};
     state.evacuated_ = false;
@@ -219,8 +222,10 @@
     if (e.stop_reason_ != stop_reason::none)
         co_return finish_try(c, try_outcome::caller_gone);
     e.refusal_logged_ = false;
-    restore_partial_event(
-        state.splitter_, std::move(suspended->partial_event_));
+    restore_run(
+        state.splitter_,
+        std::move(suspended->run_),
+        std::move(suspended->partial_event_));
     state.memory_ = std::move(suspended->memory_);
     state.events_ = suspended->events_;
     state.failure_ = {};
