--- a/src/libtraffic/answer_integrity_test.cpp
+++ b/src/libtraffic/answer_integrity_test.cpp
@@ -112,6 +112,13 @@
 } // namespace
 
 
+// A resumed stream that began anew was joined, and its events came twice.
+Test(answer_integrity, a_run_that_begins_anew_is_not_joined)
+{
+    resume_at_faulty_engine(test::engine_fault::begins_anew, false);
+}
+
+
 // A body that is no stream followed the events of a stream that had broken off,
 // with a second header between them.
 Test(answer_integrity, a_body_does_not_follow_a_stream)
--- a/src/libtraffic/chat_attempt.cpp
+++ b/src/libtraffic/chat_attempt.cpp
@@ -331,7 +331,7 @@
     std::array<char, read_buffer_bytes> bytes{};
     auto& splitter = a.progress_.splitter_;
     // An event that an earlier attempt left incomplete is sent again.
-    discard_partial_event(splitter);
+    begin_run(splitter);
     std::size_t bytes_after_end = 0;
     while (!parser.is_done() && bytes_after_end <= max_bytes_after_end) {
         const bool ended = splitter.progress_.done_;
@@ -347,8 +347,15 @@
             co_return reply(caller_disconnected{});
         if (splitter.pending_.size() > max_event_bytes)
             co_return fail_attempt(a, "an event exceeds the maximum size");
+        const base::join_failure failure = splitter.join_.run_.failure_;
+        if (failure != base::join_failure::none)
+            co_return fail_attempt(
+                a,
+                "the stream does not go on where the last one ended: " +
+                    std::string(to_string(failure)));
     }
     base::body_end end;
+    end.join_ = splitter.join_.run_.failure_;
     end.has_closing_event_ = splitter.progress_.done_;
     if (base::judge(end) != base::end_verdict::complete)
         co_return fail_attempt(a, "the stream ended without its [DONE] event");
--- a/src/libtraffic/event_splitter_test.cpp
+++ b/src/libtraffic/event_splitter_test.cpp
@@ -47,3 +47,17 @@
     cr_assert_eq(splitter.progress_.tokens_, 2);
     cr_assert(splitter.progress_.done_);
 }
+
+
+// Events behind the last one with content came twice when a stream was resumed.
+Test(event_splitter, events_behind_the_last_content_are_not_repeated)
+{
+    const std::string token = "data: {\"content\":\"a\"}\n\n";
+    const std::string stop = "data: {\"finish_reason\":\"stop\"}\n\n";
+    const std::string done = "data: [DONE]\n\n";
+    event_splitter splitter;
+    cr_assert(take_events(splitter, token + stop) == token + stop);
+    begin_run(splitter);
+    cr_assert(take_events(splitter, stop + done) == done);
+    cr_assert(splitter.progress_.done_);
+}
--- a/src/libtraffic/fake_engine_test.cpp
+++ b/src/libtraffic/fake_engine_test.cpp
@@ -134,6 +134,8 @@
         return head("another") + events("another", from) + stream_end;
     case engine_fault::informational_first:
         return informational_response + complete;
+    case engine_fault::begins_anew:
+        return head(id) + events(prompt, 0) + stream_end;
     case engine_fault::no_stream:
         return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                "X-Request-Id: " +
--- a/src/libtraffic/fake_engine_test.hpp
+++ b/src/libtraffic/fake_engine_test.hpp
@@ -35,6 +35,8 @@
     stalled_head,
     /// Sends an informational response before the complete one.
     informational_first,
+    /// Begins with the first token, whatever the request asks for.
+    begins_anew,
     /// Sends a complete body that is no stream.
     no_stream,
     /// Sends bytes without end: in the status line, as header fields, as
