--- a/src/libbase/stream_join.cpp
+++ b/src/libbase/stream_join.cpp
@@ -223,6 +223,7 @@
         return fail(j, join_failure::renumbered);
     if (may_repeat_first(j, e)) {
         run.phase_ = phase::comparing;
+        run.next_ = 0;
         return compare(j, e);
     }
     run.phase_ = phase::joined;
--- a/src/librelay/relay_stream.cpp
+++ b/src/librelay/relay_stream.cpp
@@ -62,6 +62,12 @@
 }
 
 
+void update_resumption(try_context& c)
+{
+    c.e_.may_resume_ = resume_at(c.state_.splitter_.join_).has_value();
+}
+
+
 // Returns the events that the received part of a stream completes.
 std::string take_events(try_context& c, http_response_parser& parser)
 {
@@ -78,7 +84,7 @@
     record_events(c, new_events);
     body.clear();
     s.partial_event_bytes_ = s.splitter_.pending_.size();
-    c.e_.may_resume_ = resume_at(s.splitter_.join_).has_value();
+    update_resumption(c);
     return events;
 }
 
@@ -125,6 +131,7 @@
     try_context& c, const http_response_parser& parser, std::string events)
 {
     finish_run(c.state_.splitter_.join_, events);
+    update_resumption(c);
     base::body_end end = body_end_of(c, parser);
     if (base::judge(end) == base::end_verdict::unconfirmed) {
         // The events don't wait for the check.
--- a/src/librelay/try_upstream.cpp
+++ b/src/librelay/try_upstream.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <utility>
 
 namespace monsoondock::relay::pvt {
 
@@ -101,7 +102,7 @@
     suspended->parser_ = std::move(c.parser_);
     suspended->events_ = c.state_.events_;
     suspended->partial_event_ = take_partial_event(c.state_.splitter_);
-    suspended->run_ = std::move(c.state_.splitter_.join_.run_);
+    suspended->run_ = std::exchange(c.state_.splitter_.join_.run_, {});
     suspended->memory_ = std::move(c.state_.memory_);
     drop_suspended_try(c.t_, e);
     e.suspended_ = std::move(suspended);
