--- a/src/librelay/event_splitter.cpp
+++ b/src/librelay/event_splitter.cpp
@@ -28,7 +28,6 @@
     }
 }
 
-
 } // namespace
 
 std::string extract_events(
--- a/src/librelay/suspended_try.hpp
+++ b/src/librelay/suspended_try.hpp
@@ -31,6 +31,7 @@
     std::uint64_t events_ = 0;
     /// Bytes of the event that was incomplete.
     std::string partial_event_;
+    /// How it goes on behind the events that the caller has.
     base::run_join run_;
     /// Memory of the body or event.
     base::byte_lease memory_;
